Let three routers read the platform's log and tell the others

Three readers, the same by every router's view, tell marks with the counts of what runs; whoever knows less asks, whoever heard nothing fresh for 1.4 s reads for itself. A router that starts while the store is away asks its peers. Ruled out: longer pauses between reads, which the bound on leaving upstreams forbids.

--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -31,6 +31,11 @@
         )
         .field_attribute(".peer.Forward.body", "#[serde(with = \"serde_bytes\")]")
         .field_attribute(".peer.Header.value", "#[serde(with = \"serde_bytes\")]")
+        .field_attribute(".peer.NewsGive.config", "#[serde(with = \"serde_bytes\")]")
+        .field_attribute(
+            ".peer.UpstreamNews.record",
+            "#[serde(with = \"serde_bytes\")]",
+        )
         .field_attribute(".peer.KeptAnswer.body", "#[serde(with = \"serde_bytes\")]")
         .field_attribute(".peer.Frame.body.chunk", "#[serde(with = \"serde_bytes\")]")
         .compile_fds(fds)?;
--- a/src/fleet/flights_tests.rs
+++ b/src/fleet/flights_tests.rs
@@ -10,6 +10,7 @@
             upstream_digest: 9,
             running,
         }],
+        mark: None,
     }
 }
 
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -13,7 +13,7 @@
 use crate::decide::PoolView;
 use crate::fleet::member::Member;
 use crate::fleet::swim::Listed;
-use crate::schema::peer::{Flight, Load, Suspicion, datagram};
+use crate::schema::peer::{Flight, Load, NewsMark, Suspicion, datagram};
 use crate::util::Name;
 
 /// The latest known load of each upstream.
@@ -51,7 +51,7 @@
     /// What this router holds of a request.
     Suspicion(Suspicion),
     /// What this router has running at all upstreams.
-    Flights(Vec<Flight>),
+    Flights(Vec<Flight>, NewsMark),
     /// What an upstream says of itself to this router, its home.
     UpstreamLeaving {
         /// Its name.
@@ -82,6 +82,15 @@
     }
 }
 
+/// What another router said it knows.
+#[derive(Clone, Debug, Default)]
+pub struct MarkHeard {
+    /// Who said so; empty before anyone did.
+    pub host: String,
+    /// How much it knows.
+    pub mark: NewsMark,
+}
+
 /// Where the task that owns the probes puts what it hears.
 #[derive(Debug)]
 pub(crate) struct Heard {
@@ -89,6 +98,7 @@
     pub(crate) suspicions: watch::Sender<Arc<Vec<Suspicion>>>,
     pub(crate) config: watch::Sender<Arc<ConfigHeard>>,
     pub(crate) flights: watch::Sender<Arc<HashMap<u32, u32>>>,
+    pub(crate) marks: watch::Sender<Arc<MarkHeard>>,
 }
 
 /// What the task that owns the probes is told.
@@ -118,6 +128,7 @@
     suspicions: watch::Receiver<Arc<Vec<Suspicion>>>,
     config: watch::Receiver<Arc<ConfigHeard>>,
     flights: watch::Receiver<Arc<HashMap<u32, u32>>>,
+    marks: watch::Receiver<Arc<MarkHeard>>,
 }
 
 impl Gossip {
@@ -129,6 +140,7 @@
             suspicions: watch::channel(Arc::default()).0,
             config: watch::channel(Arc::default()).0,
             flights: watch::channel(Arc::default()).0,
+            marks: watch::channel(Arc::default()).0,
         };
         let gossip = Self {
             tx,
@@ -136,6 +148,7 @@
             suspicions: heard.suspicions.subscribe(),
             config: heard.config.subscribe(),
             flights: heard.flights.subscribe(),
+            marks: heard.marks.subscribe(),
         };
         (gossip, rx, heard)
     }
@@ -165,6 +178,11 @@
         self.flights.borrow().clone()
     }
 
+    /// What another router last said it knows; each change may be another's.
+    pub fn marks(&self) -> watch::Receiver<Arc<MarkHeard>> {
+        self.marks.clone()
+    }
+
     /// The newest configuration heard of, and who has it.
     pub fn config_heard(&self) -> watch::Receiver<Arc<ConfigHeard>> {
         self.config.clone()
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod leaving;
 pub mod loads;
 pub mod member;
+pub mod news;
 pub mod roster;
 pub mod suspects;
 pub mod swim;
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -327,6 +327,64 @@
     pub seq: u64,
     #[prost(message, repeated, tag = "4")]
     pub flights: ::prost::alloc::vec::Vec<Flight>,
+    #[prost(message, optional, tag = "5")]
+    pub mark: ::core::option::Option<NewsMark>,
+}
+/// How much a router knows of what the platform's log says, and how long ago that was all there was.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NewsMark {
+    #[prost(uint64, tag = "1")]
+    pub config_version: u64,
+    #[prost(uint32, tag = "2")]
+    pub config_age_ms: u32,
+    /// The offset up to which its upstreams are those of the log.
+    #[prost(uint64, tag = "3")]
+    pub upstreams_at: u64,
+    #[prost(uint32, tag = "4")]
+    pub upstreams_age_ms: u32,
+}
+/// Asks a router for what it knows beyond this.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct NewsAsk {
+    #[prost(uint64, tag = "1")]
+    pub config_version: u64,
+    /// 0: everything.
+    #[prost(uint64, tag = "2")]
+    pub upstreams_at: u64,
+}
+/// One record of an upstream as the log has it.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UpstreamNews {
+    #[prost(uint64, tag = "1")]
+    pub at: u64,
+    #[prost(string, tag = "2")]
+    pub id: ::prost::alloc::string::String,
+    /// Empty: the upstream is gone.
+    #[prost(bytes = "vec", tag = "3")]
+    #[serde(with = "serde_bytes")]
+    pub record: ::prost::alloc::vec::Vec<u8>,
+}
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct NewsGive {
+    /// Empty if the asker has it.
+    #[prost(bytes = "vec", tag = "1")]
+    #[serde(with = "serde_bytes")]
+    pub config: ::prost::alloc::vec::Vec<u8>,
+    #[prost(message, repeated, tag = "2")]
+    pub upstreams: ::prost::alloc::vec::Vec<UpstreamNews>,
+    /// The upstreams are all there are, not what changed.
+    #[prost(bool, tag = "3")]
+    pub is_whole: bool,
+    #[prost(message, optional, tag = "4")]
+    pub mark: ::core::option::Option<NewsMark>,
 }
 /// On the wire, eight bytes of keyed digest come first, so that strangers are not believed.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -11,7 +11,7 @@
 use crate::fleet::loads::digest;
 use crate::path::routes::Deployment;
 use crate::path::upstreams::{Upstream, Upstreams};
-use crate::schema::peer::Flight;
+use crate::schema::peer::{Flight, NewsMark};
 use crate::util::{self, Name};
 
 /// Share of the fleet's retries that its routers may make together: the rest covers windows that
@@ -104,12 +104,6 @@
         !self.upstreams.borrow().is_empty()
     }
 
-    /// The upstream `id` if it still takes work.
-    pub(crate) fn open_upstream(&self, id: &str) -> Option<Rc<Upstream>> {
-        let upstreams = self.upstreams.borrow();
-        upstreams.get(id).filter(|u| !u.draining).cloned()
-    }
-
     /// The upstreams of `service` that take work, and how each is believed to stand now.
     pub(crate) fn pool(
         &self,
@@ -159,13 +153,13 @@
     }
 
     /// Tells the other routers what runs here.
-    pub(crate) fn tell_running(&self) {
+    pub(crate) fn tell_running(&self, mark: NewsMark) {
         let flight = |(id, running): (&Name, &u32)| Flight {
             upstream_digest: digest(id),
             running: *running,
         };
         let flights = self.running.borrow().iter().map(flight).collect();
-        self.gossip.publish(Publish::Flights(flights));
+        self.gossip.publish(Publish::Flights(flights, mark));
     }
 
     /// An upstream gave an answer's head after `took_ms`.
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -49,7 +49,6 @@
 pub(crate) struct Reply {
     pub(crate) upstream: Rc<Upstream>,
     pub(crate) parts: Parts,
-    pub(crate) head: AnswerHead,
     body: Incoming,
     link: Link,
     links: Links,
@@ -59,7 +58,6 @@
 /// An answer that was read whole.
 pub(crate) struct Whole {
     pub(crate) parts: Parts,
-    pub(crate) head: AnswerHead,
     pub(crate) body: Bytes,
 }
 
@@ -121,7 +119,6 @@
         Ok(Reply {
             upstream,
             parts,
-            head,
             body,
             link,
             links: self.links.clone(),
@@ -249,7 +246,6 @@
         let Self {
             upstream,
             parts,
-            head,
             mut body,
             link,
             links,
@@ -270,7 +266,7 @@
         let body = read.await.ok()??;
         drop(running);
         links.keep(&upstream.id, link, &parts.headers);
-        Some(Whole { parts, head, body })
+        Some(Whole { parts, body })
     }
 
     /// The next bytes of the body; `None` at its end.
--- a/src/path/dialect.rs
+++ b/src/path/dialect.rs
@@ -2,6 +2,9 @@
 
 use http::{HeaderMap, HeaderValue};
 
+use crate::path::routes::Deployment;
+use crate::path::upstreams::Upstream;
+
 /// A piece of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PromptPart {
@@ -63,6 +66,24 @@
     pub load: Option<ToldLoad>,
 }
 
+/// What operators and upstreams write to the platform's log.
+pub trait Records: 'static {
+    /// Why a record can't be used.
+    type Error: std::fmt::Display;
+
+    /// Decodes a whole configuration.
+    ///
+    /// # Errors
+    /// Names the field that can't be used.
+    fn deployment(record: &[u8]) -> Result<Deployment, Self::Error>;
+
+    /// Decodes what the upstream `id` says of itself.
+    ///
+    /// # Errors
+    /// Names the field that can't be used.
+    fn upstream(id: &str, record: &[u8]) -> Result<Upstream, Self::Error>;
+}
+
 /// The header names of one kind of caller and upstream.
 pub trait Dialect: 'static {
     /// Reads a caller's headers.
--- a/src/path/events.rs
+++ b/src/path/events.rs
@@ -79,7 +79,7 @@
 
 fn last_id(events: &[u8]) -> Option<u64> {
     let lines = events.split(|b| *b == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(ID));
-    let text = std::str::from_utf8(ids.last()?).ok()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(ID));
+    let text = std::str::from_utf8(ids.next_back()?).ok()?;
     text.trim().parse().ok()
 }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -14,14 +14,15 @@
 pub mod dialect;
 pub mod events;
 pub(crate) mod link;
+pub(crate) mod news;
 pub(crate) mod pages;
+pub(crate) mod peers;
 pub(crate) mod refusal;
 pub(crate) mod request;
 pub mod routes;
 pub(crate) mod stop;
 pub mod upstreams;
 
-use std::marker::PhantomData;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,7 +33,9 @@
 use crate::fleet::gossip::Gossip;
 use crate::fleet::member::{Member, MemberState, View};
 use crate::path::beliefs::Beliefs;
+use crate::path::dialect::Records;
 use crate::path::link::Links;
+use crate::path::news::News;
 use crate::serve::Drain;
 use crate::util::{Clock, Name};
 
@@ -45,13 +48,13 @@
 /// What the tasks of the path share.
 pub(crate) struct Path<D> {
     pub(crate) beliefs: Rc<Beliefs>,
+    pub(crate) news: News<D>,
     pub(crate) links: Links,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
     pub(crate) gossip: Gossip,
     pub(crate) fleet: watch::Receiver<Arc<View>>,
     pub(crate) host: Name,
-    pub(crate) dialect: PhantomData<D>,
 }
 
 impl<D> Path<D> {
@@ -65,6 +68,12 @@
         live.count().max(1)
     }
 
+    /// Where other routers reach `host`.
+    pub(crate) fn peer_addr(&self, host: &str) -> Option<Name> {
+        let fleet = self.fleet.borrow();
+        fleet.get(host).map(|m| m.peer_addr.clone())
+    }
+
     /// Where callers should connect: routers that take work, in a random order, at most `max`.
     pub(crate) fn entry_addrs(&self, max: usize) -> Vec<Name> {
         let fleet = self.fleet.borrow();
@@ -91,11 +100,11 @@
 }
 
 /// Tells the others what runs here, and keeps house.
-pub(crate) async fn tend<D>(path: Rc<Path<D>>) {
+pub(crate) async fn tend<D: Records>(path: Rc<Path<D>>) {
     let mut tellings = 0_u32;
     loop {
         compio::time::sleep(TELL).await;
-        path.beliefs.tell_running();
+        path.beliefs.tell_running(path.news.mark());
         tellings = tellings.wrapping_add(1);
         if tellings.is_multiple_of(SWEEP_TELLINGS) {
             path.links.sweep(|id| path.beliefs.knows_upstream(id));
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -1,7 +1,6 @@
 //! One running router on a platform whose log keeps the newest record of each key: operators write
 //! routes and accounts there, upstreams that they are there, and requests go straight to upstreams.
 
-use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,11 +14,12 @@
 use crate::log::view::ConfigView;
 use crate::path::beliefs::{Beliefs, RetryLimit};
 use crate::path::link::Links;
-use crate::path::{Path, callers, pages, stop, tend};
+use crate::path::news::News;
+use crate::path::{Path, callers, pages, peers, stop, tend};
 use crate::platform::{Fleet, Headers, Pages, Store, follow_deployment, follow_upstreams};
 use crate::router::{AddrSnafu, BindSnafu, RouterError};
 use crate::schema::settings::{Listen, Settings};
-use crate::serve::{Drain, Probes, probes};
+use crate::serve::{Drain, PeerClient, Probes, probes};
 use crate::util::{Clock, Name, wall_ms};
 
 use snafu::ResultExt;
@@ -57,30 +57,37 @@
             me: me.clone(),
             config,
             clock,
-            events,
+            events: events.clone(),
         });
         let limit = RetryLimit {
             share: policy.retry_share,
             burst: policy.retry_burst.into(),
         };
         let beliefs = Beliefs::new(limit, me.data_center.clone(), probes.gossip.clone());
+        let beliefs = Rc::new(beliefs);
         let path = Rc::new(Path {
-            beliefs: Rc::new(beliefs),
+            news: News::new(beliefs.clone(), clock),
+            beliefs,
             links: Links::default(),
             clock,
             drain: Drain::default(),
             gossip: probes.gossip.clone(),
             fleet: probes.view,
             host: me.host.clone(),
-            dialect: PhantomData,
         });
         let platform = settings.platform.clone().unwrap_or_default();
         let store = parse("platform.addr", &platform.addr)?;
         let open = || Store::open(store);
-        let seeds = &policy.seed_addrs;
-        let fleet = Fleet::new(open(), me, probes.gossip, seeds);
-        compio::runtime::spawn(follow_deployment(open(), path.beliefs.clone())).detach();
-        compio::runtime::spawn(follow_upstreams(open(), path.beliefs.clone())).detach();
+        let fleet = Fleet::new(open(), me, probes.gossip);
+        let key: Name = policy.key.as_str().into();
+        let bound = peers::bind(peer_addr, key, path.clone()).await;
+        bound.context(BindSnafu { field: "peer_addr" })?;
+        let client = PeerClient::new(&policy.key, events);
+        let seeds = seeds(&policy.seed_addrs, peer_addr);
+        compio::runtime::spawn(peers::follow(path.clone(), client.clone())).detach();
+        compio::runtime::spawn(peers::join(path.clone(), client, seeds)).detach();
+        compio::runtime::spawn(follow_deployment(open(), path.clone())).detach();
+        compio::runtime::spawn(follow_upstreams(open(), path.clone())).detach();
         compio::runtime::spawn(fleet.clone().follow()).detach();
         compio::runtime::spawn(tend(path.clone())).detach();
         let entry_ttl = Duration::from_millis(policy.entry_ttl_ms.into());
@@ -137,6 +144,17 @@
     }
 }
 
+/// Hosts to ask for the fleet; their routers listen on the same port as this one.
+fn seeds(seed_addrs: &str, own: SocketAddr) -> Vec<Name> {
+    let addrs = seed_addrs
+        .split(',')
+        .filter_map(|a| a.parse::<SocketAddr>().ok());
+    let others = addrs.filter(|a| a.ip() != own.ip());
+    others
+        .map(|a| SocketAddr::new(a.ip(), own.port()).to_string().into())
+        .collect()
+}
+
 fn swim_policy(fleet: &crate::schema::settings::Fleet) -> SwimPolicy {
     SwimPolicy {
         probe_interval_ms: fleet.probe_interval_ms.into(),
--- a/src/serve/peers/mod.rs
+++ b/src/serve/peers/mod.rs
@@ -9,6 +9,7 @@
 const FORWARD: &str = "/forward";
 pub(crate) const MEMBERS: &str = "/members";
 pub(crate) const CONFIG: &str = "/config";
+pub(crate) const NEWS: &str = "/news";
 pub(crate) const WARM: &str = "/warm";
 pub(crate) const DEMAND: &str = "/demand";
 pub(crate) const CONVICTED: &str = "/convicted";
--- a/src/serve/probes/task.rs
+++ b/src/serve/probes/task.rs
@@ -13,7 +13,7 @@
 
 use crate::event::{Events, Kind};
 use crate::fleet::flights::FlightTable;
-use crate::fleet::gossip::{ConfigHeard, Heard, Loads, Note, Publish};
+use crate::fleet::gossip::{ConfigHeard, Heard, Loads, MarkHeard, Note, Publish};
 use crate::fleet::homes;
 use crate::fleet::leaving::LeavingTable;
 use crate::fleet::loads::{self, LoadTable};
@@ -22,7 +22,7 @@
 use crate::fleet::swim::{Message, Out, Swim};
 use crate::log::view::ConfigView;
 use crate::schema::peer::datagram::Body;
-use crate::schema::peer::{self, Ack, Datagram, Flight, Flights, Ping};
+use crate::schema::peer::{self, Ack, Datagram, Flight, Flights, NewsMark, Ping};
 use crate::serve::frames;
 use crate::serve::probes::count;
 use crate::serve::probes::pulse::Pulse;
@@ -118,7 +118,9 @@
                 }
                 self.loads_changed = true;
             }
-            Note::Publish(Publish::Flights(flights)) => self.tell_flights(flights, now_ms).await,
+            Note::Publish(Publish::Flights(flights, mark)) => {
+                self.tell_flights(flights, mark, now_ms).await;
+            }
             Note::Publish(Publish::Suspicion(suspicion)) => self.suspect(&[suspicion], now_ms),
             Note::Publish(Publish::UpstreamLeaving { upstream, leaving }) => {
                 self.leaving.signalled(&upstream, leaving);
@@ -144,7 +146,7 @@
     }
 
     /// Tells the others what runs where. In a large fleet each telling goes to some, drawn anew.
-    async fn tell_flights(&mut self, flights: Vec<Flight>, now_ms: u64) {
+    async fn tell_flights(&mut self, flights: Vec<Flight>, mark: NewsMark, now_ms: u64) {
         self.heard
             .flights
             .send_replace(Arc::new(self.flights.sums(now_ms)));
@@ -155,6 +157,7 @@
             from_incarnation: me.incarnation,
             seq: self.flights_seq,
             flights,
+            mark: Some(mark),
         });
         let Ok(payload) = frames::to_vec(&Datagram {
             body: Some(body.clone()),
@@ -190,7 +193,14 @@
                 let host = host.into();
                 (gossip, Message::Ack { seq, host })
             }
-            Body::Flights(told) => return self.flights.heard(told, now_ms),
+            Body::Flights(mut told) => {
+                let mark = told.mark.take().unwrap_or_default();
+                let host = told.from_host.clone();
+                self.heard
+                    .marks
+                    .send_replace(Arc::new(MarkHeard { host, mark }));
+                return self.flights.heard(told, now_ms);
+            }
         };
         self.merge(gossip.unwrap_or_default(), now_ms);
         let out = self.swim.receive(from, message, now_ms);
