Take up changed settings; one stream of bounded logs and events on standard output

Settings are read again by signal or when the file changes, checked first. Logs and events wait in memory for a thread that writes them; lines about requests that went well are limited to 200 a second, failures aren't.

--- a/src/cmd/router.rs
+++ b/src/cmd/router.rs
@@ -1,6 +1,7 @@
 //! `cassiagrade router`: runs one router.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use bpaf::Bpaf;
 use futures_util::future::{Either, select};
@@ -9,17 +10,22 @@
 
 use crate::cmd::{CmdError, block_on};
 use crate::config::KEYED_LOG;
+use crate::outlet::Outlet;
+use crate::reload::Watch;
 use crate::routed::Routed;
 use crate::router::{Outputs, Router};
+use crate::schema::settings::Settings;
 use crate::{logs, stats};
 
+/// A process that ends waits this long for its last log lines to be read.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// Its number is the same on every POSIX system.
 const SIGTERM: i32 = 15;
 
 /// Runs one router until it is told to stop.
 ///
 /// On SIGTERM it finishes what is in flight, within the drain limit of its settings, and exits
-/// with 0. Logs go to standard error, time line events to standard output, both as JSON lines.
+/// with 0. Logs and time line events go to standard output as JSON lines.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("router"))]
 pub struct Args {
@@ -33,9 +39,11 @@
 /// # Errors
 /// When the settings can't be used or an address can't be listened on.
 pub fn run(args: Args) -> Result<(), CmdError> {
+    let watch = Watch::open(&args.settings)?;
     let settings = crate::config::load(&args.settings)?;
-    logs::init(&settings);
-    stop_on_panic();
+    let outlet = Outlet::spawn();
+    logs::init(&settings, outlet.clone());
+    stop_on_panic(outlet.clone());
     let metrics = PrometheusBuilder::new()
         .set_buckets_for_metric(Matcher::Suffix("_ms".to_owned()), &stats::BUCKETS_MS)
         .and_then(PrometheusBuilder::install_recorder)
@@ -43,16 +51,25 @@
     stats::describe();
     let events = settings.output.as_ref().is_some_and(|o| o.events);
     let outputs = Outputs {
-        events: events.then(|| Box::new(std::io::stdout()) as _),
+        events: events.then(|| Box::new(outlet.clone()) as _),
         metrics,
     };
+    let ended = serve(settings, outputs, watch);
+    outlet.flush_within(LAST_LINES);
+    ended
+}
+
+fn serve(settings: Settings, outputs: Outputs, watch: Watch) -> Result<(), CmdError> {
     if settings
         .platform
         .as_ref()
         .is_some_and(|p| p.protocol == KEYED_LOG)
     {
         return block_on(async {
-            let router = Routed::spawn(settings).await?;
+            let router = Routed::spawn(settings, outputs).await?;
+            let changed = router.clone();
+            let follow = watch.follow(move |settings| changed.apply(settings));
+            compio::runtime::spawn(follow).detach();
             stop_signal().await?;
             router.drain().await;
             Ok(())
@@ -60,6 +77,7 @@
     }
     block_on(async {
         let router = Router::spawn(settings, outputs).await?;
+        compio::runtime::spawn(watch.follow(logs::set_level)).detach();
         stop_signal().await?;
         router.drain().await;
         Ok(())
@@ -70,11 +88,12 @@
 ///
 /// The runtime keeps a task's panic to itself. Without the task that owns the configuration, say, a
 /// router would go on answering probes and callers with what it last knew; gone, it is replaced.
-fn stop_on_panic() {
+fn stop_on_panic(outlet: Outlet) {
     let report = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |info| {
         log::error!("a task panicked, the router stops: {info}");
         report(info);
+        outlet.flush_within(LAST_LINES);
         std::process::abort();
     }));
 }
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use bpaf::Bpaf;
+use serde::Deserialize;
 use snafu::ResultExt;
 
 use crate::cmd::story;
@@ -81,9 +82,12 @@
             if line.trim_ascii().is_empty() {
                 continue;
             }
-            match serde_json::from_slice::<Event>(&line) {
-                Ok(event) if !event.kind.is_empty() => self.events.push(event),
-                Ok(_) | Err(_) => self.skipped += 1,
+            // Whoever collects the lines of many hosts may have put time and host before each.
+            let start = line.iter().position(|b| *b == b'{').unwrap_or(0);
+            match serde_json::from_slice::<Line>(&line[start..]) {
+                Ok(Line::Event(event)) if !event.kind.is_empty() => self.events.push(event),
+                Ok(Line::Log { .. }) => {}
+                Ok(Line::Event(_)) | Err(_) => self.skipped += 1,
             }
         }
         Ok(())
@@ -102,6 +106,17 @@
     }
 }
 
+/// One line of a process: an event, or a log line, which tells of no request's way.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Line {
+    Log {
+        #[serde(rename = "level")]
+        _level: String,
+    },
+    Event(Event),
+}
+
 type Field = fn(&Event) -> &str;
 
 /// Which requests the filters by request, chat, account and upstream match.
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,7 +1,10 @@
 //! The time line: events of this process as JSON lines, stamped with a hybrid logical clock.
 
 use std::io::Write;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+use metrics::counter;
 
 pub use crate::schema::event::{Event, Kind};
 use crate::schema::peer;
@@ -71,6 +74,46 @@
 struct Sink {
     last: Stamp,
     out: Box<dyn Write + Send>,
+    routine: Routine,
+}
+
+/// Lines about requests that went well, a second. Beyond that they are counted and left out, so that
+/// a busy router's log stays bounded and still has every failure.
+const ROUTINE_PER_S: f64 = 200.0;
+/// Such lines that may come at once.
+const ROUTINE_BURST: f64 = 1_000.0;
+
+/// How many lines about requests that went well may still be written.
+struct Routine {
+    left: f64,
+    at: Instant,
+}
+
+impl Routine {
+    fn take(&mut self) -> bool {
+        let now = Instant::now();
+        let grown = now.duration_since(self.at).as_secs_f64() * ROUTINE_PER_S;
+        self.at = now;
+        self.left = (self.left + grown).min(ROUTINE_BURST);
+        if self.left < 1.0 {
+            counter!("cassiagrade_events_left_out_total").increment(1);
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+}
+
+fn is_routine(kind: Kind) -> bool {
+    matches!(
+        kind,
+        Kind::RequestReceived
+            | Kind::RequestPlaced
+            | Kind::RequestHopped
+            | Kind::RequestQueued
+            | Kind::RequestStarted
+            | Kind::RequestAnswered
+    )
 }
 
 impl std::fmt::Debug for Events {
@@ -95,7 +138,11 @@
     ) -> Self {
         let sink = out.map(|out| {
             let last = Stamp::default();
-            Arc::new(Mutex::new(Sink { last, out }))
+            let routine = Routine {
+                left: ROUTINE_BURST,
+                at: Instant::now(),
+            };
+            Arc::new(Mutex::new(Sink { last, out, routine }))
         });
         Self {
             host,
@@ -108,6 +155,10 @@
     /// Writes one event; `fill` sets what the kind needs. Costs nothing when events are off.
     pub fn emit(&self, kind: Kind, fill: impl FnOnce(&mut Event)) {
         let Some(sink) = &self.sink else { return };
+        let is_left_out = |mut sink: MutexGuard<'_, Sink>| !sink.routine.take();
+        if is_routine(kind) && sink.lock().is_ok_and(is_left_out) {
+            return;
+        }
         let mut event = Event {
             kind: kind.as_str_name().to_ascii_lowercase(),
             host: self.host.to_string(),
--- a/src/gen/event.rs
+++ b/src/gen/event.rs
@@ -78,6 +78,7 @@
     UpstreamLeaving = 28,
     RequestQuarantined = 29,
     KvMoved = 30,
+    RequestCut = 31,
 }
 impl Kind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -117,6 +118,7 @@
             Self::UpstreamLeaving => "UPSTREAM_LEAVING",
             Self::RequestQuarantined => "REQUEST_QUARANTINED",
             Self::KvMoved => "KV_MOVED",
+            Self::RequestCut => "REQUEST_CUT",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -153,6 +155,7 @@
             "UPSTREAM_LEAVING" => Some(Self::UpstreamLeaving),
             "REQUEST_QUARANTINED" => Some(Self::RequestQuarantined),
             "KV_MOVED" => Some(Self::KvMoved),
+            "REQUEST_CUT" => Some(Self::RequestCut),
             _ => None,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,9 +13,11 @@
 pub mod fleet;
 pub mod log;
 pub(crate) mod logs;
+pub(crate) mod outlet;
 pub mod path;
 #[path = "../platform/mod.rs"]
 pub(crate) mod platform;
+pub(crate) mod reload;
 pub mod routed;
 pub mod router;
 #[path = "gen/mod.rs"]
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,30 +1,37 @@
-//! Logs: JSON lines on standard error, each with host, data centre and, where there is one, the
-//! request's id.
+//! Logs: JSON lines on standard output, each with host, data centre and what the log call names,
+//! among it the request's id where there is one.
 
-use log::kv::Key;
+use std::io::Write;
+
+use log::kv::{Error, Key, Value as LoggedValue, VisitSource};
 use log::{LevelFilter, Record};
-use serde_json::{Value, json};
+use serde_json::{Map, Value, json};
 
+use crate::outlet::Outlet;
 use crate::schema::settings::Settings;
 use crate::util::wall_ms;
 
-/// The key under which a log call gives the id of its request.
-const REQUEST_ID: &str = "request_id";
-
-/// Sends logs to standard error. A second call changes nothing.
-pub(crate) fn init(settings: &Settings) {
+/// Sends logs to `outlet`. A second call changes nothing.
+pub(crate) fn init(settings: &Settings, outlet: Outlet) {
     let host = settings.host.clone().unwrap_or_default();
-    let level = settings.output.as_ref().map(|o| o.log_level.as_str());
-    let level = level.and_then(|l| l.parse().ok());
     let dispatch = fern::Dispatch::new()
-        .level(level.unwrap_or(LevelFilter::Info))
+        .level(LevelFilter::Trace)
         .format(move |out, _, record| {
             let line = line(&host.name, &host.data_center, record);
             out.finish(format_args!("{line}"));
         })
-        .chain(std::io::stderr());
+        .chain(Box::new(outlet) as Box<dyn Write + Send>);
     // Several routers in one process share the first one's logger.
     let _ = dispatch.apply();
+    set_level(settings);
+}
+
+/// Takes a changed level.
+pub(crate) fn set_level(settings: &Settings) {
+    let level = settings.output.as_ref().map(|o| o.log_level.as_str());
+    if let Some(level) = level.and_then(|l| l.parse().ok()) {
+        log::set_max_level(level);
+    }
 }
 
 fn line(host: &str, data_center: &str, record: &Record<'_>) -> Value {
@@ -36,12 +43,25 @@
         "target": record.target(),
         "message": record.args().to_string(),
     });
-    if let Some(id) = record.key_values().get(Key::from_str(REQUEST_ID)) {
-        line[REQUEST_ID] = Value::from(id.to_string());
+    if let Some(fields) = line.as_object_mut()
+        && let Err(e) = record.key_values().visit(&mut Fields(fields))
+    {
+        fields.insert("unlogged".to_owned(), e.to_string().into());
     }
     line
 }
 
+/// Puts what a log call names into its line.
+struct Fields<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: LoggedValue<'kvs>) -> Result<(), Error> {
+        let value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
 #[cfg(test)]
 #[path = "logs_tests.rs"]
 mod logs_tests;
--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -11,12 +11,13 @@
 use http::{HeaderMap, Response};
 use tokio::sync::mpsc;
 
-use crate::decide::refusal::Cause;
+use crate::event::Kind;
 use crate::path::attempts::{Answered, Attempts};
 use crate::path::call::Reply;
-use crate::path::dialect::Dialect;
+use crate::path::dialect::{Dialect, Records};
 use crate::path::events::Splitter;
 use crate::serve::body::Answer;
+use crate::stats::Tally;
 
 /// Pieces that may wait for a caller that reads slowly.
 const CHANNEL: usize = 16;
@@ -27,13 +28,23 @@
 const MIN_SILENCE: Duration = Duration::from_millis(900);
 
 /// Passes an upstream's answer on.
-pub(crate) fn pass<D: Dialect>(attempts: Attempts<D>, answered: Answered) -> Response<Answer> {
+pub(crate) fn pass<D: Dialect + Records>(
+    attempts: Attempts<D>,
+    answered: Answered,
+    mut tally: Tally,
+) -> Response<Answer> {
     match answered {
         Answered::Whole(whole) => {
-            attempts.log("answered", "", whole.parts.status.as_str());
+            attempts.note(
+                Kind::RequestAnswered,
+                &whole.upstream,
+                whole.parts.status.as_str(),
+            );
+            tally.first_byte();
+            tally.ended(true);
             respond(whole.parts, Answer::whole(whole.body))
         }
-        Answered::Stream(reply) => stream(attempts, reply),
+        Answered::Stream(reply) => stream(attempts, reply, tally),
     }
 }
 
@@ -77,11 +88,16 @@
     }
 }
 
-fn stream<D: Dialect>(attempts: Attempts<D>, reply: Reply) -> Response<Answer> {
+fn stream<D: Dialect + Records>(
+    attempts: Attempts<D>,
+    reply: Reply,
+    tally: Tally,
+) -> Response<Answer> {
+    tally.first_byte();
     let parts = clone_parts(&reply.parts);
     let (tx, rx) = mpsc::channel(CHANNEL);
     compio::runtime::spawn(async move {
-        let mut run = StreamRun::new(attempts, tx);
+        let mut run = StreamRun::new(attempts, tx, tally);
         if let Err(why) = run.relay(reply).await {
             // No end mark follows: the caller sees that the answer is cut.
             let _ = run.tx.send(Err(io::Error::other(why))).await;
@@ -104,6 +120,7 @@
     splitter: Splitter,
     tx: mpsc::Sender<io::Result<Bytes>>,
     events_from: Option<u64>,
+    tally: Tally,
 }
 
 /// How one upstream's part of a stream ended.
@@ -114,14 +131,15 @@
     OutOfTime,
 }
 
-impl<D: Dialect> StreamRun<D> {
-    fn new(attempts: Attempts<D>, tx: mpsc::Sender<io::Result<Bytes>>) -> Self {
+impl<D: Dialect + Records> StreamRun<D> {
+    fn new(attempts: Attempts<D>, tx: mpsc::Sender<io::Result<Bytes>>, tally: Tally) -> Self {
         let events_from = attempts.asked.head.resume_after;
         Self {
             attempts,
             splitter: Splitter::after(events_from),
             tx,
             events_from,
+            tally,
         }
     }
 
@@ -132,15 +150,18 @@
             match self.pass_events(&mut reply).await {
                 Ended::Whole => {
                     reply.ended();
-                    self.attempts.log("answered", &upstream.id, "stream whole");
+                    self.tally.ended(true);
+                    self.attempts
+                        .note(Kind::RequestAnswered, &upstream.id, "stream whole");
                     return Ok(());
                 }
                 Ended::CallerGone => {
-                    self.attempts.log("caller_gone", &upstream.id, "");
+                    self.attempts
+                        .note(Kind::RequestCancelled, &upstream.id, "the caller went");
                     return Ok(());
                 }
                 Ended::OutOfTime => {
-                    self.attempts.log("cut", &upstream.id, "deadline");
+                    self.cut(&upstream.id, "no time left");
                     return Err("the deadline has passed");
                 }
                 Ended::Broken(why) => {
@@ -148,10 +169,14 @@
                     drop(reply);
                     let path = &self.attempts.asked.path;
                     path.beliefs.failed(&upstream, &why, path.clock.now_ms());
-                    self.attempts.log("stream_broke", &upstream.id, &why);
+                    self.attempts.note(Kind::RequestRetried, &upstream.id, &why);
                 }
             }
             if !self.attempts.may_run_again() {
+                self.cut(
+                    &upstream.id,
+                    "the stream broke off and may not go on elsewhere",
+                );
                 return Err("the stream broke off");
             }
             reply = self.resume().await?;
@@ -164,23 +189,31 @@
         let after = self.splitter.last_id().or(self.events_from);
         match self.attempts.next(after).await {
             Ok(reply) if reply.parts.status.is_success() => {
-                self.attempts.log("resumed", &reply.upstream.id, "");
+                self.attempts.note(
+                    Kind::RequestResumed,
+                    &reply.upstream.id,
+                    &format!("after event {after:?}"),
+                );
                 Ok(reply)
             }
             Ok(reply) => {
                 let status = reply.parts.status;
-                self.attempts
-                    .log("cut", &reply.upstream.id, status.as_str());
+                self.cut(&reply.upstream.id, status.as_str());
                 Err("the stream can't be resumed")
             }
             Err(refused) => {
                 let cause: &'static str = refused.cause.into();
-                self.attempts.log("cut", "", cause);
+                self.cut("", cause);
                 Err("no upstream resumes the stream")
             }
         }
     }
 
+    fn cut(&mut self, upstream: &str, why: &str) {
+        self.tally.ended(false);
+        self.attempts.note(Kind::RequestCut, upstream, why);
+    }
+
     async fn pass_events(&mut self, reply: &mut Reply) -> Ended {
         loop {
             let wait = self.wait();
@@ -223,8 +256,3 @@
         silence.max(MIN_SILENCE).min(remaining)
     }
 }
-
-/// The word for the cause of a refusal, for the log.
-pub(crate) fn cause_name(cause: Cause) -> &'static str {
-    cause.into()
-}
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -9,13 +9,15 @@
 
 use crate::decide::refusal::{Cause, RunState, spread_ms};
 use crate::decide::spread::{self, Placed};
+use crate::event::{Kind, chat_name};
+use crate::path::Path;
 use crate::path::call::{Call, CallFailed, Caller, Fate, Reply, Whole};
+use crate::path::dialect::Records;
 use crate::path::dialect::{CallHead, CallerHead, Dialect, PromptPart};
 use crate::path::refusal::Refused;
 use crate::path::routes::{Account, Route};
 use crate::path::upstreams::Upstream;
-use crate::path::{Path, log_decision};
-use crate::util::Name;
+use crate::util::{self, Name};
 
 /// Upstreams that one request may be refused by or fail to reach. Each costs a round trip; a pool
 /// that turns three away is full, and the caller is better told so.
@@ -41,6 +43,7 @@
     pub(crate) route: Rc<Route>,
     pub(crate) service: Name,
     pub(crate) account: Option<Rc<Account>>,
+    pub(crate) started: Instant,
     /// When the caller, or the route, gives the request up.
     pub(crate) deadline: Instant,
 }
@@ -70,7 +73,7 @@
     Stream(Reply),
 }
 
-impl<D: Dialect> Attempts<D> {
+impl<D: Dialect + Records> Attempts<D> {
     pub(crate) fn new(asked: Asked<D>) -> Self {
         Self {
             asked,
@@ -118,7 +121,7 @@
                     }
                 }
             }
-            self.log("retry", &upstream.id, &why);
+            self.note(Kind::RequestRetried, &upstream.id, &why);
         }
     }
 
@@ -155,7 +158,8 @@
                 Err(failed) => failed,
             };
             let fate: &'static str = failed.fate.into();
-            self.log(fate, &upstream.id, &failed.why);
+            let why = format!("{fate}: {}", failed.why);
+            self.note(Kind::RequestRetried, &upstream.id, &why);
             if failed.fate != Fate::NotSent {
                 self.arrivals += 1;
             }
@@ -264,8 +268,38 @@
         }
     }
 
-    pub(crate) fn log(&self, what: &str, upstream: &str, why: &str) {
-        log_decision(self.asked.head.request_id.as_deref(), what, upstream, why);
+    /// One line for a decision about this request: what was decided, why, and what it rests on.
+    pub(crate) fn note(&self, kind: Kind, upstream: &str, why: &str) {
+        let asked = &self.asked;
+        asked.path.events.emit(kind, |e| {
+            e.request_id = asked.head.request_id.clone().unwrap_or_default();
+            e.account = asked
+                .account
+                .as_ref()
+                .map_or_else(String::new, |a| a.name.to_string());
+            e.chat = shared_part(&asked.head.prompt).map_or_else(String::new, chat_name);
+            e.upstream = upstream.to_owned();
+            e.attempt = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
+            e.took_us = util::micros(asked.started.elapsed());
+            e.detail = format!("{why}; {}", self.grounds());
+        });
+    }
+
+    /// What a decision rests on, and how old that is.
+    fn grounds(&self) -> String {
+        let asked = &self.asked;
+        let mark = asked.path.news.mark();
+        format!(
+            "route {}, service {}, configuration {} read {} ms ago, upstreams at {} read {} ms ago, \
+             {} ms left",
+            asked.route.name,
+            asked.service,
+            mark.config_version,
+            mark.config_age_ms,
+            mark.upstreams_at,
+            mark.upstreams_age_ms,
+            self.remaining().as_millis(),
+        )
     }
 }
 
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -1,6 +1,6 @@
 //! What one router believes: configuration, upstreams, and what it has seen of them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -40,7 +40,7 @@
     running: RefCell<HashMap<Name, u32>>,
     /// When upstreams came that weren't there when this router started.
     joined_ms: RefCell<HashMap<Name, u64>>,
-    retry_limit: RetryLimit,
+    retry_limit: Cell<RetryLimit>,
     data_center: Name,
     gossip: Gossip,
 }
@@ -72,7 +72,7 @@
             budgets: RefCell::default(),
             running: RefCell::default(),
             joined_ms: RefCell::default(),
-            retry_limit,
+            retry_limit: Cell::new(retry_limit),
             data_center,
             gossip,
         }
@@ -82,6 +82,10 @@
         self.deployment.borrow().clone()
     }
 
+    pub(crate) fn limit_retries(&self, limit: RetryLimit) {
+        self.retry_limit.set(limit);
+    }
+
     /// Takes a configuration unless a newer one is in force; tells whether it was taken.
     ///
     /// Failure guarded against: the platform answers from the past, and requests are handled again
@@ -208,11 +212,13 @@
     /// Counts a request's first try towards the retries of its service.
     pub(crate) fn first_try(&self, service: &Name, routers: usize) {
         let mut budgets = self.budgets.borrow_mut();
-        let burst = self.retry_limit.burst * BUDGET_SHARE / routers.max(1) as f64;
-        let share = self.retry_limit.share * BUDGET_SHARE;
+        let limit = self.retry_limit.get();
+        let burst = limit.burst * BUDGET_SHARE / routers.max(1) as f64;
+        let share = limit.share * BUDGET_SHARE;
         let budget = budgets
             .entry(service.clone())
             .or_insert_with(|| Budget::with_burst(share, burst));
+        budget.set_share(share);
         budget.set_burst(burst);
         budget.first_try();
     }
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -16,7 +16,7 @@
 use crate::path::dialect::{AnswerHead, Dialect};
 use crate::path::link::{self, Link, Links};
 use crate::path::upstreams::Upstream;
-use crate::util::Clock;
+use crate::util::{Clock, Name};
 
 /// To open a connection: some round trips between data centres, and less than a counter's caller
 /// notices when another upstream takes over.
@@ -57,6 +57,7 @@
 
 /// An answer that was read whole.
 pub(crate) struct Whole {
+    pub(crate) upstream: Name,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
 }
@@ -266,7 +267,11 @@
         let body = read.await.ok()??;
         drop(running);
         links.keep(&upstream.id, link, &parts.headers);
-        Some(Whole { parts, body })
+        Some(Whole {
+            upstream: upstream.id.clone(),
+            parts,
+            body,
+        })
     }
 
     /// The next bytes of the body; `None` at its end.
--- a/src/path/callers.rs
+++ b/src/path/callers.rs
@@ -12,7 +12,7 @@
 use futures_util::pin_mut;
 use hyper::service::service_fn;
 
-use crate::path::dialect::Dialect;
+use crate::path::dialect::{Dialect, Records};
 use crate::path::{Path, link, request};
 use crate::serve::listen;
 use crate::serve::paced::Paced;
@@ -29,7 +29,7 @@
 const IDLE_SLACK: Duration = Duration::from_millis(500);
 
 /// Accepts callers at `addr`.
-pub(crate) async fn bind<D: Dialect>(
+pub(crate) async fn bind<D: Dialect + Records>(
     addr: SocketAddr,
     path: Rc<Path<D>>,
 ) -> io::Result<SocketAddr> {
@@ -45,7 +45,7 @@
     Ok(addr)
 }
 
-async fn serve<D: Dialect>(stream: TcpStream, path: Rc<Path<D>>) {
+async fn serve<D: Dialect + Records>(stream: TcpStream, path: Rc<Path<D>>) {
     link::watch_silence(&stream);
     stats::connection_opened();
     let limits = path.beliefs.deployment().limits;
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -30,6 +30,7 @@
 use rand::seq::IteratorRandom;
 use tokio::sync::watch;
 
+use crate::event::Events;
 use crate::fleet::gossip::Gossip;
 use crate::fleet::member::{Member, MemberState, View};
 use crate::path::beliefs::Beliefs;
@@ -52,6 +53,7 @@
     pub(crate) links: Links,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
+    pub(crate) events: Events,
     pub(crate) gossip: Gossip,
     pub(crate) fleet: watch::Receiver<Arc<View>>,
     pub(crate) host: Name,
@@ -112,9 +114,3 @@
         }
     }
 }
-
-/// One line for a decision that touches a request.
-pub(crate) fn log_decision(request_id: Option<&str>, what: &str, upstream: &str, why: &str) {
-    let request_id = request_id.unwrap_or_default();
-    log::info!(request_id; "{what} {upstream} {why}");
-}
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -11,13 +11,15 @@
 use hyper::body::Incoming;
 
 use crate::decide::refusal::{Cause, spread_ms};
+use crate::event::Kind;
 use crate::path::attempts::{Asked, Attempts};
-use crate::path::dialect::{CallerHead, Dialect};
+use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::refusal::Refused;
 use crate::path::routes::{Account, CallerLimits, Deployment, Route};
-use crate::path::{Path, answer, log_decision};
+use crate::path::{Path, answer};
 use crate::serve::body::Answer;
 use crate::serve::drain::Phase;
+use crate::stats::{self, Tally};
 
 /// When to come back to a router that has just started.
 const STARTING_MS: u64 = 300;
@@ -29,28 +31,36 @@
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
 /// Answers one request.
-pub(crate) async fn handle<D: Dialect>(
+pub(crate) async fn handle<D: Dialect + Records>(
     path: Rc<Path<D>>,
     request: Request<Incoming>,
 ) -> Response<Answer> {
     let (parts, body) = request.into_parts();
     let head = D::caller_head(&parts.headers);
     let request_id = head.request_id.clone();
-    match admit(path, parts, head, body).await {
+    let events = path.events.clone();
+    let mut tally = Tally::start();
+    match admit(path, parts, head, body, &mut tally).await {
         Ok(response) => response,
         Err(refused) => {
-            let cause = answer::cause_name(refused.cause);
-            log_decision(request_id.as_deref(), "refused", cause, &refused.detail);
+            let (cause, run): (&str, &str) = (refused.cause.into(), refused.run.into());
+            tally.refused();
+            stats::refused(cause);
+            events.emit(Kind::RequestRefused, |e| {
+                e.request_id = request_id.clone().unwrap_or_default();
+                e.detail = format!("{cause}, {run}: {}", refused.detail);
+            });
             refused.response::<D>(request_id.as_deref())
         }
     }
 }
 
-async fn admit<D: Dialect>(
+async fn admit<D: Dialect + Records>(
     path: Rc<Path<D>>,
     parts: Parts,
     head: CallerHead,
     body: Incoming,
+    tally: &mut Tally,
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
     let deployment = path.beliefs.deployment();
@@ -65,6 +75,7 @@
     let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline = started + Duration::from_millis(caller_ms.min(route.timeout_ms));
     let service = route.draw_service(&mut rand::rng()).clone();
+    tally.service(&service);
     let mut attempts = Attempts::new(Asked {
         path,
         parts,
@@ -73,10 +84,11 @@
         route,
         service,
         account,
+        started,
         deadline,
     });
     let answered = attempts.answer().await?;
-    Ok(answer::pass(attempts, answered))
+    Ok(answer::pass(attempts, answered, tally.take()))
 }
 
 fn check(parts: &Parts, limits: &CallerLimits) -> Result<(), Refused> {
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -1,25 +1,28 @@
 //! One running router on a platform whose log keeps the newest record of each key: operators write
 //! routes and accounts there, upstreams that they are there, and requests go straight to upstreams.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::watch;
 
 use crate::event::Events;
 use crate::fleet::member::{Member, MemberState};
 use crate::fleet::swim::SwimPolicy;
 use crate::log::view::ConfigView;
+use crate::logs;
 use crate::path::beliefs::{Beliefs, RetryLimit};
 use crate::path::link::Links;
 use crate::path::news::News;
 use crate::path::{Path, callers, pages, peers, stop, tend};
 use crate::platform::{Fleet, Headers, Pages, Store, follow_deployment, follow_upstreams};
-use crate::router::{AddrSnafu, BindSnafu, RouterError};
+use crate::router::{AddrSnafu, BindSnafu, Outputs, RouterError};
 use crate::schema::settings::{Listen, Settings};
-use crate::serve::{Drain, PeerClient, Probes, probes};
+use crate::serve::{Drain, PeerClient, Probes, admin, probes};
 use crate::util::{Clock, Name, wall_ms};
 
 use snafu::ResultExt;
@@ -29,8 +32,9 @@
 pub struct Routed {
     path: Rc<Path<Headers>>,
     fleet: Rc<Fleet>,
-    entry_ttl: Duration,
-    grace: Duration,
+    started_with: Rc<Settings>,
+    entry_ttl: Rc<Cell<Duration>>,
+    grace: Rc<Cell<Duration>>,
 }
 
 impl Routed {
@@ -38,7 +42,7 @@
     ///
     /// # Errors
     /// When an address can't be listened on.
-    pub async fn spawn(settings: Settings) -> Result<Self, RouterError> {
+    pub async fn spawn(settings: Settings, outputs: Outputs) -> Result<Self, RouterError> {
         let listen = settings.listen.clone().unwrap_or_default();
         let peer_addr = parse("peer_addr", &listen.peer_addr)?;
         let socket = probes::bind(peer_addr)
@@ -47,9 +51,9 @@
         let policy = settings.fleet.clone().unwrap_or_default();
         let me = me(&settings, &listen);
         let clock = Clock::start();
-        // What isn't used on this platform: the own configuration log and the time line.
+        // The project's own configuration log isn't used on this platform.
         let (_, config) = watch::channel(Arc::new(ConfigView::default()));
-        let events = Events::open(me.host.clone(), me.data_center.clone(), None);
+        let events = Events::open(me.host.clone(), me.data_center.clone(), outputs.events);
         let probes = Probes::spawn(probes::Start {
             socket,
             policy: swim_policy(&policy),
@@ -59,11 +63,11 @@
             clock,
             events: events.clone(),
         });
-        let limit = RetryLimit {
-            share: policy.retry_share,
-            burst: policy.retry_burst.into(),
-        };
-        let beliefs = Beliefs::new(limit, me.data_center.clone(), probes.gossip.clone());
+        let beliefs = Beliefs::new(
+            retry_limit(&policy),
+            me.data_center.clone(),
+            probes.gossip.clone(),
+        );
         let beliefs = Rc::new(beliefs);
         let path = Rc::new(Path {
             news: News::new(beliefs.clone(), clock),
@@ -71,6 +75,7 @@
             links: Links::default(),
             clock,
             drain: Drain::default(),
+            events: events.clone(),
             gossip: probes.gossip.clone(),
             fleet: probes.view,
             host: me.host.clone(),
@@ -91,31 +96,50 @@
         compio::runtime::spawn(fleet.clone().follow()).detach();
         compio::runtime::spawn(tend(path.clone())).detach();
         let entry_ttl = Duration::from_millis(policy.entry_ttl_ms.into());
-        serve(&listen, &path, entry_ttl).await?;
+        let entry_ttl = Rc::new(Cell::new(entry_ttl));
+        serve(&listen, &path, entry_ttl.clone()).await?;
+        serve_metrics(&listen, outputs.metrics).await?;
         log::info!("started, callers at {}", listen.caller_addr);
         Ok(Self {
             path,
             fleet,
+            started_with: Rc::new(settings),
             entry_ttl,
-            grace: Duration::from_secs_f64(policy.grace_s),
+            grace: Rc::new(Cell::new(Duration::from_secs_f64(policy.grace_s))),
         })
     }
 
+    /// Takes changed settings. Addresses hold until the next start, which is logged.
+    pub fn apply(&self, settings: &Settings) {
+        let policy = settings.fleet.clone().unwrap_or_default();
+        self.path.beliefs.limit_retries(retry_limit(&policy));
+        self.entry_ttl
+            .set(Duration::from_millis(policy.entry_ttl_ms.into()));
+        self.grace.set(Duration::from_secs_f64(policy.grace_s));
+        logs::set_level(settings);
+        if settings.listen != self.started_with.listen
+            || settings.host != self.started_with.host
+            || settings.platform != self.started_with.platform
+        {
+            log::warn!("changes of host, listen and platform hold from the next start on");
+        }
+    }
+
     /// Stops by plan: leads callers away, ends what is in flight, and returns within the grace
     /// time of the settings.
     pub async fn drain(&self) {
         let fleet = self.fleet.clone();
         compio::runtime::spawn(async move { fleet.leave().await }).detach();
-        stop::run(&self.path, self.entry_ttl, self.grace).await;
+        stop::run(&self.path, self.entry_ttl.get(), self.grace.get()).await;
     }
 }
 
 async fn serve(
     listen: &Listen,
     path: &Rc<Path<Headers>>,
-    entry_ttl: Duration,
+    entry_ttl: Rc<Cell<Duration>>,
 ) -> Result<(), RouterError> {
-    let answers = Pages::new(path.clone(), entry_ttl.as_secs_f64());
+    let answers = Pages::new(path.clone(), entry_ttl);
     for (field, addr) in [
         ("entry_addr", &listen.entry_addr),
         ("ready_addr", &listen.ready_addr),
@@ -131,6 +155,29 @@
     Ok(())
 }
 
+async fn serve_metrics(
+    listen: &Listen,
+    metrics: Option<PrometheusHandle>,
+) -> Result<(), RouterError> {
+    let Some(handle) = metrics else {
+        return Ok(());
+    };
+    compio::runtime::spawn(admin::upkeep(handle.clone())).detach();
+    let addr = parse("admin_addr", &listen.admin_addr)?;
+    let bound = pages::bind(addr, Rc::new(admin::Metrics(handle))).await;
+    bound.context(BindSnafu {
+        field: "admin_addr",
+    })?;
+    Ok(())
+}
+
+fn retry_limit(fleet: &crate::schema::settings::Fleet) -> RetryLimit {
+    RetryLimit {
+        share: fleet.retry_share,
+        burst: fleet.retry_burst.into(),
+    }
+}
+
 fn me(settings: &Settings, listen: &Listen) -> Member {
     let host = settings.host.clone().unwrap_or_default();
     let name: Name = host.name.into();
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -14,6 +14,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::log::follow::Standing;
+use crate::path::pages::Page;
 use crate::serve::SharedCtx;
 use crate::serve::body::Answer;
 use crate::serve::listen::{self, Place, Places};
@@ -48,8 +49,21 @@
     }
 }
 
+/// The metrics page alone.
+pub(crate) struct Metrics(pub(crate) PrometheusHandle);
+
+impl Page for Metrics {
+    fn page(&self, request: &Request<Incoming>) -> Response<Answer> {
+        match request.uri().path() {
+            "/metrics" => text(StatusCode::OK, self.0.render()),
+            "/healthz" => text(StatusCode::OK, "ok\n".to_owned()),
+            _ => text(StatusCode::NOT_FOUND, "no such page\n".to_owned()),
+        }
+    }
+}
+
 /// Folds recorded samples into their buckets: without it they pile up while nobody scrapes.
-async fn upkeep(metrics: PrometheusHandle) {
+pub(crate) async fn upkeep(metrics: PrometheusHandle) {
     loop {
         compio::time::sleep(UPKEEP).await;
         metrics.run_upkeep();
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -1,6 +1,6 @@
 //! The sockets: callers' HTTP, upstream calls, peer streams, operators' gRPC and the admin pages.
 
-mod admin;
+pub(crate) mod admin;
 mod admit;
 mod answers;
 pub(crate) mod body;
