--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -42,6 +42,8 @@
             );
             tally.first_byte();
             tally.ended(true);
+            let asked = &attempts.asked;
+            asked.path.beliefs.answered_request(asked.fingerprint);
             respond(whole.parts, Answer::whole(whole.body))
         }
         Answered::Stream(reply) => stream(attempts, reply, tally),
@@ -151,6 +153,8 @@
                 Ended::Whole => {
                     reply.ended();
                     self.tally.ended(true);
+                    let asked = &self.attempts.asked;
+                    asked.path.beliefs.answered_request(asked.fingerprint);
                     self.attempts
                         .note(Kind::RequestAnswered, &upstream.id, "stream whole");
                     return Ok(());
@@ -168,7 +172,10 @@
                     // Frees the upstream before another one goes on.
                     drop(reply);
                     let path = &self.attempts.asked.path;
-                    path.beliefs.failed(&upstream, &why, path.clock.now_ms());
+                    let (fingerprint, now_ms) =
+                        (self.attempts.asked.fingerprint, path.clock.now_ms());
+                    path.beliefs.failed(&upstream, &why, now_ms);
+                    path.beliefs.lost_answer(&upstream.id, fingerprint, now_ms);
                     self.attempts.note(Kind::RequestRetried, &upstream.id, &why);
                 }
             }
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -11,6 +11,7 @@
 use crate::decide::spread::{self, Placed};
 use crate::event::{Kind, chat_name};
 use crate::path::Path;
+use crate::path::beliefs::Tried;
 use crate::path::call::{Call, CallFailed, Caller, Fate, Reply, Whole};
 use crate::path::dialect::Records;
 use crate::path::dialect::{CallHead, CallerHead, Dialect, PromptPart};
@@ -43,6 +44,8 @@
     pub(crate) route: Rc<Route>,
     pub(crate) service: Name,
     pub(crate) account: Option<Rc<Account>>,
+    /// Known again when its caller sends it again.
+    pub(crate) fingerprint: u64,
     pub(crate) started: Instant,
     /// When the caller, or the route, gives the request up.
     pub(crate) deadline: Instant,
@@ -157,6 +160,13 @@
                 }
                 Err(failed) => failed,
             };
+            let now_ms = self.asked.path.clock.now_ms();
+            let beliefs = &self.asked.path.beliefs;
+            match failed.fate {
+                Fate::NotSent => beliefs.found_dead(&upstream.id, now_ms),
+                Fate::Lost => beliefs.lost_answer(&upstream.id, self.asked.fingerprint, now_ms),
+                Fate::Rejected => {}
+            }
             let fate: &'static str = failed.fate.into();
             let why = format!("{fate}: {}", failed.why);
             self.note(Kind::RequestRetried, &upstream.id, &why);
@@ -228,7 +238,11 @@
     fn choose(&self) -> Option<Choice> {
         let asked = &self.asked;
         let now_ms = asked.path.clock.now_ms();
-        let (pool, seats) = asked.path.beliefs.pool(&asked.service, &self.tried, now_ms);
+        let tried = Tried {
+            upstreams: &self.tried,
+            may_return: self.runs > 0,
+        };
+        let (pool, seats) = asked.path.beliefs.pool(&asked.service, &tried, now_ms);
         let placed = match shared_part(&asked.head.prompt) {
             Some(part) if asked.route.cached_prompts => spread::by_part(part, &seats)?,
             _ => Placed {
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -3,6 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
+
+use tokio::sync::watch;
 
 use crate::decide::ejection::{self, Ejector};
 use crate::decide::retry::Budget;
@@ -10,8 +13,9 @@
 use crate::fleet::gossip::{Gossip, Publish};
 use crate::fleet::loads::digest;
 use crate::path::routes::Deployment;
+use crate::path::suspects::Suspects;
 use crate::path::upstreams::{Upstream, Upstreams};
-use crate::schema::peer::{Flight, NewsMark};
+use crate::schema::peer::{Flight, NewsMark, Suspicion};
 use crate::util::{self, Name};
 
 /// Share of the fleet's retries that its routers may make together: the rest covers windows that
@@ -38,6 +42,8 @@
     ejectors: RefCell<HashMap<Name, Ejector>>,
     budgets: RefCell<HashMap<Name, Budget>>,
     running: RefCell<HashMap<Name, u32>>,
+    suspects: RefCell<Suspects>,
+    suspicions: RefCell<watch::Receiver<Arc<Vec<Suspicion>>>>,
     /// When upstreams came that weren't there when this router started.
     joined_ms: RefCell<HashMap<Name, u64>>,
     retry_limit: Cell<RetryLimit>,
@@ -45,6 +51,19 @@
     gossip: Gossip,
 }
 
+/// Where a request was so far.
+pub(crate) struct Tried<'a> {
+    pub(crate) upstreams: &'a [Name],
+    /// If no other is left, it may go where it was: they ran it and failed, not turned it away.
+    pub(crate) may_return: bool,
+}
+
+impl Tried<'_> {
+    fn has(&self, id: &Name) -> bool {
+        self.upstreams.contains(id)
+    }
+}
+
 /// Counts one request at one upstream as long as it lives.
 pub(crate) struct Running {
     beliefs: Rc<Beliefs>,
@@ -71,6 +90,8 @@
             ejectors: RefCell::default(),
             budgets: RefCell::default(),
             running: RefCell::default(),
+            suspects: RefCell::default(),
+            suspicions: RefCell::new(gossip.suspicions()),
             joined_ms: RefCell::default(),
             retry_limit: Cell::new(retry_limit),
             data_center,
@@ -113,15 +134,15 @@
         self.upstreams.borrow().get(id).is_some()
     }
 
-    pub(crate) fn has_upstreams(&self) -> bool {
-        !self.upstreams.borrow().is_empty()
+    pub(crate) fn upstreams_known(&self) -> usize {
+        self.upstreams.borrow().len()
     }
 
     /// The upstreams of `service` that take work, and how each is believed to stand now.
     pub(crate) fn pool(
         &self,
         service: &str,
-        tried: &[Name],
+        tried: &Tried<'_>,
         now_ms: u64,
     ) -> (Vec<Rc<Upstream>>, Vec<Seat>) {
         let pool = self.upstreams.borrow().pool(service).to_vec();
@@ -139,7 +160,7 @@
                 running: own + of_others,
                 slots: u.slots,
                 near: u.data_center == self.data_center,
-                barred: u.draining || tried.contains(&u.id) || is_out(&u.id),
+                barred: u.draining || tried.has(&u.id) || is_out(&u.id),
                 has_parts: !is_out(&u.id)
                     && joined.get(&u.id).is_none_or(|at| at + WARM_MS < now_ms),
             }
@@ -149,7 +170,13 @@
             // All that are left were ejected: trying is better than refusing for what was true a
             // moment ago.
             for (seat, upstream) in seats.iter_mut().zip(&pool) {
-                seat.barred = upstream.draining || tried.contains(&upstream.id);
+                seat.barred = upstream.draining || tried.has(&upstream.id);
+            }
+        }
+        if tried.may_return && seats.iter().all(|s| s.barred) {
+            // Those that failed this request once may serve it now.
+            for (seat, upstream) in seats.iter_mut().zip(&pool) {
+                seat.barred = upstream.draining;
             }
         }
         (pool, seats)
@@ -198,6 +225,49 @@
         }
     }
 
+    /// How much longer a request may not run because it crashed upstreams.
+    pub(crate) fn convicted_ms(&self, fingerprint: u64, now_ms: u64) -> Option<u64> {
+        self.suspects.borrow().convicted_ms(fingerprint, now_ms)
+    }
+
+    /// The answer of `upstream` to a request broke off.
+    pub(crate) fn lost_answer(&self, upstream: &Name, fingerprint: u64, now_ms: u64) {
+        self.suspects
+            .borrow_mut()
+            .lost(upstream, fingerprint, now_ms);
+    }
+
+    /// A request was answered.
+    pub(crate) fn answered_request(&self, fingerprint: u64) {
+        let told = self.suspects.borrow_mut().answered(fingerprint);
+        if let Some(told) = told {
+            self.gossip.publish(Publish::Suspicion(told));
+        }
+    }
+
+    /// An upstream refuses connections, or its entry went.
+    pub(crate) fn found_dead(&self, upstream: &str, now_ms: u64) {
+        for told in self.suspects.borrow_mut().died(upstream, now_ms) {
+            log::warn!(
+                upstream, fingerprint = told.fingerprint, deaths = told.deaths;
+                "an upstream died while it ran a request"
+            );
+            self.gossip.publish(Publish::Suspicion(told));
+        }
+    }
+
+    /// Takes what other routers hold against requests.
+    pub(crate) fn hear_suspicions(&self, now_ms: u64) {
+        let mut suspicions = self.suspicions.borrow_mut();
+        if !suspicions.has_changed().unwrap_or(false) {
+            return;
+        }
+        let mut suspects = self.suspects.borrow_mut();
+        for told in suspicions.borrow_and_update().iter() {
+            suspects.heard(told, now_ms);
+        }
+    }
+
     /// An upstream failed before an answer's head.
     pub(crate) fn failed(&self, upstream: &Upstream, why: &str, now_ms: u64) {
         let pool = self.pool_names(&upstream.service);
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -7,7 +7,7 @@
 use http::header::HOST;
 use http::request::Parts as RequestParts;
 use http::response::Parts;
-use http::{HeaderMap, HeaderValue, Request};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use strum::IntoStaticStr;
@@ -212,7 +212,9 @@
 /// Failure guarded against: an upstream sends a second answer late, and it stands where the next
 /// request's answer is expected: that caller would get what another one asked for.
 fn check(parts: &Parts, head: &AnswerHead, request_id: Option<&str>) -> Result<(), CallFailed> {
-    if head.not_run {
+    // Whatever listens there isn't the upstream that was meant.
+    let is_another = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if head.not_run || is_another {
         return Err(CallFailed {
             fate: Fate::Rejected,
             why: format!("rejected with {}", parts.status.as_u16()),
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -21,8 +21,12 @@
 pub(crate) mod request;
 pub mod routes;
 pub(crate) mod stop;
+pub(crate) mod suspects;
 pub mod upstreams;
 
+#[cfg(test)]
+mod suspects_tests;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +42,7 @@
 use crate::path::link::Links;
 use crate::path::news::News;
 use crate::serve::Drain;
+use crate::stats;
 use crate::util::{Clock, Name};
 
 /// How often the other routers are told what runs here: an upstream's load as others see it is at
@@ -94,7 +99,7 @@
         if self.beliefs.deployment().version == 0 {
             return Some("no configuration yet");
         }
-        if !self.beliefs.has_upstreams() {
+        if self.beliefs.upstreams_known() == 0 {
             return Some("no upstream yet");
         }
         None
@@ -108,9 +113,11 @@
         compio::time::sleep(TELL).await;
         path.beliefs.tell_running(path.news.mark());
         tellings = tellings.wrapping_add(1);
+        path.beliefs.hear_suspicions(path.clock.now_ms());
         if tellings.is_multiple_of(SWEEP_TELLINGS) {
             path.links.sweep(|id| path.beliefs.knows_upstream(id));
             path.beliefs.sweep();
+            stats::upstreams_known(path.beliefs.upstreams_known());
         }
     }
 }
--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -116,6 +116,7 @@
             return;
         }
         log::info!("upstream {id} is gone, offset {at}");
+        self.beliefs.found_dead(id, self.clock.now_ms());
         self.upstreams.borrow_mut().remove(id);
         self.changed(at, id, Bytes::new());
     }
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use crate::decide::quarantine;
 use crate::decide::refusal::{Cause, spread_ms};
 use crate::event::Kind;
 use crate::path::attempts::{Asked, Attempts};
@@ -72,6 +73,11 @@
     let route = route(&deployment, &parts)?;
     let account = account(&deployment, &route, &head)?;
     let body = read(&deployment.limits, &parts.headers, body).await?;
+    let fingerprint = fingerprint(account.as_deref(), &parts, &body);
+    if let Some(left_ms) = path.beliefs.convicted_ms(fingerprint, path.clock.now_ms()) {
+        let detail = "requests like this one crashed upstreams";
+        return Err(Refused::not_run(Cause::Quarantined, left_ms, detail));
+    }
     let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline = started + Duration::from_millis(caller_ms.min(route.timeout_ms));
     let service = route.draw_service(&mut rand::rng()).clone();
@@ -84,6 +90,7 @@
         route,
         service,
         account,
+        fingerprint,
         started,
         deadline,
     });
@@ -91,6 +98,11 @@
     Ok(answer::pass(attempts, answered, tally.take()))
 }
 
+fn fingerprint(account: Option<&Account>, parts: &Parts, body: &[u8]) -> u64 {
+    let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
+    quarantine::fingerprint(account.map_or("", |a| &*a.name), target, body)
+}
+
 fn check(parts: &Parts, limits: &CallerLimits) -> Result<(), Refused> {
     let bad = |detail: &str| Err(Refused::not_run(Cause::BadRequest, 0, detail));
     if parts.version != Version::HTTP_11 {
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -31,6 +31,7 @@
 const UPSTREAM_QUEUED: &str = "cassiagrade_upstream_queued";
 const LOG_APPEND_MS: &str = "cassiagrade_log_append_ms";
 const LOG_READ_LAG: &str = "cassiagrade_log_read_lag_records";
+const UPSTREAMS_KNOWN: &str = "cassiagrade_upstreams_known";
 
 /// Upper bounds of the buckets of every `_ms` histogram.
 pub(crate) const BUCKETS_MS: [f64; 15] = [
@@ -103,6 +104,7 @@
         UPSTREAM_QUEUED,
         "Requests waiting for an upstream that is at home here"
     );
+    describe_gauge!(UPSTREAMS_KNOWN, "Upstreams that the platform lists");
     describe_histogram!(LOG_APPEND_MS, "Time of an append in milliseconds");
     describe_gauge!(
         LOG_READ_LAG,
@@ -114,6 +116,11 @@
     took.as_secs_f64() * 1_000.0
 }
 
+/// Sets how many upstreams this router knows of.
+pub(crate) fn upstreams_known(count: usize) {
+    gauge!(UPSTREAMS_KNOWN).set(count as f64);
+}
+
 /// Counts a refusal given to a caller.
 pub(crate) fn refused(cause: &str) {
     counter!(REFUSALS, "cause" => cause.to_owned()).increment(1);
--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -5,7 +5,9 @@
 
 use bpaf::Bpaf;
 
+use crate::backend::{Backend, Identity};
 use crate::engine::{self, Engine};
+use crate::keyed::Keyed;
 use crate::plain::{self, Plain};
 use crate::platform::Platform;
 use crate::relay::Relay;
@@ -44,6 +46,32 @@
         #[bpaf(positional("ADDR"))]
         addr: SocketAddr,
     },
+    /// A store that keeps the newest record of each key
+    #[bpaf(command)]
+    Keyed {
+        /// Where to listen
+        #[bpaf(positional("ADDR"))]
+        addr: SocketAddr,
+    },
+    /// An upstream that speaks the users' platform's dialect
+    #[bpaf(command)]
+    Backend {
+        /// Its service
+        #[bpaf(long, argument("NAME"))]
+        service: String,
+        /// Its data centre
+        #[bpaf(long, argument("NAME"))]
+        data_center: String,
+        /// Where it writes that it is there
+        #[bpaf(long, argument("ADDR"))]
+        store: SocketAddr,
+        /// Requests that it runs at once
+        #[bpaf(long, argument("N"))]
+        slots: u32,
+        /// Where to listen
+        #[bpaf(positional("ADDR"))]
+        addr: SocketAddr,
+    },
     /// A plain service
     #[bpaf(command)]
     Plain {
@@ -85,6 +113,22 @@
             control,
             addr,
         } => Ok(Relay::bind(addr, target, control).await?.addr),
+        Command::Keyed { addr } => Ok(Keyed::bind(addr).await?.addr),
+        Command::Backend {
+            service,
+            data_center,
+            store,
+            slots,
+            addr,
+        } => {
+            let identity = Identity {
+                service,
+                data_center,
+                store,
+                slots,
+            };
+            Ok(Backend::bind(addr, identity).await?.addr)
+        }
         Command::Plain { knobs, addr } => {
             let knobs: plain::Knobs = read(knobs)?;
             Ok(Plain::bind(addr, knobs).await?.addr)
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -131,7 +131,7 @@
 }
 
 /// Posts `body` to another stand-in.
-pub(crate) async fn post(url: &str, body: String) -> io::Result<()> {
+pub(crate) async fn post(url: &str, body: impl Into<cyper::Body>) -> io::Result<()> {
     let client = cyper::Client::new().map_err(io::Error::other)?;
     let request = client.post(url).map_err(io::Error::other)?.body(body);
     let response = request.send().await.map_err(io::Error::other)?;
--- /dev/null
+++ b/standins/src/keyed.rs
@@ -0,0 +1,267 @@
+//! A store of streams that keep the newest record of each key, as the users' platform runs it.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::http::{Ask, Handler, Reply, json as json_reply, serve, status};
+
+/// Upstreams write here; an entry that isn't written again lapses.
+const UPSTREAM_STREAM: &str = "keyed.servers";
+const PAGE_ENTRIES: usize = 50;
+
+/// Faults a test can set.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Knobs {
+    /// What every call gets instead of an answer.
+    pub fault: Fault,
+    /// Added to each call.
+    pub delay_ms: u64,
+    /// Drop the replies of this many appends, after they were done.
+    pub drop_replies: u32,
+    /// Entries of upstreams lapse after this long; 0: never.
+    pub lapse_ms: u64,
+    /// Forget all records now but the newest of each key.
+    pub forget: bool,
+    /// Answer this many reads with bytes that are no records.
+    pub garble_reads: u32,
+}
+
+/// What a call gets instead of an answer.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// It is answered.
+    #[default]
+    None,
+    /// 503.
+    Busy,
+    /// 429.
+    Many,
+    /// The connection is cut.
+    Cut,
+    /// Nothing.
+    Silent,
+}
+
+/// A running store.
+pub struct Keyed {
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+#[derive(Default)]
+struct Stream {
+    first: u64,
+    records: Vec<(String, Bytes)>,
+    newest: BTreeMap<String, (u64, Bytes)>,
+    written: HashMap<String, Instant>,
+}
+
+impl Stream {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    /// A write that changes nothing but a counter is no news.
+    fn put(&mut self, key: String, value: Bytes) {
+        self.written.insert(key.clone(), Instant::now());
+        if self.newest.get(&key).is_some_and(|(_, v)| *v == value) {
+            return;
+        }
+        let at = self.end();
+        if value.is_empty() {
+            self.newest.remove(&key);
+            self.written.remove(&key);
+        } else {
+            self.newest.insert(key.clone(), (at, value.clone()));
+        }
+        self.records.push((key, value));
+    }
+
+    fn lapse(&mut self, limit: Duration) {
+        let old = self.written.iter().filter(|(_, at)| at.elapsed() > limit);
+        let old: Vec<String> = old.map(|(key, _)| key.clone()).collect();
+        for key in old {
+            self.put(key, Bytes::new());
+        }
+    }
+}
+
+struct Server {
+    knobs: RefCell<Knobs>,
+    streams: RefCell<HashMap<String, Stream>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Keyed {
+    /// Starts a store on the current runtime.
+    ///
+    /// # Errors
+    /// When `addr` can't be listened on.
+    pub async fn bind(addr: SocketAddr) -> io::Result<Self> {
+        let server = Rc::new(Server {
+            knobs: RefCell::default(),
+            streams: RefCell::default(),
+            changed: watch::Sender::new(0),
+        });
+        compio::runtime::spawn(server.clone().lapse()).detach();
+        let addr = serve(addr, server).await?;
+        Ok(Self { addr })
+    }
+}
+
+impl Handler for Server {
+    async fn handle(self: Rc<Self>, ask: Ask) -> Option<Response<Reply>> {
+        if (&ask.method, ask.path.as_str()) == (&Method::POST, "/knobs") {
+            return Some(self.set_knobs(&ask));
+        }
+        let (fault, delay_ms) = {
+            let knobs = self.knobs.borrow();
+            (knobs.fault, knobs.delay_ms)
+        };
+        compio::time::sleep(Duration::from_millis(delay_ms)).await;
+        match fault {
+            Fault::None => {}
+            Fault::Busy => return Some(status(StatusCode::SERVICE_UNAVAILABLE)),
+            Fault::Many => return Some(status(StatusCode::TOO_MANY_REQUESTS)),
+            Fault::Cut => return None,
+            Fault::Silent => std::future::pending().await,
+        }
+        match ask.path.as_str() {
+            "/log-append" => self.append(&ask),
+            "/log-read" => Some(self.read(&ask).await),
+            "/log-newest" => Some(self.newest(&ask)),
+            _ => Some(status(StatusCode::NOT_FOUND)),
+        }
+    }
+}
+
+impl Server {
+    fn set_knobs(&self, ask: &Ask) -> Response<Reply> {
+        let Ok(knobs) = serde_json::from_slice::<Knobs>(&ask.body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        if knobs.forget {
+            for stream in self.streams.borrow_mut().values_mut() {
+                stream.first = stream.end();
+                stream.records.clear();
+            }
+        }
+        *self.knobs.borrow_mut() = knobs;
+        status(StatusCode::OK)
+    }
+
+    async fn lapse(self: Rc<Self>) {
+        loop {
+            compio::time::sleep(Duration::from_millis(100)).await;
+            let limit_ms = self.knobs.borrow().lapse_ms;
+            if limit_ms == 0 {
+                continue;
+            }
+            if let Some(stream) = self.streams.borrow_mut().get_mut(UPSTREAM_STREAM) {
+                stream.lapse(Duration::from_millis(limit_ms));
+            }
+            self.changed.send_modify(|n| *n += 1);
+        }
+    }
+
+    fn append(&self, ask: &Ask) -> Option<Response<Reply>> {
+        let name: String = ask.query("stream_name")?;
+        let mut body = ask.body.clone();
+        let mut streams = self.streams.borrow_mut();
+        let stream = streams.entry(name).or_default();
+        let position = stream.end();
+        while body.len() > 4 {
+            let bytes = body.get_u32() as usize;
+            let mut record = body.split_to(bytes.min(body.len()));
+            let key_bytes = usize::from(record.get_u8());
+            let key = record.split_to(key_bytes);
+            stream.put(String::from_utf8_lossy(&key).into_owned(), record);
+        }
+        let reply = json!({ "position": position, "end_offset": stream.end() });
+        self.changed.send_modify(|n| *n += 1);
+        let mut knobs = self.knobs.borrow_mut();
+        if knobs.drop_replies > 0 {
+            knobs.drop_replies -= 1;
+            return None;
+        }
+        Some(json_reply(&reply))
+    }
+
+    async fn read(&self, ask: &Ask) -> Response<Reply> {
+        let name: String = ask.query("stream_name").unwrap_or_default();
+        let from: u64 = ask.query("from").unwrap_or(0);
+        let wait_ms: u64 = ask.query("wait_ms").unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        let mut changed = self.changed.subscribe();
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if self.has_from(&name, from) || left.is_zero() {
+                return self.records(&name, from);
+            }
+            let _ = compio::time::timeout(left, changed.changed()).await;
+        }
+    }
+
+    fn has_from(&self, name: &str, from: u64) -> bool {
+        let streams = self.streams.borrow();
+        streams
+            .get(name)
+            .is_some_and(|s| s.end() > from || from < s.first)
+    }
+
+    fn records(&self, name: &str, from: u64) -> Response<Reply> {
+        let mut streams = self.streams.borrow_mut();
+        let stream = streams.entry(name.to_owned()).or_default();
+        if from < stream.first {
+            let mut gone = json_reply(&json!({ "start_offset": stream.first }));
+            *gone.status_mut() = StatusCode::GONE;
+            return gone;
+        }
+        let mut body = BytesMut::new();
+        body.put_u64(stream.end());
+        body.put_u64(stream.first);
+        let at = usize::try_from(from - stream.first).unwrap_or(usize::MAX);
+        for (key, value) in stream.records.iter().skip(at) {
+            body.put_u32(u32::try_from(1 + key.len() + value.len()).unwrap_or_default());
+            body.put_u8(u8::try_from(key.len()).unwrap_or_default());
+            body.put_slice(key.as_bytes());
+            body.put_slice(value);
+        }
+        let mut knobs = self.knobs.borrow_mut();
+        if knobs.garble_reads > 0 {
+            knobs.garble_reads -= 1;
+            body.put_slice(b"\xff\xff\xff\xff");
+        }
+        Response::new(Reply::Whole(Some(body.freeze())))
+    }
+
+    fn newest(&self, ask: &Ask) -> Response<Reply> {
+        let name: String = ask.query("stream_name").unwrap_or_default();
+        let after: String = ask.query("after").unwrap_or_default();
+        let mut streams = self.streams.borrow_mut();
+        let stream = streams.entry(name).or_default();
+        let rest = stream.newest.iter().filter(|(key, _)| **key > after);
+        let left = rest.clone().count();
+        let entry = |(key, (at, value)): (&String, &(u64, Bytes))| json!({ "key": key, "data": BASE64_STANDARD.encode(value), "position": at });
+        let entries: Vec<_> = rest.take(PAGE_ENTRIES).map(entry).collect();
+        json_reply(&json!({
+            "entries": entries,
+            "more": left > PAGE_ENTRIES,
+            "end_offset": stream.end(),
+        }))
+    }
+}
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -30,6 +30,8 @@
     pub refuse: bool,
     /// Pass nothing on, but keep connections open.
     pub stall: bool,
+    /// Pass nothing back from the target, while what goes there passes: cut one way.
+    pub stall_back: bool,
     /// Added to each piece, in each direction.
     pub delay_ms: u64,
 }
@@ -104,8 +106,8 @@
         };
         let _ = near.set_nodelay(true);
         let _ = far.set_nodelay(true);
-        let there = self.pipe(near.clone(), far.clone());
-        let back = self.pipe(far, near);
+        let there = self.pipe(near.clone(), far.clone(), false);
+        let back = self.pipe(far, near, true);
         let both = futures_util::future::join(there, back);
         let cut = cuts.changed();
         pin_mut!(both, cut);
@@ -113,7 +115,7 @@
         let _ = select(both, cut).await;
     }
 
-    async fn pipe(&self, mut from: TcpStream, mut to: TcpStream) {
+    async fn pipe(&self, mut from: TcpStream, mut to: TcpStream, is_back: bool) {
         let mut buffer = Vec::with_capacity(BUFFER_BYTES);
         loop {
             buffer.clear();
@@ -121,7 +123,7 @@
             if !matches!(read, Ok(n) if n > 0) {
                 break;
             }
-            self.hold().await;
+            self.hold(is_back).await;
             let BufResult(written, emptied) = to.write_all(filled).await;
             if written.is_err() {
                 break;
@@ -133,12 +135,13 @@
     }
 
     /// Waits as the knobs say before a piece goes on.
-    async fn hold(&self) {
+    async fn hold(&self, is_back: bool) {
         let delay_ms = self.knobs.borrow().delay_ms;
         if delay_ms > 0 {
             compio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
-        while self.knobs.borrow().stall {
+        let is_stalled = |k: &Knobs| k.stall || (is_back && k.stall_back);
+        while is_stalled(&self.knobs.borrow()) {
             compio::time::sleep(STALL_CHECK).await;
         }
     }
--- /dev/null
+++ b/tests/routed_path.rs
@@ -0,0 +1,161 @@
+//! The way of a request on the keyed log: routes, accounts, headers and answers as they are.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::routed::{HOST, KEY, Routed, Size, fresh_id, routes};
+use support::{get, wait_until};
+
+#[compio::test]
+async fn request_and_answer_pass_unchanged() {
+    let routed = Routed::start(Size::default()).await;
+    let headers = [
+        ("deadline-ms", "8000"),
+        ("tenant-id", "forged"),
+        ("pin-ms", "9"),
+    ];
+    let (id, received) = routed
+        .call_with(0, "/ticket/7?x=%20y", "a body", &headers)
+        .await;
+    let received = received.unwrap();
+    assert_eq!(received.status, 200);
+    assert_eq!(received.header("attempt-id"), id);
+    assert!(!received.header("server-signature").is_empty());
+    let body: Value = serde_json::from_str(&received.body).unwrap();
+    assert_eq!(body["echo"], "a body");
+    let runs = routed.runs();
+    let run = &runs[&id][0];
+    assert_eq!(run.target, "/ticket/7?x=%20y");
+    assert_eq!(run.account, "workshop");
+    assert!(!run.had_key, "the caller's key went on to the upstream");
+}
+
+#[compio::test]
+async fn stream_comes_event_by_event() {
+    let routed = Routed::start(Size::default()).await;
+    let (_, received) = routed.call(0, "/once/stream", "9").await;
+    let received = received.unwrap();
+    assert!(received.whole);
+    let wanted: Vec<String> = (1..=9).map(|n| format!("{n} of 9")).collect();
+    assert_eq!(received.data(), wanted);
+}
+
+/// What no configuration allows is refused and runs nowhere; what the newest one allows is served by
+/// every router, also by those that didn't read it themselves.
+#[compio::test]
+async fn configuration_is_in_force_on_all_routers() {
+    let size = Size {
+        routers: 5,
+        ..Size::default()
+    };
+    let mut routed = Routed::start(size).await;
+    for (path, key, status) in [("/nowhere/1", KEY, 404), ("/get/1", "wrong", 401)] {
+        let id = fresh_id();
+        let caller = support::Caller::new(key);
+        let headers = [("attempt-id", id.as_str()), ("host", HOST)];
+        let received = caller
+            .call(routed.caller(0), "POST", path, &headers, "1")
+            .await;
+        assert_eq!(received.unwrap().status, status);
+        assert_eq!(routed.runs_of(&id), 0);
+    }
+    let mut more = routes();
+    more.push(json!({
+        "name": "new", "host": HOST, "path_prefix": "/new/", "type": "idempotent", "service": "s1",
+    }));
+    routed.configure(json!({ "routes": more })).await;
+    for i in 0..5 {
+        routed.wait_status(i, "/new/1", 200).await;
+    }
+    // The account's key is taken away.
+    routed.configure(json!({ "tenants": [] })).await;
+    for i in 0..5 {
+        routed.wait_status(i, "/get/1", 401).await;
+    }
+}
+
+/// A configuration that can't be read must neither empty the routes nor stop the next one.
+#[compio::test]
+async fn bad_configuration_leaves_the_old_one_in_force() {
+    let mut routed = Routed::start(Size::default()).await;
+    routed
+        .write_config("{ \"version\": 99, \"routes\": 7 }")
+        .await;
+    wait_until("the refusal", || async {
+        routed.log(0).contains("refused")
+    })
+    .await;
+    let (_, received) = routed.call(0, "/get/1", "1").await;
+    assert_eq!(received.unwrap().status, 200);
+    routed.configure(json!({ "routes": [] })).await;
+    routed.wait_status(0, "/get/1", 404).await;
+}
+
+#[compio::test]
+async fn entry_answers_name_all_ready_routers() {
+    let size = Size {
+        routers: 3,
+        ..Size::default()
+    };
+    let mut routed = Routed::start(size).await;
+    wait_until("three addresses", || async {
+        routed.entry(1).await.len() == 3
+    })
+    .await;
+    routed.routers[2].kill();
+    wait_until("two addresses", || async {
+        routed.entry(1).await.len() == 2
+    })
+    .await;
+    let gone = routed.caller(2).to_string();
+    wait_until("the news", || async {
+        !routed.entry(0).await.contains(&gone)
+    })
+    .await;
+}
+
+/// An upstream says that it leaves: it gets nothing more, and its running stream ends whole.
+#[compio::test]
+async fn leaving_upstream_gets_no_new_work() {
+    let routed = Routed::start(Size::default()).await;
+    let leaving = &routed.upstreams[0];
+    support::set_knobs(leaving.addr, &json!({ "draining": true })).await;
+    wait_until("the news", || async {
+        routed.log(0).contains("draining: true")
+    })
+    .await;
+    let before = routed.runs().len();
+    for _ in 0..20 {
+        let (_, received) = routed.call(0, "/get/1", "1").await;
+        assert_eq!(received.unwrap().status, 200);
+    }
+    let runs = routed.runs();
+    assert_eq!(runs.len(), before + 20);
+    let port = format!("i-{}-", leaving.addr.port());
+    // Both listen on one port number of two addresses: tell them apart by their records.
+    let names = routed.upstream_names.clone();
+    assert_eq!(names.len(), 2);
+    assert!(
+        runs.values()
+            .flatten()
+            .all(|r| r.upstream.starts_with(&port))
+    );
+    let served: std::collections::HashSet<_> = runs
+        .values()
+        .flatten()
+        .map(|r| r.upstream.clone())
+        .collect();
+    assert_eq!(served.len(), 1, "{served:?}");
+}
+
+#[compio::test]
+async fn metrics_count_requests() {
+    let routed = Routed::start(Size::default()).await;
+    routed.call(0, "/get/1", "1").await;
+    let wanted = "cassiagrade_requests_total{service=\"s1\",outcome=\"answered\"} 1";
+    wait_until("the count", || async {
+        let page = get(routed.admin(0), "/metrics").await.unwrap_or_default();
+        page.lines().any(|l| l == wanted)
+    })
+    .await;
+}
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -325,7 +325,7 @@
 
 /// A /16 of loopback that no other test of this machine uses now: port 7009 of its last address
 /// stays bound as long as the process lives.
-fn free_prefix() -> [u8; 2] {
+pub(crate) fn free_prefix() -> [u8; 2] {
     let pid = std::process::id();
     for _ in 0..200 {
         let n = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
@@ -341,6 +341,6 @@
     panic!("no free loopback prefix");
 }
 
-fn addr(prefix: [u8; 2], host: u8, port: u16) -> SocketAddr {
+pub(crate) fn addr(prefix: [u8; 2], host: u8, port: u16) -> SocketAddr {
     SocketAddr::from(([127, prefix[0], prefix[1], host], port))
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,6 +10,7 @@
 mod process;
 pub(crate) mod raw;
 mod records;
+pub(crate) mod routed;
 
 pub(crate) use caller::{
     Caller, Received, Told, call, chat_body, expected_answer, get, post, put, set_knobs, wait_until,
--- /dev/null
+++ b/tests/support/routed.rs
@@ -0,0 +1,369 @@
+//! Routers on the keyed log: a store, upstreams and callers that speak the users' platform's dialect.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde_json::{Value, json};
+use standins::backend::{Run, record};
+use tempfile::TempDir;
+
+use super::caller::{Caller, Received, get, post, set_knobs, wait_until};
+use super::fleet::{addr, free_prefix};
+use super::options::Relay;
+use super::process::{Process, router_program, spawn, standin};
+
+const CALLER_PORT: u16 = 7001;
+const PEER_PORT: u16 = 7002;
+const ADMIN_PORT: u16 = 7003;
+const ENTRY_PORT: u16 = 7004;
+const READY_PORT: u16 = 7005;
+const STANDIN_PORT: u16 = 7010;
+const CONTROL_PORT: u16 = 7011;
+
+pub(crate) const HOST: &str = "a.example";
+pub(crate) const KEY: &str = "caller-key-1";
+/// The service behind every route.
+pub(crate) const SERVICE: &str = "s1";
+
+static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
+
+/// How many of what.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Size {
+    pub(crate) routers: u8,
+    pub(crate) upstreams: u8,
+    /// Put a relay between each router and the store.
+    pub(crate) store_relays: bool,
+    /// Put a relay between the routers and each upstream.
+    pub(crate) upstream_relays: bool,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            routers: 1,
+            upstreams: 2,
+            store_relays: false,
+            upstream_relays: false,
+        }
+    }
+}
+
+pub(crate) struct Routed {
+    dir: TempDir,
+    prefix: [u8; 2],
+    pub(crate) store: Process,
+    pub(crate) routers: Vec<Process>,
+    pub(crate) upstreams: Vec<Process>,
+    pub(crate) store_relays: Vec<Relay>,
+    /// Names of all upstreams that ever ran.
+    pub(crate) upstream_names: Vec<String>,
+    version: u64,
+}
+
+/// The routes that every test has: one a way to repeat.
+pub(crate) fn routes() -> Vec<Value> {
+    let route = |name: &str, kind: &str, more: Value| {
+        let mut route = json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "type": kind,
+            "timeout_ms": 10_000, "target_latency_ms": 200, "priority": 0, "service": SERVICE,
+            "max_attempts": 3, "public": false,
+        });
+        for (field, value) in more.as_object().unwrap() {
+            route[field] = value.clone();
+        }
+        route
+    };
+    let gap = json!({ "target_gap_ms": 300, "session_affinity": true });
+    let resumed = json!({ "target_gap_ms": 300, "session_affinity": true, "stream_resume": true });
+    vec![
+        route("get", "idempotent", json!({})),
+        route("ticket", "non_idempotent", json!({ "max_attempts": 1 })),
+        route("resumed", "streaming", resumed),
+        route("once", "streaming", gap),
+    ]
+}
+
+impl Routed {
+    pub(crate) async fn start(size: Size) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        let prefix = free_prefix();
+        let store_addr = addr(prefix, 250, STANDIN_PORT);
+        let store = standin(dir.path(), "store", &["keyed"], store_addr);
+        wait_until("the store", || async {
+            get(store_addr, "/log-newest?stream_name=keyed.op")
+                .await
+                .is_some()
+        })
+        .await;
+        let mut routed = Self {
+            dir,
+            prefix,
+            store,
+            routers: Vec::new(),
+            upstreams: Vec::new(),
+            store_relays: Vec::new(),
+            upstream_names: Vec::new(),
+            version: 0,
+        };
+        routed.configure(json!({})).await;
+        for i in 0..size.upstreams {
+            routed.spawn_upstream(i);
+        }
+        for i in 0..size.routers {
+            if size.store_relays {
+                let relay = routed.spawn_relay(i, store_addr);
+                let control = relay.control;
+                wait_until("a relay", || async {
+                    get(control, "/knobs").await.is_some()
+                })
+                .await;
+                routed.store_relays.push(relay);
+            }
+            routed.spawn_router(i);
+        }
+        for i in 0..size.routers {
+            routed.wait_ready(i).await;
+        }
+        routed
+    }
+
+    fn spawn_relay(&self, i: u8, target: SocketAddr) -> Relay {
+        let control = addr(self.prefix, 150 + i, CONTROL_PORT);
+        let (target, control_arg) = (target.to_string(), control.to_string());
+        let args = ["relay", "--target", &target, "--control", &control_arg];
+        let name = format!("store-relay-{i}");
+        let at = addr(self.prefix, 150 + i, STANDIN_PORT);
+        let process = standin(self.dir.path(), &name, &args, at);
+        Relay { process, control }
+    }
+
+    /// Starts one more upstream, or the same anew.
+    pub(crate) fn spawn_upstream(&mut self, i: u8) {
+        let name = format!("upstream-{i}-{}", self.upstream_names.len());
+        let store = self.store.addr.to_string();
+        let center = format!("dc-{}", i % 3);
+        let args = [
+            "backend",
+            "--service",
+            SERVICE,
+            "--data-center",
+            &center,
+            "--store",
+            &store,
+            "--slots",
+            "64",
+        ];
+        let at = addr(self.prefix, 100 + i, STANDIN_PORT);
+        let process = standin(self.dir.path(), &name, &args, at);
+        self.upstream_names.push(name);
+        let at = usize::from(i);
+        if at < self.upstreams.len() {
+            self.upstreams[at] = process;
+        } else {
+            self.upstreams.push(process);
+        }
+    }
+
+    /// Starts router `i`, or starts it anew.
+    pub(crate) fn spawn_router(&mut self, i: u8) {
+        let name = format!("router-{i}");
+        let path = self.settings_path(i);
+        std::fs::write(&path, self.settings(i).to_string()).unwrap();
+        let mut command = Command::new(router_program());
+        command.arg("router").arg("--settings").arg(path);
+        let process = spawn(self.dir.path(), &name, command, self.caller(i));
+        let at = usize::from(i);
+        if at < self.routers.len() {
+            self.routers[at] = process;
+        } else {
+            self.routers.push(process);
+        }
+    }
+
+    pub(crate) fn settings_path(&self, i: u8) -> PathBuf {
+        self.dir.path().join(format!("router-{i}.jsonc"))
+    }
+
+    pub(crate) fn settings(&self, i: u8) -> Value {
+        let at = |port| addr(self.prefix, 1 + i, port).to_string();
+        let relay = self.store_relays.get(usize::from(i));
+        let store = relay.map_or(self.store.addr, |r| r.process.addr);
+        json!({
+            "host": { "name": format!("router-{i}"), "data_center": format!("dc-{}", i % 3) },
+            "listen": {
+                "caller_addr": at(CALLER_PORT),
+                "peer_addr": at(PEER_PORT),
+                "admin_addr": at(ADMIN_PORT),
+                "entry_addr": at(ENTRY_PORT),
+                "ready_addr": at(READY_PORT),
+            },
+            "platform": { "addr": store, "protocol": "keyed_log" },
+            "fleet": {
+                "key": "fleet-key-0123456789",
+                "seed_addrs": addr(self.prefix, 1, PEER_PORT),
+                "entry_ttl_ms": 300,
+                "grace_s": 5,
+            },
+            "operator": { "key": "operator-key-0123456789" },
+        })
+    }
+
+    pub(crate) fn caller(&self, i: u8) -> SocketAddr {
+        addr(self.prefix, 1 + i, CALLER_PORT)
+    }
+
+    pub(crate) fn admin(&self, i: u8) -> SocketAddr {
+        addr(self.prefix, 1 + i, ADMIN_PORT)
+    }
+
+    pub(crate) fn ready(&self, i: u8) -> SocketAddr {
+        addr(self.prefix, 1 + i, READY_PORT)
+    }
+
+    /// The addresses that router `i` sends callers to.
+    pub(crate) async fn entry(&self, i: u8) -> Vec<String> {
+        let at = addr(self.prefix, 1 + i, ENTRY_PORT);
+        let path = format!("/resolve?name={HOST}&region=r&zone=z");
+        let text = get(at, &path).await.unwrap_or_default();
+        let answer: Value = serde_json::from_str(&text).unwrap_or_default();
+        serde_json::from_value(answer["addresses"].clone()).unwrap_or_default()
+    }
+
+    pub(crate) async fn wait_ready(&self, i: u8) {
+        let ready = self.ready(i);
+        wait_until("a router", || async {
+            get(ready, "/readyz").await.is_some()
+        })
+        .await;
+        let wanted = self.upstreams.len();
+
+        // Every upstream must have come, or a test meets fewer than it asked for.
+        wait_until("upstreams", || async {
+            let page = get(self.admin(i), "/metrics").await.unwrap_or_default();
+            let line = format!("cassiagrade_upstreams_known {wanted}");
+            page.lines().any(|l| l == line)
+        })
+        .await;
+    }
+
+    /// Writes the next configuration; `change` replaces whole fields.
+    pub(crate) async fn configure(&mut self, change: Value) -> u64 {
+        self.version += 3;
+        let mut config = json!({
+            "version": self.version,
+            "routes": routes(),
+            "services": [{ "name": SERVICE, "health_path": "/healthz" }],
+            "limits": {
+                "max_header_bytes": 16_384, "max_body_bytes": 100_000,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            },
+            "tenants": [{ "name": "workshop", "api_keys": [KEY], "priority": 1 }],
+        });
+        for (field, value) in change.as_object().unwrap() {
+            config[field] = value.clone();
+        }
+        self.write_config(&config.to_string()).await;
+        self.version
+    }
+
+    pub(crate) async fn write_config(&self, text: &str) {
+        let body = record("config", text);
+        let url = format!(
+            "http://{}/log-append?stream_name=keyed.op&part=0",
+            self.store.addr
+        );
+        let client = cyper::Client::new().unwrap();
+        // A reply that a knob drops is part of the tests.
+        let _ = client.post(url).unwrap().body(body).send().await;
+    }
+
+    pub(crate) async fn store_knobs(&self, knobs: Value) {
+        set_knobs(self.store.addr, &knobs).await;
+    }
+
+    /// Sets the same knobs at every upstream.
+    pub(crate) async fn upstream_knobs(&self, knobs: Value) {
+        for upstream in &self.upstreams {
+            set_knobs(upstream.addr, &knobs).await;
+        }
+    }
+
+    /// Sends one request with a fresh id; returns the id and what came back.
+    pub(crate) async fn call(
+        &self,
+        router: u8,
+        path: &str,
+        body: &str,
+    ) -> (String, Option<Received>) {
+        self.call_with(router, path, body, &[("deadline-ms", "8000")])
+            .await
+    }
+
+    pub(crate) async fn call_with(
+        &self,
+        router: u8,
+        path: &str,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> (String, Option<Received>) {
+        let id = fresh_id();
+        let mut all = vec![("attempt-id", id.as_str()), ("host", HOST)];
+        all.extend_from_slice(headers);
+        let received = Caller::new(KEY)
+            .call(self.caller(router), "POST", path, &all, body)
+            .await;
+        (id, received)
+    }
+
+    /// Every run that any upstream recorded, by the caller's id of the request.
+    pub(crate) fn runs(&self) -> HashMap<String, Vec<Run>> {
+        let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
+        for name in &self.upstream_names {
+            let path = self.dir.path().join(format!("{name}.out"));
+            let text = std::fs::read_to_string(path).unwrap_or_default();
+            let of_upstream = text
+                .lines()
+                .filter_map(|l| serde_json::from_str::<Run>(l).ok());
+            for run in of_upstream {
+                runs.entry(run.request_id.clone()).or_default().push(run);
+            }
+        }
+        runs
+    }
+
+    pub(crate) fn runs_of(&self, id: &str) -> usize {
+        self.runs().get(id).map_or(0, Vec::len)
+    }
+
+    pub(crate) fn log(&self, i: u8) -> String {
+        let path = self.dir.path().join(format!("router-{i}.out"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    pub(crate) fn log_path(&self, i: u8) -> PathBuf {
+        self.dir.path().join(format!("router-{i}.out"))
+    }
+
+    /// Waits until router `i` answers `path` with `status`.
+    pub(crate) async fn wait_status(&self, i: u8, path: &str, status: u16) {
+        wait_until(&format!("{status} at {path}"), || async {
+            let (_, received) = self.call(i, path, "1").await;
+            received.is_some_and(|r| r.status == status)
+        })
+        .await;
+    }
+
+    pub(crate) async fn relay_knobs(&self, i: u8, knobs: Value) {
+        let control = self.store_relays[usize::from(i)].control;
+        assert!(post(control, "/knobs", &knobs.to_string()).await);
+    }
+}
+
+pub(crate) fn fresh_id() -> String {
+    let n = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+    format!("{:08x}{n:08x}", std::process::id())
+}
