--- /dev/null
+++ b/tests/routed_bad_callers.rs
@@ -0,0 +1,129 @@
+//! Callers that send what no request is.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+use support::routed::{HOST, KEY, Routed, Size, fresh_id};
+use test_case::test_case;
+
+fn head(id: &str, more: &str) -> String {
+    format!(
+        "POST /ticket/1 HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {id}\r\n\
+         authorization: Bearer {KEY}\r\n{more}"
+    )
+}
+
+/// Everything that comes back until the connection ends or is silent for a while.
+fn exchange(routed: &Routed, sent: &str) -> String {
+    let mut stream = TcpStream::connect(routed.caller(0)).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_millis(700)))
+        .unwrap();
+    stream.write_all(sent.as_bytes()).unwrap();
+    let mut received = Vec::new();
+    let mut buffer = [0; 4_096];
+    while let Ok(read) = stream.read(&mut buffer) {
+        if read == 0 {
+            break;
+        }
+        received.extend_from_slice(&buffer[..read]);
+    }
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+/// Two lengths, and a second request in what one of them takes for the body's end. Whichever is
+/// believed, the hidden request must not run.
+#[test_case("content-length: 5\r\ntransfer-encoding: chunked\r\n"; "length first")]
+#[test_case("transfer-encoding: chunked\r\ncontent-length: 5\r\n"; "chunks first")]
+#[compio::test]
+async fn hidden_request_does_not_run(lengths: &str) {
+    let routed = Routed::start(Size::default()).await;
+    let (outer, hidden) = (fresh_id(), fresh_id());
+    let inner = head(&hidden, "content-length: 0\r\n\r\n");
+    let sent = head(&outer, &format!("{lengths}\r\n0\r\n\r\n{inner}"));
+    exchange(&routed, &sent);
+    assert_eq!(routed.runs_of(&hidden), 0);
+}
+
+#[test_case("POST /ticket/1 HTTP/1.1\r\nattempt-id: x\r\ncontent-length: 0\r\n\r\n", "400"; "no host")]
+#[test_case("POST /ticket/1 HTTP/1.0\r\nhost: a.example\r\ncontent-length: 0\r\n\r\n", "400"; "HTTP 1 0")]
+#[test_case("NONSENSE\r\n\r\n", "400"; "no request line")]
+#[test_case("POST /ticket/1 HTTP/1.1\r\nhost: a.example\r\ncontent-length: -1\r\n\r\n", "400"; "negative length")]
+#[compio::test]
+async fn malformed_request_gets_one_clear_error(sent: &str, status: &str) {
+    let routed = Routed::start(Size::default()).await;
+    let received = exchange(&routed, sent);
+    assert!(
+        received
+            .lines()
+            .next()
+            .unwrap()
+            .ends_with(&format!(" {status} Bad Request")),
+        "{received}"
+    );
+    assert_eq!(received.matches("HTTP/1.").count(), 1, "{received}");
+}
+
+#[compio::test]
+async fn too_much_is_refused() {
+    let routed = Routed::start(Size::default()).await;
+    let id = fresh_id();
+    let long = exchange(&routed, &head(&id, "content-length: 200000\r\n\r\n"));
+    assert!(long.starts_with("HTTP/1.1 413 "), "{long}");
+    let filler = "x".repeat(20_000);
+    let wide = exchange(
+        &routed,
+        &head(
+            &id,
+            &format!("x-wide: {filler}\r\ncontent-length: 0\r\n\r\n"),
+        ),
+    );
+    assert!(
+        wide.starts_with("HTTP/1.1 431 ") || wide.starts_with("HTTP/1.1 413 "),
+        "{wide}"
+    );
+    assert_eq!(routed.runs_of(&id), 0);
+}
+
+/// Two requests are sent at once on one connection: both are answered, in order, each with its own
+/// answer.
+#[compio::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let routed = Routed::start(Size::default()).await;
+    let (first, second) = (fresh_id(), fresh_id());
+    let one = head(&first, "content-length: 1\r\n\r\n1");
+    let two = head(&second, "content-length: 1\r\n\r\n2");
+    let received = exchange(&routed, &format!("{one}{two}"));
+    let at = |id: &str| received.find(&format!("attempt-id: {id}")).unwrap();
+    assert!(at(&first) < at(&second), "{received}");
+}
+
+/// A body in chunks, with extensions, comes through as it is.
+#[compio::test]
+async fn chunked_body_passes() {
+    let routed = Routed::start(Size::default()).await;
+    let id = fresh_id();
+    let sent = head(
+        &id,
+        "transfer-encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+    );
+    let received = exchange(&routed, &sent);
+    assert!(received.starts_with("HTTP/1.1 200 "), "{received}");
+    assert_eq!(routed.runs()[&id][0].body, "abcde");
+}
+
+/// A caller breaks off in the middle of its body: nothing was asked, so nothing may run.
+#[compio::test]
+async fn half_a_request_does_not_run() {
+    let routed = Routed::start(Size::default()).await;
+    let id = fresh_id();
+    let mut stream = TcpStream::connect(routed.caller(0)).unwrap();
+    let sent = head(&id, "content-length: 100\r\n\r\nhalf");
+    stream.write_all(sent.as_bytes()).unwrap();
+    stream.shutdown(Shutdown::Both).unwrap();
+    support::sleep_ms(300).await;
+    assert_eq!(routed.runs_of(&id), 0);
+}
--- /dev/null
+++ b/tests/routed_store.rs
@@ -0,0 +1,149 @@
+//! The platform's store away, slow, lying or turning single routers away.
+
+mod support;
+
+use serde_json::json;
+use support::routed::{Routed, Size};
+use support::{sleep_ms, wait_until};
+use test_case::test_case;
+
+/// The store fails in one way for a while. Callers are served all the same, and a change that was
+/// made right after it came back is in force soon.
+#[test_case(json!({ "fault": "busy" }); "busy")]
+#[test_case(json!({ "fault": "many" }); "too many calls")]
+#[test_case(json!({ "fault": "cut" }); "cuts connections")]
+#[test_case(json!({ "fault": "silent" }); "silent")]
+#[test_case(json!({ "delay_ms": 300 }); "slow")]
+#[test_case(json!({ "forget": true }); "forgets its history")]
+#[test_case(json!({ "garble_reads": 3 }); "garbled records")]
+#[compio::test]
+async fn callers_are_served_while_the_store_fails(knobs: serde_json::Value) {
+    let mut routed = Routed::start(Size::default()).await;
+    routed.store_knobs(knobs).await;
+    for _ in 0..10 {
+        let (_, received) = routed.call(0, "/get/1", "1").await;
+        assert_eq!(received.unwrap().status, 200);
+        sleep_ms(50).await;
+    }
+    routed.store_knobs(json!({})).await;
+    routed.configure(json!({ "routes": [] })).await;
+    routed.wait_status(0, "/get/1", 404).await;
+}
+
+/// The store is away so long that all entries of upstreams lapse, and is back before they have written
+/// again. They live: nobody may be refused for that.
+#[compio::test]
+async fn lapsed_entries_of_living_upstreams_refuse_nobody() {
+    let routed = Routed::start(Size::default()).await;
+    routed
+        .store_knobs(json!({ "fault": "busy", "lapse_ms": 100 }))
+        .await;
+    wait_until("the loss", || async {
+        routed.log(0).contains("store lost")
+    })
+    .await;
+    // Longer than the silence after which lapsed entries are doubted.
+    sleep_ms(3_500).await;
+    routed.store_knobs(json!({})).await;
+    wait_until("the return", || async {
+        routed.log(0).contains("store back")
+    })
+    .await;
+    for _ in 0..20 {
+        let (_, received) = routed.call(0, "/get/1", "1").await;
+        assert_eq!(received.unwrap().status, 200);
+    }
+}
+
+/// An upstream dies while the store is away; its entry doesn't come back. It must be taken for gone
+/// soon after the store's return.
+#[compio::test]
+async fn entry_that_does_not_come_back_is_gone() {
+    let mut routed = Routed::start(Size::default()).await;
+    routed
+        .store_knobs(json!({ "fault": "busy", "lapse_ms": 900 }))
+        .await;
+    routed.upstreams[0].kill();
+    sleep_ms(3_500).await;
+    routed.store_knobs(json!({ "lapse_ms": 900 })).await;
+    wait_until("the removal", || async {
+        routed.log(0).contains("is gone")
+    })
+    .await;
+}
+
+/// The store turns one router away and serves the others. It learns from them what changes, within
+/// seconds, and its callers see no old configuration.
+#[compio::test]
+async fn router_that_is_turned_away_learns_from_the_others() {
+    let size = Size {
+        routers: 4,
+        store_relays: true,
+        ..Size::default()
+    };
+    let mut routed = Routed::start(size).await;
+    for i in 0..4 {
+        routed.wait_ready(i).await;
+    }
+    for away in 0..4 {
+        routed.relay_knobs(away, json!({ "stall": true })).await;
+        let routes = if away % 2 == 0 {
+            json!([])
+        } else {
+            json!(support::routed::routes())
+        };
+        let status = if away % 2 == 0 { 404 } else { 200 };
+        routed.configure(json!({ "routes": routes })).await;
+        routed.wait_status(away, "/get/1", status).await;
+        routed.relay_knobs(away, json!({})).await;
+    }
+}
+
+/// A router is replaced while the store is away: it knows nothing of its own. Its peers tell it, and
+/// it serves.
+#[compio::test]
+async fn replaced_router_starts_from_its_peers() {
+    let size = Size {
+        routers: 3,
+        ..Size::default()
+    };
+    let mut routed = Routed::start(size).await;
+    routed.store_knobs(json!({ "fault": "silent" })).await;
+    routed.routers[2].kill();
+    routed.spawn_router(2);
+    routed.wait_status(2, "/get/1", 200).await;
+}
+
+/// A router starts while the store is away and knows no peer either: it must not call requests
+/// unknown that it merely hasn't heard of.
+#[compio::test]
+async fn router_without_a_configuration_denies_nothing() {
+    let mut routed = Routed::start(Size::default()).await;
+    routed.store_knobs(json!({ "fault": "silent" })).await;
+    routed.routers[0].kill();
+    routed.spawn_router(0);
+    wait_until("an answer", || async {
+        let (_, received) = routed.call(0, "/get/1", "1").await;
+        received.is_some()
+    })
+    .await;
+    let (id, received) = routed.call(0, "/get/1", "1").await;
+    let received = received.unwrap();
+    assert_eq!(received.status, 503);
+    assert!(received.not_run());
+    assert_eq!(routed.runs_of(&id), 0);
+    assert!(support::get(routed.ready(0), "/readyz").await.is_none());
+}
+
+/// An old version reaches a router after a newer one: taken, requests would be handled again as an
+/// operator no longer allows.
+#[compio::test]
+async fn older_version_never_comes_back() {
+    let mut routed = Routed::start(Size::default()).await;
+    routed.configure(json!({ "routes": [] })).await;
+    routed.wait_status(0, "/get/1", 404).await;
+    routed.configure(json!({ "version": 1 })).await;
+    sleep_ms(400).await;
+    let (_, received) = routed.call(0, "/get/1", "1").await;
+    assert_eq!(received.unwrap().status, 404);
+}
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,21 @@
+//! The fault soak, short, with fixed seeds, and every seed that ever failed.
+
+use std::path::Path;
+use std::process::Command;
+
+use test_case::test_case;
+
+/// Faults drawn from the seed meet mixed load; the soak itself holds what callers were told against
+/// the upstreams' records.
+#[test_case(1)]
+#[test_case(2)]
+fn nothing_untrue_is_told(seed: u32) {
+    let bin = Path::new(env!("CARGO_BIN_EXE_cassiagrade"));
+    let path = bin.parent().unwrap().join("examples/soak");
+    let mut command = Command::new(path);
+    command.args(["--seconds", "8", "--seed", &seed.to_string()]);
+    let output = command.output().unwrap();
+    let verdict = String::from_utf8_lossy(&output.stdout);
+    println!("{verdict}");
+    assert!(output.status.success(), "{verdict}");
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -40,6 +40,11 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Says that the settings file has changed.
+    pub(crate) fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Asks for a planned stop.
     pub(crate) fn terminate(&self) {
         self.signal(Signal::SIGTERM);
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -37,8 +37,6 @@
     pub(crate) upstreams: u8,
     /// Put a relay between each router and the store.
     pub(crate) store_relays: bool,
-    /// Put a relay between the routers and each upstream.
-    pub(crate) upstream_relays: bool,
 }
 
 impl Default for Size {
@@ -47,7 +45,6 @@
             routers: 1,
             upstreams: 2,
             store_relays: false,
-            upstream_relays: false,
         }
     }
 }
@@ -61,6 +58,8 @@
     pub(crate) store_relays: Vec<Relay>,
     /// Names of all upstreams that ever ran.
     pub(crate) upstream_names: Vec<String>,
+    /// Routers that were told to stop and not started again.
+    pub(crate) stopping: Vec<usize>,
     version: u64,
 }
 
@@ -107,6 +106,7 @@
             upstreams: Vec::new(),
             store_relays: Vec::new(),
             upstream_names: Vec::new(),
+            stopping: Vec::new(),
             version: 0,
         };
         routed.configure(json!({})).await;
@@ -224,6 +224,10 @@
         addr(self.prefix, 1 + i, READY_PORT)
     }
 
+    pub(crate) fn entry_addr(&self, i: u8) -> SocketAddr {
+        addr(self.prefix, 1 + i, ENTRY_PORT)
+    }
+
     /// The addresses that router `i` sends callers to.
     pub(crate) async fn entry(&self, i: u8) -> Vec<String> {
         let at = addr(self.prefix, 1 + i, ENTRY_PORT);
@@ -250,6 +254,12 @@
         .await;
     }
 
+    /// Keeps the processes' output; tells where it is.
+    pub(crate) fn keep(&mut self) -> PathBuf {
+        self.dir.disable_cleanup(true);
+        self.dir.path().to_owned()
+    }
+
     /// Writes the next configuration; `change` replaces whole fields.
     pub(crate) async fn configure(&mut self, change: Value) -> u64 {
         self.version += 3;
