--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -15,6 +15,9 @@
 /// How long one lasts, at most.
 const MAX_LAST_MS: u64 = 3_500;
 
+/// For an upstream to take its knobs.
+const KNOBS_LIMIT: Duration = Duration::from_millis(500);
+
 /// What a fault's end undoes.
 enum Undo {
     WakeRouter(u8),
@@ -97,10 +100,7 @@
         match p.undo {
             Undo::ClearStore => routed.store_knobs(json!({ "lapse_ms": 1_500 })).await,
             Undo::ClearRelay(i) => routed.relay_knobs(i, json!({})).await,
-            // It may have been killed meanwhile.
-            Undo::ClearUpstream(i) => {
-                post(routed.upstreams[i].addr, "/knobs", "{}").await;
-            }
+            Undo::ClearUpstream(i) => set_upstream(routed, i, &json!({})).await,
             undo => pending.push(Pending { at: p.at, undo }),
         }
     }
@@ -192,6 +192,15 @@
     }
 }
 
+/// Sets an upstream's knobs; one that is frozen or was killed meanwhile doesn't answer.
+async fn set_upstream(routed: &Routed, upstream: usize, knobs: &Value) {
+    let text = knobs.to_string();
+    let set = post(routed.upstreams[upstream].addr, "/knobs", &text);
+    if compio::time::timeout(KNOBS_LIMIT, set).await.is_err() {
+        println!("upstream {upstream} doesn't take {text}");
+    }
+}
+
 fn store_fault(rng: &mut SmallRng) -> Value {
     let faults = [
         json!({ "fault": "busy", "lapse_ms": 1_500 }),
--- a/standins/src/keyed.rs
+++ b/standins/src/keyed.rs
@@ -1,6 +1,6 @@
 //! A store of streams that keep the newest record of each key, as the users' platform runs it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -104,6 +104,7 @@
     knobs: RefCell<Knobs>,
     streams: RefCell<HashMap<String, Stream>>,
     changed: watch::Sender<u64>,
+    calls: Cell<u64>,
 }
 
 impl Keyed {
@@ -116,6 +117,7 @@
             knobs: RefCell::default(),
             streams: RefCell::default(),
             changed: watch::Sender::new(0),
+            calls: Cell::default(),
         });
         compio::runtime::spawn(server.clone().lapse()).detach();
         let addr = serve(addr, server).await?;
@@ -128,6 +130,10 @@
         if (&ask.method, ask.path.as_str()) == (&Method::POST, "/knobs") {
             return Some(self.set_knobs(&ask));
         }
+        if ask.path == "/calls" {
+            return Some(json_reply(&self.calls.get()));
+        }
+        self.calls.set(self.calls.get() + 1);
         let (fault, delay_ms) = {
             let knobs = self.knobs.borrow();
             (knobs.fault, knobs.delay_ms)
--- a/tests/routed_store.rs
+++ b/tests/routed_store.rs
@@ -72,6 +72,48 @@
     .await;
 }
 
+/// The store forgets its history while a router can't read it. The router must start anew from the
+/// newest records; asking for what is gone again and again would cost the store thousands of calls,
+/// and upstreams that left meanwhile would get work for ever.
+#[compio::test]
+async fn forgotten_history_is_read_anew_once() {
+    let size = Size {
+        store_relays: true,
+        ..Size::default()
+    };
+    let mut routed = Routed::start(size).await;
+    routed
+        .relay_knobs(0, json!({ "refuse": true, "cut": true }))
+        .await;
+    wait_until("the loss", || async {
+        routed.log(0).contains("store lost")
+    })
+    .await;
+    let before = routed.upstreams.len();
+    routed.spawn_upstream(2);
+    routed.spawn_upstream(3);
+    sleep_ms(600).await;
+    routed.store_knobs(json!({ "forget": true })).await;
+    routed.relay_knobs(0, json!({})).await;
+    let wanted = format!("cassiagrade_upstreams_known {}", before + 2);
+    wait_until("the upstreams", || async {
+        let page = support::get(routed.admin(0), "/metrics")
+            .await
+            .unwrap_or_default();
+        page.lines().any(|l| l == wanted)
+    })
+    .await;
+    let calls = || async {
+        let text = support::get(routed.store.addr, "/calls").await.unwrap();
+        text.parse::<u64>().unwrap()
+    };
+    let first = calls().await;
+    sleep_ms(1_000).await;
+    let made = calls().await - first;
+    // Four upstreams write three times a second each, and the router reads about twice.
+    assert!(made < 40, "{made} calls in a second");
+}
+
 /// The store turns one router away and serves the others. It learns from them what changes, within
 /// seconds, and its callers see no old configuration.
 #[compio::test]
