--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -13,8 +13,7 @@
 use crate::path::Path;
 use crate::path::beliefs::Tried;
 use crate::path::call::{Call, CallFailed, Caller, Fate, Reply, Whole};
-use crate::path::dialect::Records;
-use crate::path::dialect::{CallHead, CallerHead, Dialect, PromptPart};
+use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
 use crate::path::refusal::Refused;
 use crate::path::routes::{Account, Route};
 use crate::path::upstreams::Upstream;
@@ -243,7 +242,7 @@
             may_return: self.runs > 0,
         };
         let (pool, seats) = asked.path.beliefs.pool(&asked.service, &tried, now_ms);
-        let placed = match shared_part(&asked.head.prompt) {
+        let placed = match shared_part(&asked.head.prompt_parts) {
             Some(part) if asked.route.cached_prompts => spread::by_part(part, &seats)?,
             _ => Placed {
                 at: spread::by_load(&seats, &mut rand::rng())?,
@@ -291,7 +290,7 @@
                 .account
                 .as_ref()
                 .map_or_else(String::new, |a| a.name.to_string());
-            e.chat = shared_part(&asked.head.prompt).map_or_else(String::new, chat_name);
+            e.chat = shared_part(&asked.head.prompt_parts).map_or_else(String::new, chat_name);
             e.upstream = upstream.to_owned();
             e.attempt = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
             e.took_us = util::micros(asked.started.elapsed());
@@ -318,7 +317,7 @@
 }
 
 /// The last part of a prompt that others may share: the last of all is the request's own.
-fn shared_part(prompt: &[PromptPart]) -> Option<u64> {
-    let at = prompt.len().checked_sub(2)?;
-    prompt.get(at).map(|p| p.id)
+fn shared_part(prompt_parts: &[u64]) -> Option<u64> {
+    let at = prompt_parts.len().checked_sub(2)?;
+    prompt_parts.get(at).copied()
 }
--- a/src/path/dialect.rs
+++ b/src/path/dialect.rs
@@ -7,15 +7,6 @@
 use crate::path::routes::Deployment;
 use crate::path::upstreams::Upstream;
 
-/// A piece of a prompt that other prompts may share.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PromptPart {
-    /// The same text has the same id.
-    pub id: u64,
-    /// Its length.
-    pub tokens: u32,
-}
-
 /// What a caller says of its request beside method, path and body.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CallerHead {
@@ -25,8 +16,9 @@
     pub key: Option<String>,
     /// How long the caller waits.
     pub deadline_ms: Option<u64>,
-    /// The prompt's parts, in order; the last is the request's own.
-    pub prompt: Vec<PromptPart>,
+    /// Ids of the prompt's parts, in order; the same text has the same id, and the last part is the
+    /// request's own.
+    pub prompt_parts: Vec<u64>,
     /// The last event that the caller has of a stream that broke.
     pub resume_after: Option<u64>,
 }
@@ -48,15 +40,6 @@
     pub priority: Option<u8>,
 }
 
-/// Load of an upstream as it tells it with an answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ToldLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-}
-
 /// What an upstream says beside status and body.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct AnswerHead {
@@ -66,8 +49,6 @@
     pub has_proof: bool,
     /// The upstream says that it didn't run the request.
     pub not_run: bool,
-    /// Its load.
-    pub load: Option<ToldLoad>,
 }
 
 /// What operators and upstreams write to the platform's log.
--- a/src/path/news_tests.rs
+++ b/src/path/news_tests.rs
@@ -33,7 +33,6 @@
             data_center: "north".into(),
             slots: 1,
             draining: record == b"draining",
-            warm_up_ms: 0,
         })
     }
 }
--- a/src/path/routes.rs
+++ b/src/path/routes.rs
@@ -100,8 +100,6 @@
     pub max_header_bytes: usize,
     /// Request body.
     pub max_body_bytes: usize,
-    /// For the whole request line and headers, from their first byte.
-    pub header_timeout_ms: u64,
     /// Between two requests on one connection.
     pub idle_timeout_ms: u64,
 }
@@ -112,7 +110,6 @@
         Self {
             max_header_bytes: 16 << 10,
             max_body_bytes: 4 << 20,
-            header_timeout_ms: 3_000,
             idle_timeout_ms: 15_000,
         }
     }
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -21,8 +21,6 @@
     pub slots: u32,
     /// It is going away and takes no new work.
     pub draining: bool,
-    /// How much longer it is slow after its start, as of when it said so.
-    pub warm_up_ms: u64,
 }
 
 /// All upstreams that are there.
@@ -45,7 +43,6 @@
     ///     data_center: "north".into(),
     ///     slots: 8,
     ///     draining: false,
-    ///     warm_up_ms: 0,
     /// };
     /// let mut upstreams = Upstreams::default();
     /// assert!(upstreams.put(one.clone()));
