--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -1,9 +1,9 @@
 //! The path of a request that this router sends to its upstream itself.
 //!
-//! Read in the order of a request's way: [`callers`] holds the connection, [`request`] checks it
-//! and finds its route and account, [`attempts`] picks upstreams until one answers, [`call`] sends
-//! it there over a [`link`], [`answer`] passes the answer on and picks it up where it breaks off.
-//! [`routes`], [`upstreams`] and [`beliefs`] are what it reads; a [`dialect`] knows the names of
+//! Read in the order of a request's way: `callers` holds the connection, `request` checks it
+//! and finds its route and account, `attempts` picks upstreams until one answers, `call` sends
+//! it there over a `link`, `answer` passes the answer on and picks it up where it breaks off.
+//! [`routes`], [`upstreams`] and `beliefs` are what it reads; a [`dialect`] knows the names of
 //! the headers.
 
 pub(crate) mod answer;
