Leave out upstreams that refuse connections, however many of a pool they are

Cause: ejection spares two thirds of a pool. Change: an upstream that takes no connection gets no work for a second, without a cap; then it is asked again. Ruled out: a larger cap for ejection (it protects a pool that is slow or failing for a common reason).

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -169,7 +169,7 @@
             let now_ms = self.asked.path.clock.now_ms();
             let beliefs = &self.asked.path.beliefs;
             match failed.fate {
-                Fate::NotSent => beliefs.found_dead(&upstream.id, now_ms),
+                Fate::NotSent => beliefs.unreachable(&upstream.id, now_ms),
                 Fate::Lost => beliefs.lost_answer(&upstream.id, self.asked.fingerprint, now_ms),
                 Fate::Replaced => beliefs.found_replaced(&upstream.id, now_ms),
                 Fate::Rejected => {}
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -168,6 +168,7 @@
         let own = |u: &Upstream| running.get(&u.id).copied().unwrap_or(0);
         let takes_no_more =
             |u: &Upstream| u.draining || health.is_replaced(u) || own(u) >= max_open;
+        let is_unreachable = |u: &Upstream| health.is_unreachable(u, now_ms);
         let joined = self.joined_ms.borrow();
         let seat = |u: &Rc<Upstream>| {
             let of_others = others.get(&digest(&u.id)).map_or(0, |t| t.running);
@@ -176,7 +177,7 @@
                 running: own(u) + of_others,
                 slots: u.slots,
                 near: u.data_center == self.data_center,
-                barred: takes_no_more(u) || tried.has(&u.id) || is_out(u),
+                barred: takes_no_more(u) || tried.has(&u.id) || is_out(u) || is_unreachable(u),
                 has_parts: health.is_source(u, now_ms)
                     && joined.get(&u.id).is_none_or(|at| at + WARM_MS < now_ms),
             }
@@ -185,6 +186,12 @@
         if seats.iter().all(|s| s.barred) {
             // All that are left were ejected: trying is better than refusing for what was true a
             // moment ago.
+            for (seat, upstream) in seats.iter_mut().zip(&pool) {
+                seat.barred =
+                    takes_no_more(upstream) || tried.has(&upstream.id) || is_unreachable(upstream);
+            }
+        }
+        if seats.iter().all(|s| s.barred) {
             for (seat, upstream) in seats.iter_mut().zip(&pool) {
                 seat.barred = takes_no_more(upstream) || tried.has(&upstream.id);
             }
@@ -284,7 +291,7 @@
         }
     }
 
-    /// An upstream refuses connections, or its entry went.
+    /// An upstream takes no connection, or its entry went.
     pub(crate) fn found_dead(&self, upstream: &str, now_ms: u64) {
         for told in self.suspects.borrow_mut().died(upstream, now_ms) {
             log::warn!(
@@ -295,6 +302,12 @@
         }
     }
 
+    /// An upstream takes no connection.
+    pub(crate) fn unreachable(&self, upstream: &Name, now_ms: u64) {
+        self.health.borrow_mut().unreachable(upstream, now_ms);
+        self.found_dead(upstream, now_ms);
+    }
+
     /// Another incarnation answers at an upstream's address.
     ///
     /// Failure guarded against: an upstream crashes and starts anew at its address, and its entry stays
--- a/src/path/health.rs
+++ b/src/path/health.rs
@@ -10,6 +10,11 @@
 use crate::path::upstreams::Upstream;
 use crate::util::Name;
 
+/// An upstream that refuses connections, or doesn't take one in time, gets no work for this long. Its
+/// entry stays for some heartbeats after a crash; a restart takes longer than this, and asking again
+/// costs one round trip.
+const UNREACHABLE_MS: u64 = 1_000;
+
 /// Calls that ended since the other routers were last told.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Ended {
@@ -28,6 +33,8 @@
     replaced: HashSet<Name>,
     /// Those left out for a share of failures: they live, and answer the rest.
     grey: HashSet<Name>,
+    /// Until when those that took no connection get no work.
+    unreachable: HashMap<Name, u64>,
 }
 
 impl Health {
@@ -41,11 +48,27 @@
         self.replaced.contains(&upstream.id)
     }
 
+    /// Whether `upstream` took no connection a moment ago.
+    pub(crate) fn is_unreachable(&self, upstream: &Upstream, now_ms: u64) -> bool {
+        let until_ms = self.unreachable.get(&upstream.id);
+        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+    }
+
+    /// `upstream` took no connection.
+    ///
+    /// Failure guarded against: half of a pool dies at once. Ejection leaves out a third of a pool at
+    /// most, so requests go on being sent to dead upstreams until their entries lapse, and callers are
+    /// refused while others have room. A refused connection needs no comparison with the pool.
+    pub(crate) fn unreachable(&mut self, upstream: &Name, now_ms: u64) {
+        self.unreachable
+            .insert(upstream.clone(), now_ms + UNREACHABLE_MS);
+    }
+
     /// Whether others can be sent to `upstream` for what it holds of prompts. One that fails a share of
     /// its requests still hands these on, which spares the pool reading them anew while it is left out.
     pub(crate) fn is_source(&self, upstream: &Upstream, now_ms: u64) -> bool {
         let is_lost = self.is_out(upstream, now_ms) && !self.grey.contains(&upstream.id);
-        !is_lost && !self.is_replaced(upstream)
+        !is_lost && !self.is_unreachable(upstream, now_ms) && !self.is_replaced(upstream)
     }
 
     /// Tells whether it was new.
@@ -136,6 +159,7 @@
     pub(crate) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.replaced.retain(|id| is_known(id));
         self.grey.retain(|id| is_known(id));
+        self.unreachable.retain(|id, _| is_known(id));
         self.outcomes.retain(|id, _| is_known(id));
         for ejector in self.ejectors.values_mut() {
             ejector.retain(&is_known);
--- a/src/path/health_tests.rs
+++ b/src/path/health_tests.rs
@@ -72,3 +72,21 @@
         "it still hands on what it holds"
     );
 }
+
+/// Half of a pool dies at once. Ejection spares two thirds of a pool, whatever it fails; still none of
+/// the dead may get a request as long as they refuse connections, or their callers are refused beside
+/// idle upstreams.
+#[test]
+fn half_of_a_pool_that_refuses_connections_gets_no_work() {
+    let (pool, mut health) = (pool(), Health::default());
+    for dead in &pool[..3] {
+        health.unreachable(&dead.id, 0);
+    }
+    let open = |health: &Health, now_ms| {
+        let open = pool.iter().filter(|u| !health.is_unreachable(u, now_ms));
+        open.count()
+    };
+    assert_eq!(open(&health, 999), 3);
+    assert!(!health.is_source(&pool[0], 999));
+    assert_eq!(open(&health, 1_000), 6, "each is asked again after a while");
+}
