Admit, hold back or refuse requests at the router by shares of a service's places

Cause: the path sent every request until an upstream said no. Change: a gate before each service (path/gate, no network in decide/admission, allowance, classes). Routers tell five times a second what they want to run; each takes its max-min fair part of the places; what waits goes by class, then by account and work, and is refused at once when it can't start in time. Short requests (under the 200 ms between two tellings) queue at the upstreams. And the account's priority goes before the route's instead of replacing it: all accounts had the same one, which made all kinds equal.

--- /dev/null
+++ b/src/decide/admission_tests.rs
@@ -0,0 +1,236 @@
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::admission::{Admission, Ask, Offer, Ready, Room, STANDING_MS};
+use super::refusal::RunState;
+use super::{ChatKey, Cost, Job, JobId, Priority};
+
+const FULL: Room = Room {
+    allowed: 10,
+    has_spare: false,
+};
+
+/// 400 ms in a place by the default rates, to be answered within 500 ms, given up after 6 s.
+fn ask(id: u64, account: &str, priority: Priority, now_ms: u64) -> Ask {
+    Ask {
+        job: Job {
+            id: JobId(id),
+            account: account.into(),
+            weight: 1.0,
+            priority,
+            chat: ChatKey::default(),
+            cost: Cost {
+                output_tokens: 10,
+                ..Cost::default()
+            },
+            deadline_ms: now_ms + 6_000,
+            last_choice: true,
+            suspect: false,
+        },
+        objective_ms: 500,
+    }
+}
+
+/// Callers of one service, each kind at `per_s` requests a second; a place is taken for 100 to 700 ms.
+/// Counts what became of each.
+struct Callers {
+    admission: Admission,
+    rng: SmallRng,
+    ends: Vec<(u64, JobId)>,
+    kinds: Vec<Kind>,
+    next: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Kind {
+    account: &'static str,
+    priority: Priority,
+    per_s: u64,
+    asked: u64,
+    in_time: u64,
+    late: u64,
+    refused: u64,
+}
+
+impl Callers {
+    fn new(kinds: &[(&'static str, Priority, u64)]) -> Self {
+        let kind = |&(account, priority, per_s)| Kind {
+            account,
+            priority,
+            per_s,
+            ..Kind::default()
+        };
+        Self {
+            admission: Admission::default(),
+            rng: SmallRng::seed_from_u64(3),
+            ends: Vec::new(),
+            kinds: kinds.iter().map(kind).collect(),
+            next: 0,
+        }
+    }
+
+    fn run(&mut self, from_ms: u64, to_ms: u64, room: Room) {
+        for now_ms in from_ms..to_ms {
+            self.end(now_ms, room);
+            for at in 0..self.kinds.len() {
+                let per_s = self.kinds[at].per_s;
+                if now_ms * per_s / 1_000 != (now_ms + 1) * per_s / 1_000 {
+                    self.arrive(at, now_ms, room);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, at: usize, now_ms: u64, room: Room) {
+        // Kind and time of arrival are read back from the id.
+        self.next += 1;
+        let id = self.next * 1_000_000_000 + at as u64 * 100_000_000 + now_ms;
+        let kind = &mut self.kinds[at];
+        kind.asked += 1;
+        let ask = ask(id, kind.account, kind.priority, now_ms);
+        match self.admission.offer(ask, room, now_ms, &mut self.rng) {
+            Offer::Start => self.started(JobId(id), now_ms),
+            Offer::Wait => {}
+            Offer::Refused(refusal) => {
+                assert_eq!(refusal.run, RunState::NotRun);
+                assert!(refusal.retry_after_ms > 0);
+                self.kinds[at].refused += 1;
+            }
+        }
+    }
+
+    fn end(&mut self, now_ms: u64, room: Room) {
+        let (over, running) = self.ends.iter().partition(|(at, _)| *at <= now_ms);
+        self.ends = running;
+        let over: Vec<(u64, JobId)> = over;
+        for (_, id) in over {
+            self.admission.finish(id, now_ms);
+        }
+        while let Some(ready) = self.admission.poll(room, now_ms, &mut self.rng) {
+            match ready {
+                Ready::Start(id) => self.started(id, now_ms),
+                Ready::Refused(id, _) => self.kinds[kind_of(id)].refused += 1,
+            }
+        }
+    }
+
+    fn started(&mut self, id: JobId, now_ms: u64) {
+        let waited_ms = now_ms - id.0 % 100_000_000;
+        let kind = &mut self.kinds[kind_of(id)];
+        if waited_ms <= 250 {
+            kind.in_time += 1;
+        } else {
+            kind.late += 1;
+        }
+        let took_ms = self.rng.random_range(100..700);
+        self.ends.push((now_ms + took_ms, id));
+    }
+
+    fn in_time(&self, at: usize) -> f64 {
+        self.kinds[at].in_time as f64 / self.kinds[at].asked as f64
+    }
+}
+
+fn kind_of(id: JobId) -> usize {
+    usize::try_from(id.0 / 100_000_000 % 10).unwrap()
+}
+
+/// Ten times what the places can do, for ten seconds. First come, first served would make everybody
+/// late: each answer waits for all before it. Nearly all that the places do must be in time.
+#[test]
+fn goodput_stays_at_ten_times_the_load() {
+    let mut callers = Callers::new(&[("a", Priority::Normal, 250)]);
+    callers.run(0, 10_000, FULL);
+    let Kind { in_time, late, .. } = callers.kinds[0];
+    // 10 places of 400 ms: 25 a second.
+    assert!(
+        in_time + late >= 245,
+        "places stayed empty: {in_time} + {late}"
+    );
+    assert!(in_time >= 190, "{in_time} in time, {late} late");
+}
+
+/// Urgent requests want half of the places, the least urgent want ten times all. Turned away at
+/// random, nine of ten urgent ones would be refused.
+#[test]
+fn urgent_requests_are_served_before_others() {
+    let kinds = [("a", Priority::Urgent, 12), ("a", Priority::Batch, 250)];
+    let mut callers = Callers::new(&kinds);
+    callers.run(0, 10_000, FULL);
+    assert!(callers.in_time(0) > 0.95, "{:?}", callers.kinds);
+    assert!(callers.kinds[1].in_time > 60, "{:?}", callers.kinds);
+}
+
+/// One account sends ten times what the others send. It gets what they leave, and they don't notice.
+#[test]
+fn account_at_ten_times_its_share_waits_behind_itself() {
+    let kinds = [
+        ("small", Priority::Normal, 6),
+        ("other", Priority::Normal, 6),
+        ("large", Priority::Normal, 120),
+    ];
+    let mut callers = Callers::new(&kinds);
+    callers.run(0, 10_000, FULL);
+    assert!(callers.in_time(0) > 0.95, "{:?}", callers.kinds);
+    assert!(callers.in_time(1) > 0.95, "{:?}", callers.kinds);
+    assert!(callers.kinds[2].in_time > 90, "{:?}", callers.kinds);
+}
+
+/// A burst of a quarter of a second, as large as the places do in 1.2 s. Nobody need be refused: all can
+/// be answered well before they stop waiting.
+#[test]
+fn short_burst_is_queued_not_refused() {
+    let mut callers = Callers::new(&[("a", Priority::Normal, 120)]);
+    callers.run(0, 250, FULL);
+    callers.kinds[0].per_s = 0;
+    callers.run(250, 4_000, FULL);
+    assert_eq!(callers.kinds[0].refused, 0, "{:?}", callers.kinds);
+    assert_eq!(callers.admission.wanted(), 0);
+}
+
+/// A surge ends. The next caller must find places within the time of one request, not behind a queue of
+/// those that nobody waits for any more.
+#[test]
+fn surge_leaves_no_queue_behind() {
+    let mut callers = Callers::new(&[("a", Priority::Normal, 250)]);
+    callers.run(0, 5_000, FULL);
+    callers.kinds[0].per_s = 20;
+    callers.kinds[0].asked = 0;
+    callers.kinds[0].in_time = 0;
+    callers.run(5_000 + STANDING_MS, 8_000, FULL);
+    assert!(callers.in_time(0) > 0.9, "{:?}", callers.kinds);
+}
+
+/// The others leave places, but this router hasn't told yet that it wants more: its callers wait for the
+/// next telling and aren't refused beside idle upstreams.
+#[test]
+fn nobody_is_refused_while_others_leave_places() {
+    let mut callers = Callers::new(&[("a", Priority::Normal, 250)]);
+    callers.run(0, 2_000, FULL);
+    let refused = callers.kinds[0].refused;
+    let spare = Room {
+        allowed: 10,
+        has_spare: true,
+    };
+    callers.run(2_000, 2_200, spare);
+    assert_eq!(callers.kinds[0].refused, refused);
+}
+
+/// A caller goes while it waits: its place in the queue must not start a request that nobody wants.
+#[test]
+fn caller_that_went_is_forgotten() {
+    let mut admission = Admission::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let room = Room {
+        allowed: 1,
+        has_spare: false,
+    };
+    let first = admission.offer(ask(1, "a", Priority::Normal, 0), room, 0, &mut rng);
+    assert_eq!(first, Offer::Start);
+    let second = admission.offer(ask(2, "a", Priority::Normal, 0), room, 0, &mut rng);
+    assert_eq!(second, Offer::Wait);
+    admission.finish(JobId(2), 1);
+    admission.finish(JobId(1), 2);
+    assert_eq!(admission.poll(room, 2, &mut rng), None);
+    assert_eq!(admission.wanted(), 0);
+}
--- /dev/null
+++ b/src/decide/classes_tests.rs
@@ -0,0 +1,67 @@
+use super::classes::ClassQueue;
+use super::{ChatKey, Cost, Job, JobId, Priority};
+
+fn job(id: u64, account: &str, priority: Priority) -> Job {
+    Job {
+        id: JobId(id),
+        account: account.into(),
+        weight: 1.0,
+        priority,
+        chat: ChatKey::default(),
+        cost: Cost::default(),
+        deadline_ms: u64::MAX,
+        last_choice: true,
+        suspect: false,
+    }
+}
+
+/// One account has much urgent work, nine have a little of every class. The large account's urgent work
+/// waits behind the others' urgent work, but not behind what is less urgent.
+#[test]
+fn urgent_work_of_a_large_account_goes_before_less_urgent_work_of_all() {
+    let mut queue = ClassQueue::default();
+    for id in 0..100 {
+        queue.push(job(id, "large", Priority::Urgent), 100.0, 0);
+    }
+    for account in 0..9_u64 {
+        let name = format!("small-{account}");
+        for id in 0..10 {
+            let id = 1_000 + account * 100 + id;
+            queue.push(job(id, &name, Priority::Normal), 100.0, 0);
+        }
+    }
+    let first: Vec<_> = (0..50).filter_map(|_| queue.pop()).collect();
+    let urgent = first.iter().filter(|w| w.job.id.0 < 1_000).count();
+    assert!((39..=41).contains(&urgent), "{urgent} of 50");
+}
+
+/// Much of the least urgent work waits for ever behind more urgent work. It must still get its twentieth.
+#[test]
+fn lowest_class_is_not_starved() {
+    let mut queue = ClassQueue::default();
+    for id in 0..420 {
+        queue.push(job(id, "a", Priority::Urgent), 100.0, 0);
+        queue.push(job(id + 1_000, "a", Priority::Normal), 100.0, 0);
+        queue.push(job(id + 2_000, "a", Priority::Batch), 100.0, 0);
+    }
+    let first: Vec<_> = (0..210).filter_map(|_| queue.pop()).collect();
+    let lowest = first.iter().filter(|w| w.job.id.0 >= 2_000).count();
+    assert!((9..=11).contains(&lowest), "{lowest} of 210");
+}
+
+/// The queue is full of work that can wait when an urgent job comes: the least urgent makes room, not the
+/// urgent one.
+#[test]
+fn least_urgent_work_is_pushed_out_first() {
+    let mut queue = ClassQueue::default();
+    queue.push(job(1, "a", Priority::Batch), 1.0, 0);
+    queue.push(job(2, "a", Priority::Normal), 100.0, 0);
+    let out = queue.push_out(&job(3, "a", Priority::Urgent), 500.0);
+    assert_eq!(out.map(|w| w.job.id), Some(JobId(1)));
+    assert!(
+        queue
+            .push_out(&job(4, "b", Priority::Batch), 500.0)
+            .is_none()
+    );
+    assert_eq!(queue.len(), 1);
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,9 @@
 //! Nothing here reads a clock, a socket or a global: time, random numbers and views of the world
 //! are arguments, so each module can be read and tested alone.
 
+pub mod admission;
+pub mod allowance;
+pub mod classes;
 pub mod concurrency;
 pub mod connections;
 pub mod ejection;
@@ -24,6 +27,12 @@
 pub use crate::util::Name;
 pub use types::{ChatKey, Cost, Job, JobId, PoolView, Priority, Rates};
 
+#[cfg(test)]
+mod admission_tests;
+#[cfg(test)]
+mod allowance_tests;
+#[cfg(test)]
+mod classes_tests;
 #[cfg(test)]
 mod concurrency_tests;
 #[cfg(test)]
--- a/src/fleet/flights.rs
+++ b/src/fleet/flights.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 
 use crate::decide::grey::Outcomes;
-use crate::schema::peer::Flights;
+use crate::schema::peer::{Flights, Wish};
 use crate::util::Name;
 
 /// What a router told is forgotten after this long: it is gone, or cut off. Several times the pause
@@ -21,6 +21,7 @@
     seq: u64,
     at_ms: u64,
     running: HashMap<u32, u32>,
+    wishes: Vec<Wish>,
 }
 
 /// What the other routers told of one upstream.
@@ -32,6 +33,15 @@
     pub outcomes: Outcomes,
 }
 
+/// What the other routers told, put together.
+#[derive(Clone, Debug, Default)]
+pub struct Picture {
+    /// By the digest of the upstream.
+    pub upstreams: HashMap<u32, Told>,
+    /// How many requests each router that wants any wants to run, by the digest of the service.
+    pub wishes: HashMap<u32, Vec<u32>>,
+}
+
 /// The other routers' counts.
 #[derive(Debug, Default)]
 pub struct FlightTable {
@@ -57,12 +67,24 @@
             seq: told.seq,
             at_ms: now_ms,
             running: flights.map(|f| (f.upstream_digest, f.running)).collect(),
+            wishes: told.wishes,
         };
         self.rows.insert(told.from_host.into(), row);
     }
 
+    /// What all routers that were heard lately told.
+    pub fn picture(&mut self, now_ms: u64) -> Picture {
+        let upstreams = self.sums(now_ms);
+        let mut wishes: HashMap<u32, Vec<u32>> = HashMap::new();
+        for wish in self.rows.values().flat_map(|row| &row.wishes) {
+            let of_service = wishes.entry(wish.service_digest).or_default();
+            of_service.push(wish.wanted);
+        }
+        Picture { upstreams, wishes }
+    }
+
     /// The sums over all routers that were heard lately, by the digest of the upstream.
-    pub fn sums(&mut self, now_ms: u64) -> HashMap<u32, Told> {
+    fn sums(&mut self, now_ms: u64) -> HashMap<u32, Told> {
         self.rows
             .retain(|_, row| now_ms.saturating_sub(row.at_ms) < KEEP_MS);
         self.outcomes.retain(|_, o| o.at(now_ms).is_told());
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -11,10 +11,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::decide::PoolView;
-use crate::fleet::flights::Told;
+use crate::fleet::flights::Picture;
 use crate::fleet::member::Member;
 use crate::fleet::swim::Listed;
-use crate::schema::peer::{Flight, Load, NewsMark, Suspicion, datagram};
+use crate::schema::peer::{Flight, Load, NewsMark, Suspicion, Wish, datagram};
 use crate::util::Name;
 
 /// The latest known load of each upstream.
@@ -51,8 +51,8 @@
     Loads(Vec<Load>),
     /// What this router holds of a request.
     Suspicion(Suspicion),
-    /// What this router has running at all upstreams.
-    Flights(Vec<Flight>, NewsMark),
+    /// What this router has running at all upstreams, and wants to run of each service.
+    Flights(Vec<Flight>, Vec<Wish>, NewsMark),
     /// What an upstream says of itself to this router, its home.
     UpstreamLeaving {
         /// Its name.
@@ -98,7 +98,7 @@
     pub(crate) loads: watch::Sender<Arc<Loads>>,
     pub(crate) suspicions: watch::Sender<Arc<Vec<Suspicion>>>,
     pub(crate) config: watch::Sender<Arc<ConfigHeard>>,
-    pub(crate) flights: watch::Sender<Arc<HashMap<u32, Told>>>,
+    pub(crate) flights: watch::Sender<Arc<Picture>>,
     pub(crate) marks: watch::Sender<Arc<MarkHeard>>,
 }
 
@@ -128,7 +128,7 @@
     loads: watch::Receiver<Arc<Loads>>,
     suspicions: watch::Receiver<Arc<Vec<Suspicion>>>,
     config: watch::Receiver<Arc<ConfigHeard>>,
-    flights: watch::Receiver<Arc<HashMap<u32, Told>>>,
+    flights: watch::Receiver<Arc<Picture>>,
     marks: watch::Receiver<Arc<MarkHeard>>,
 }
 
@@ -174,8 +174,8 @@
         self.suspicions.clone()
     }
 
-    /// What the other routers have running at each upstream, by the digest of its name.
-    pub fn flights(&self) -> Arc<HashMap<u32, Told>> {
+    /// What the other routers run and want.
+    pub fn flights(&self) -> Arc<Picture> {
         self.flights.borrow().clone()
     }
 
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -334,6 +334,18 @@
     pub flights: ::prost::alloc::vec::Vec<Flight>,
     #[prost(message, optional, tag = "5")]
     pub mark: ::core::option::Option<NewsMark>,
+    #[prost(message, repeated, tag = "6")]
+    pub wishes: ::prost::alloc::vec::Vec<Wish>,
+}
+/// Requests to one service that one router runs and has waiting.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Wish {
+    #[prost(uint32, tag = "1")]
+    pub service_digest: u32,
+    #[prost(uint32, tag = "2")]
+    pub wanted: u32,
 }
 /// How much a router knows of what the platform's log says, and how long ago that was all there was.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -15,6 +15,7 @@
 use crate::path::beliefs::Tried;
 use crate::path::call::{Call, CallFailed, Caller, Fate, Reply, Whole};
 use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
+use crate::path::gate::Ticket;
 use crate::path::refusal::Refused;
 use crate::path::routes::{Account, Route};
 use crate::path::upstreams::Upstream;
@@ -59,6 +60,8 @@
     runs: u32,
     /// Upstreams that it may have reached.
     arrivals: u32,
+    /// Held until the answer's end.
+    _ticket: Ticket,
 }
 
 /// Where the next try goes.
@@ -77,12 +80,13 @@
 }
 
 impl<D: Dialect + Records> Attempts<D> {
-    pub(crate) fn new(asked: Asked<D>) -> Self {
+    pub(crate) fn new(asked: Asked<D>, ticket: Ticket) -> Self {
         Self {
             asked,
             tried: Vec::new(),
             runs: 0,
             arrivals: 0,
+            _ticket: ticket,
         }
     }
 
@@ -217,19 +221,17 @@
         let asked = &self.asked;
         let remaining = self.remaining();
         let account = asked.account.as_ref();
-        let priority = account
-            .and_then(|a| a.priority)
-            .unwrap_or(asked.route.priority);
+        let route = &asked.route;
+        let deployment = asked.path.beliefs.deployment();
+        let account_priority = account.and_then(|a| a.priority);
+        let rank = deployment.rank(&asked.service, account_priority, route.priority);
         let head = CallHead {
             upstream_id: &choice.upstream.id,
             account: account.map(|a| &*a.name),
             remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
             resume_after,
             fetch_from: choice.fetch_from,
-            priority: asked
-                .route
-                .cached_prompts
-                .then_some(priority.min(LOWEST_PRIORITY)),
+            priority: route.cached_prompts.then_some(rank.min(LOWEST_PRIORITY)),
         };
         let call = Call {
             request: &asked.parts,
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -18,7 +18,7 @@
 use crate::path::suspects::Suspects;
 use crate::path::upstreams::{Upstream, Upstreams};
 use crate::plant::{Plant, planted};
-use crate::schema::peer::{Flight, NewsMark, Suspicion};
+use crate::schema::peer::{Flight, NewsMark, Suspicion, Wish};
 use crate::util::{self, Name};
 
 /// Share of the fleet's retries that its routers may make together: the rest covers windows that
@@ -161,7 +161,7 @@
         now_ms: u64,
     ) -> (Vec<Rc<Upstream>>, Vec<Seat>) {
         let pool = self.upstreams.borrow().pool(service).to_vec();
-        let others = self.gossip.flights();
+        let others = &self.gossip.flights().upstreams;
         let running = self.running.borrow();
         let health = self.health.borrow();
         let is_out = |u: &Upstream| health.is_out(u, now_ms);
@@ -205,6 +205,32 @@
         (pool, seats)
     }
 
+    /// Requests that the upstreams of `service` run at once, without those left out; `None` if one doesn't
+    /// say how many it runs.
+    pub(crate) fn places(&self, service: &str, now_ms: u64) -> Option<u32> {
+        let upstreams = self.upstreams.borrow();
+        let health = self.health.borrow();
+        let takes_work = |u: &&Rc<Upstream>| {
+            !u.draining
+                && !health.is_replaced(u)
+                && !health.is_out(u, now_ms)
+                && !health.is_unreachable(u, now_ms)
+        };
+        let open = upstreams.pool(service).iter().filter(takes_work);
+        let slots = open.map(|u| (u.slots > 0).then_some(u.slots));
+        slots.sum()
+    }
+
+    /// How many requests to `service` each of the other routers wants to run.
+    pub(crate) fn wishes_of_others(&self, service: &str) -> Vec<u32> {
+        let picture = self.gossip.flights();
+        picture
+            .wishes
+            .get(&digest(service))
+            .cloned()
+            .unwrap_or_default()
+    }
+
     /// Whether this router has all that it may have open to some upstream of `service`.
     pub(crate) fn is_full(&self, service: &str, max_open: u32) -> bool {
         let upstreams = self.upstreams.borrow();
@@ -228,7 +254,7 @@
     }
 
     /// Tells the other routers what runs here and how calls ended since the last telling.
-    pub(crate) fn tell_running(&self, mark: NewsMark) {
+    pub(crate) fn tell_running(&self, wishes: Vec<Wish>, mark: NewsMark) {
         let mut flights: HashMap<Name, Flight> = HashMap::new();
         for (id, running) in self.running.borrow().iter() {
             flights.entry(id.clone()).or_default().running = *running;
@@ -243,16 +269,16 @@
             ..flight
         });
         let flights = flights.collect();
-        self.gossip.publish(Publish::Flights(flights, mark));
+        self.gossip.publish(Publish::Flights(flights, wishes, mark));
     }
 
     /// Leaves upstreams out that fail a share of their calls, by what all routers saw.
     pub(crate) fn judge(&self, now_ms: u64) {
-        let told = self.gossip.flights();
+        let told = &self.gossip.flights().upstreams;
         let upstreams = self.upstreams.borrow();
         let mut health = self.health.borrow_mut();
         for pool in upstreams.pools() {
-            for (id, share) in health.judge(pool, &told, now_ms) {
+            for (id, share) in health.judge(pool, told, now_ms) {
                 log::info!("upstream {id} Ejected: fails {share:.2} of its calls");
             }
         }
--- a/src/path/dialect.rs
+++ b/src/path/dialect.rs
@@ -19,6 +19,10 @@
     /// Ids of the prompt's parts, in order; the same text has the same id, and the last part is the
     /// request's own.
     pub prompt_parts: Vec<u64>,
+    /// Tokens of the prompt's last part, which no upstream has read before.
+    pub own_tokens: u32,
+    /// How long an answer is expected, in tokens.
+    pub output_tokens: u32,
     /// The last event that the caller has of a stream that broke.
     pub resume_after: Option<u64>,
 }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -1,7 +1,7 @@
 //! The path of a request that this router sends to its upstream itself.
 //!
 //! Read in the order of a request's way: `callers` holds the connection, `request` checks it
-//! and finds its route and account, `attempts` picks upstreams until one answers, `call` sends
+//! and finds its route and account, `gate` holds it until its service has room, `attempts` picks upstreams until one answers, `call` sends
 //! it there over a `link`, `answer` passes the answer on and picks it up where it breaks off.
 //! [`routes`], [`upstreams`] and `beliefs` are what it reads; a [`dialect`] knows the names of
 //! the headers.
@@ -14,6 +14,7 @@
 mod changes;
 pub mod dialect;
 pub mod events;
+pub(crate) mod gate;
 pub(crate) mod health;
 pub(crate) mod link;
 pub(crate) mod news;
@@ -53,6 +54,7 @@
 use crate::front::Drain;
 use crate::path::beliefs::Beliefs;
 use crate::path::dialect::Records;
+use crate::path::gate::Gates;
 use crate::path::link::Links;
 use crate::path::news::News;
 use crate::stats;
@@ -68,6 +70,7 @@
 pub(crate) struct Path<D> {
     pub(crate) beliefs: Rc<Beliefs>,
     pub(crate) news: News<D>,
+    pub(crate) gates: Rc<Gates>,
     pub(crate) links: Links,
     pub(crate) clock: Clock,
     pub(crate) drain: Drain,
@@ -124,7 +127,8 @@
     let mut tellings = 0_u32;
     loop {
         compio::time::sleep(TELL).await;
-        path.beliefs.tell_running(path.news.mark());
+        let wishes = path.gates.refresh(&path.beliefs);
+        path.beliefs.tell_running(wishes, path.news.mark());
         tellings = tellings.wrapping_add(1);
         path.news.look();
         path.news.settle();
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -8,18 +8,21 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 
-use crate::decide::quarantine;
 use crate::decide::refusal::{Cause, spread_ms};
+use crate::decide::{ChatKey, Cost, Job};
+use crate::decide::{admission, quarantine};
 use crate::event::Kind;
 use crate::front::body::Answer;
 use crate::front::check::{self, RequestError};
 use crate::front::drain::Phase;
 use crate::path::attempts::{Asked, Attempts};
 use crate::path::dialect::{CallerHead, Dialect, Records};
+use crate::path::gate::Ticket;
 use crate::path::refusal::Refused;
 use crate::path::routes::{Account, CallerLimits, Deployment, Route};
 use crate::path::{Path, answer};
 use crate::stats::{self, Tally};
+use crate::util::Name;
 
 /// When to come back to a router that has just started.
 const STARTING_MS: u64 = 300;
@@ -86,7 +89,8 @@
     let deadline = started + Duration::from_millis(caller_ms.min(route.timeout_ms));
     let service = route.draw_service(&mut rand::rng()).clone();
     tally.service(&service);
-    let mut attempts = Attempts::new(Asked {
+    let ticket = enter(&path, &head, &route, &service, account.as_deref(), deadline).await?;
+    let asked = Asked {
         path,
         parts,
         head,
@@ -97,11 +101,48 @@
         fingerprint,
         started,
         deadline,
-    });
+    };
+    let mut attempts = Attempts::new(asked, ticket);
     let answered = attempts.answer().await?;
     Ok(answer::pass(attempts, answered, tally.take()))
 }
 
+/// Waits until the service has room for the request.
+async fn enter<D>(
+    path: &Path<D>,
+    head: &CallerHead,
+    route: &Route,
+    service: &Name,
+    account: Option<&Account>,
+    deadline: Instant,
+) -> Result<Ticket, Refused> {
+    let deployment = path.beliefs.deployment();
+    let rank = deployment.rank(service, account.and_then(|a| a.priority), route.priority);
+    let left = deadline.saturating_duration_since(Instant::now());
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let job = Job {
+        id: path.gates.next_id(),
+        account: account.map_or_else(|| "".into(), |a| a.name.clone()),
+        weight: 1.0,
+        priority: admission::class(rank),
+        chat: ChatKey::default(),
+        cost: Cost {
+            prompt_tokens: head.own_tokens,
+            cached_tokens: 0,
+            output_tokens: head.output_tokens,
+        },
+        deadline_ms: path.clock.now_ms().saturating_add(left_ms),
+        last_choice: true,
+        suspect: false,
+    };
+    let entered = path.gates.enter(service, job, route.objective_ms).await;
+    entered.map_err(|refusal| {
+        let grounds = path.gates.grounds(service);
+        let detail = format!("{service} has no room in time: {grounds}");
+        Refused::not_run(refusal.cause, refusal.retry_after_ms, detail)
+    })
+}
+
 /// Waits until a router that was suspended has asked anew; if nobody answers, it goes on with what it
 /// knew.
 async fn refresh_after_suspend<D: Records>(path: &Path<D>) {
--- a/src/path/routes.rs
+++ b/src/path/routes.rs
@@ -89,7 +89,7 @@
 pub struct Account {
     /// Its name, told to upstreams.
     pub name: Name,
-    /// Goes before the route's.
+    /// Goes before the route's; among equal ones that decides.
     pub priority: Option<u8>,
 }
 
@@ -132,6 +132,10 @@
     accounts: HashMap<Name, Rc<Account>>,
     has_accounts: bool,
     max_connections: HashMap<Name, u32>,
+    /// Priorities of each service's routes, in order, each once.
+    route_priorities: HashMap<Name, Vec<u8>>,
+    /// Those of the accounts.
+    account_priorities: Vec<u8>,
 }
 
 /// A configuration as it is read, before it is indexed.
@@ -152,6 +156,11 @@
 impl From<Draft> for Deployment {
     fn from(draft: Draft) -> Self {
         let mut routes: HashMap<Name, HostRoutes> = HashMap::new();
+        let route_priorities = route_priorities(&draft.routes);
+        let accounts = draft.accounts.iter().flatten();
+        let mut account_priorities: Vec<u8> = accounts.filter_map(|(_, a)| a.priority).collect();
+        account_priorities.sort_unstable();
+        account_priorities.dedup();
         for (host, route) in draft.routes {
             let host: Name = host.to_ascii_lowercase().into();
             routes.entry(host).or_default().push(Rc::new(route));
@@ -166,10 +175,25 @@
             has_accounts: draft.accounts.is_some(),
             accounts: draft.accounts.into_iter().flatten().collect(),
             max_connections: draft.max_connections.into_iter().collect(),
+            route_priorities,
+            account_priorities,
         }
     }
 }
 
+fn route_priorities(routes: &[(Name, Route)]) -> HashMap<Name, Vec<u8>> {
+    let mut priorities: HashMap<Name, Vec<u8>> = HashMap::new();
+    for (_, route) in routes {
+        for target in &route.targets {
+            let of_service = priorities.entry(target.service.clone()).or_default();
+            if let Err(at) = of_service.binary_search(&route.priority) {
+                of_service.insert(at, route.priority);
+            }
+        }
+    }
+    priorities
+}
+
 impl Deployment {
     /// The route of `host` with the longest prefix of `path`.
     ///
@@ -208,6 +232,24 @@
         self.max_connections.get(service).copied()
     }
 
+    /// How many kinds of request to `service` are more urgent than one of an account and a route of these
+    /// priorities. The account's goes first, the route's decides among requests of equal accounts. Operators
+    /// number both as they like, and only the order says what is urgent beside what.
+    ///
+    /// Failure guarded against: all accounts have the same priority, and put in place of the routes' it
+    /// makes all kinds of request equal, here and at the upstreams: under overload the dearest is then
+    /// served no better than the least.
+    pub fn rank(&self, service: &str, account: Option<u8>, route: u8) -> u8 {
+        let routes = self
+            .route_priorities
+            .get(service)
+            .map_or(&[][..], Vec::as_slice);
+        let before = |known: &[u8], priority: u8| known.partition_point(|p| *p < priority);
+        let of_account = before(&self.account_priorities, account.unwrap_or(route));
+        let rank = of_account * routes.len().max(1) + before(routes, route);
+        u8::try_from(rank).unwrap_or(u8::MAX)
+    }
+
     /// Whether keys are asked for at all.
     pub fn asks_for_keys(&self) -> bool {
         self.has_accounts
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -26,7 +26,7 @@
 use crate::peers::probes::pulse::Pulse;
 use crate::peers::probes::seal::{Seal, TAG_BYTES};
 use crate::schema::peer::datagram::Body;
-use crate::schema::peer::{self, Ack, Datagram, Flight, Flights, NewsMark, Ping};
+use crate::schema::peer::{self, Ack, Datagram, Flight, Flights, NewsMark, Ping, Wish};
 use crate::stats;
 use crate::util::{Clock, Name};
 
@@ -118,8 +118,8 @@
                 }
                 self.loads_changed = true;
             }
-            Note::Publish(Publish::Flights(flights, mark)) => {
-                self.tell_flights(flights, mark, now_ms).await;
+            Note::Publish(Publish::Flights(flights, wishes, mark)) => {
+                self.tell_flights(flights, wishes, mark, now_ms).await;
             }
             Note::Publish(Publish::Suspicion(suspicion)) => self.suspect(&[suspicion], now_ms),
             Note::Publish(Publish::UpstreamLeaving { upstream, leaving }) => {
@@ -146,10 +146,16 @@
     }
 
     /// Tells the others what runs where. In a large fleet each telling goes to some, drawn anew.
-    async fn tell_flights(&mut self, flights: Vec<Flight>, mark: NewsMark, now_ms: u64) {
+    async fn tell_flights(
+        &mut self,
+        flights: Vec<Flight>,
+        wishes: Vec<Wish>,
+        mark: NewsMark,
+        now_ms: u64,
+    ) {
         self.heard
             .flights
-            .send_replace(Arc::new(self.flights.sums(now_ms)));
+            .send_replace(Arc::new(self.flights.picture(now_ms)));
         self.flights_seq += 1;
         let me = self.swim.me();
         let body = Body::Flights(Flights {
@@ -158,6 +164,7 @@
             seq: self.flights_seq,
             flights,
             mark: Some(mark),
+            wishes,
         });
         let Ok(payload) = frames::to_vec(&Datagram {
             body: Some(body.clone()),
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -17,6 +17,7 @@
 use crate::log::view::ConfigView;
 use crate::logs;
 use crate::path::beliefs::{Beliefs, RetryLimit};
+use crate::path::gate::Gates;
 use crate::path::link::Links;
 use crate::path::news::News;
 use crate::path::{Path, callers, peers, stop, tend};
@@ -74,6 +75,7 @@
         let path = Rc::new(Path {
             news: News::new(beliefs.clone(), clock),
             beliefs,
+            gates: Gates::open(clock),
             links: Links::default(),
             clock,
             drain: Drain::default(),
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -65,7 +65,10 @@
     describe_counter!(REFUSALS, "Refusals by cause");
     describe_gauge!(CONNECTIONS, "Callers' connections open");
     describe_counter!(CALLERS_CUT, "Callers cut because they stopped reading");
-    describe_histogram!(QUEUE_WAIT_MS, "Wait at the home in milliseconds");
+    describe_histogram!(
+        QUEUE_WAIT_MS,
+        "Wait for a place at the home, or at the router that sends itself, in milliseconds"
+    );
     describe_counter!(HOPS, "Requests passed on to another router");
     describe_counter!(
         CONTROL_BYTES,
