Don't leave out upstreams for what a loaded pool does to all, nor for failures that a service answers

Change: silence, rejections and 504s count against an upstream only while its pool holds less than half of its slots; a 5xx that an upstream answers counts by its share beside the pool's (as for grey upstreams), and still ends a probe. Ruled out: a larger share that may be out, which would leave out more.

--- a/src/decide/ejection.rs
+++ b/src/decide/ejection.rs
@@ -101,6 +101,12 @@
         })
     }
 
+    /// Whether a probe of `upstream` is on its way.
+    pub fn is_probed(&self, upstream: &str) -> bool {
+        let out = self.stats.get(upstream).and_then(|s| s.out);
+        out.is_some_and(|o| o.probed_ms.is_some())
+    }
+
     /// `upstream` answered with its first frame after `took_ms`.
     ///
     /// ```
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -29,6 +29,10 @@
 /// asked for every few seconds.
 const WARM_MS: u64 = 8_000;
 
+/// Share of a pool's slots from which its upstreams may be late or full because of their load: batches that
+/// are half full already read prompts between one another's tokens.
+const LOADED_SHARE: f64 = 0.5;
+
 /// How many retries the whole fleet may make.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RetryLimit {
@@ -358,6 +362,40 @@
         }
     }
 
+    /// A call to an upstream wasn't answered in time, or was turned away.
+    ///
+    /// Failure guarded against: callers want more than a pool can run. Its upstreams answer late and turn
+    /// requests away, and are ejected for it one by one; the rest gets their load too, and for as long as
+    /// the holds last the pool does two thirds of what it could. What a loaded pool does to all says
+    /// nothing of one upstream.
+    pub(crate) fn overran(&self, upstream: &Upstream, why: &str, now_ms: u64) {
+        if !self.is_loaded(&upstream.service) {
+            self.failed(upstream, why, now_ms);
+        }
+    }
+
+    /// Whether the upstreams of `service` run so much that they may be late or turn requests away for it.
+    fn is_loaded(&self, service: &str) -> bool {
+        let told = self.gossip.flights();
+        let own = self.running.borrow();
+        let upstreams = self.upstreams.borrow();
+        let (mut running, mut slots) = (0, 0);
+        for upstream in upstreams.pool(service) {
+            let of_others = told.upstreams.get(&digest(&upstream.id));
+            running += own.get(&upstream.id).copied().unwrap_or(0);
+            running += of_others.map_or(0, |t| t.running);
+            slots += upstream.slots;
+        }
+        slots > 0 && f64::from(running) >= f64::from(slots) * LOADED_SHARE
+    }
+
+    /// An upstream answered that it failed.
+    pub(crate) fn answered_failure(&self, upstream: &Upstream, now_ms: u64) {
+        let pool = self.pool_names(&upstream.service);
+        let mut health = self.health.borrow_mut();
+        health.answered_failure(upstream, &pool, now_ms);
+    }
+
     /// A call to an upstream failed.
     pub(crate) fn failed(&self, upstream: &Upstream, why: &str, now_ms: u64) {
         let pool = self.pool_names(&upstream.service);
--- /dev/null
+++ b/src/path/beliefs_tests.rs
@@ -0,0 +1,72 @@
+use std::rc::Rc;
+
+use super::beliefs::{Beliefs, RetryLimit, Running, Tried};
+use super::upstreams::Upstream;
+use crate::decide::ejection::FAILURES;
+use crate::fleet::gossip::Gossip;
+
+const SLOTS: u32 = 8;
+
+fn upstream(i: u8) -> Upstream {
+    Upstream {
+        id: format!("i-{i}").into(),
+        service: "s".into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        data_center: "north".into(),
+        slots: SLOTS,
+        draining: false,
+    }
+}
+
+fn beliefs() -> Rc<Beliefs> {
+    let (gossip, _, _) = Gossip::open();
+    let limit = RetryLimit {
+        share: 0.2,
+        burst: 10.0,
+    };
+    let beliefs = Rc::new(Beliefs::new(limit, "north".into(), gossip));
+    for i in 0..6 {
+        beliefs.change_upstreams(|upstreams| upstreams.put(upstream(i)));
+    }
+    beliefs
+}
+
+/// As many requests at each of the six upstreams.
+fn run(beliefs: &Rc<Beliefs>, each: u32) -> Vec<Running> {
+    let everywhere = (0..6).flat_map(|i| (0..each).map(move |_| i));
+    everywhere.map(|i| beliefs.run(&upstream(i), 0)).collect()
+}
+
+fn open(beliefs: &Beliefs) -> usize {
+    let tried = Tried {
+        upstreams: &[],
+        may_return: false,
+    };
+    let (_, seats) = beliefs.pool("s", &tried, u32::MAX, 1);
+    seats.iter().filter(|s| !s.barred).count()
+}
+
+/// More is wanted than the pool can run: upstreams answer late and turn requests away. None may be left
+/// out for it, as its work would fall on the others and make them late too.
+#[test]
+fn upstreams_of_a_loaded_pool_are_not_left_out_for_being_late() {
+    let beliefs = beliefs();
+    let _running = run(&beliefs, SLOTS / 2);
+    for i in 0..3 {
+        for _ in 0..FAILURES {
+            beliefs.overran(&upstream(i), "no answer in time", 0);
+        }
+    }
+    assert_eq!(open(&beliefs), 6);
+}
+
+/// An upstream of an idle pool turns every request away, or never answers: it is left out.
+#[test]
+fn upstream_of_an_idle_pool_is_left_out_for_being_late() {
+    let beliefs = beliefs();
+    let _running = run(&beliefs, 1);
+    for _ in 0..FAILURES {
+        beliefs.overran(&upstream(0), "rejected", 0);
+    }
+    assert_eq!(open(&beliefs), 5);
+}
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -32,6 +32,8 @@
     pub(crate) fate: Fate,
     /// What went wrong, for the log.
     pub(crate) why: String,
+    /// This router gave the upstream up for its silence.
+    pub(crate) timed_out: bool,
 }
 
 /// What a failed call means for its request.
@@ -100,7 +102,11 @@
         let (parts, body, link) = match sent {
             Ok(answer) => answer,
             Err(failed) => {
-                self.beliefs.failed(&upstream, &failed.why, now_ms);
+                if failed.timed_out {
+                    self.beliefs.overran(&upstream, &failed.why, now_ms);
+                } else {
+                    self.beliefs.failed(&upstream, &failed.why, now_ms);
+                }
                 return Err(failed);
             }
         };
@@ -111,14 +117,20 @@
                 let took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
                 self.beliefs.answered(&upstream, took_ms, now_ms);
             }
-            Ok(()) => self
-                .beliefs
-                .failed(&upstream, parts.status.as_str(), now_ms),
+            Ok(()) if parts.status == StatusCode::GATEWAY_TIMEOUT => {
+                self.beliefs
+                    .overran(&upstream, parts.status.as_str(), now_ms);
+            }
+            Ok(()) => self.beliefs.answered_failure(&upstream, now_ms),
             Err(failed) => {
                 if matches!(failed.fate, Fate::Rejected | Fate::Replaced) {
                     self.read_rejection(&upstream, body, link, &parts).await;
                 }
-                self.beliefs.failed(&upstream, &failed.why, now_ms);
+                if failed.fate == Fate::Rejected {
+                    self.beliefs.overran(&upstream, &failed.why, now_ms);
+                } else {
+                    self.beliefs.failed(&upstream, &failed.why, now_ms);
+                }
                 return Err(failed);
             }
         }
@@ -157,10 +169,11 @@
         });
         timeout.await.unwrap_or_else(|_| {
             // The connection may still have been opening; nobody can say how far the request got.
-            Err(lost(format!(
-                "no answer within {} ms",
-                call.timeout.as_millis()
-            )))
+            let why = format!("no answer within {} ms", call.timeout.as_millis());
+            Err(CallFailed {
+                timed_out: true,
+                ..lost(why)
+            })
         })
     }
 
@@ -231,6 +244,7 @@
                 Fate::Rejected
             },
             why: format!("rejected with {}", parts.status.as_u16()),
+            timed_out: false,
         });
     }
     if head.request_id.as_deref() != request_id {
@@ -246,6 +260,7 @@
     CallFailed {
         fate: Fate::NotSent,
         why,
+        timed_out: false,
     }
 }
 
@@ -253,6 +268,7 @@
     CallFailed {
         fate: Fate::Lost,
         why,
+        timed_out: false,
     }
 }
 
--- a/src/path/health.rs
+++ b/src/path/health.rs
@@ -101,6 +101,21 @@
         ejector.answered(&upstream.id, took_ms, pool, DEFAULT_SHARE, now_ms)
     }
 
+    /// `upstream` answered that it failed: a service may fail some requests by its nature, and three of
+    /// these in a row come by chance. Only its share of failures beside its pool's counts.
+    ///
+    /// Failure guarded against: lookups of which one in seven fails everywhere. Each upstream fails three
+    /// in a row every few seconds, is left out for seconds, and at five times the load callers are refused
+    /// for the places that a quarter of the pool would have had.
+    pub(crate) fn answered_failure(&mut self, upstream: &Upstream, pool: &[Name], now_ms: u64) {
+        let ejector = self.ejectors.get(&upstream.service);
+        if ejector.is_some_and(|e| e.is_probed(&upstream.id)) {
+            self.failed(upstream, pool, now_ms);
+        } else {
+            self.count(&upstream.id, true, now_ms);
+        }
+    }
+
     /// A call to `upstream` failed.
     pub(crate) fn failed(&mut self, upstream: &Upstream, pool: &[Name], now_ms: u64) -> Change {
         self.count(&upstream.id, true, now_ms);
--- a/src/path/health_tests.rs
+++ b/src/path/health_tests.rs
@@ -90,3 +90,24 @@
     assert!(!health.is_source(&pool[0], 999));
     assert_eq!(open(&health, 1_000), 6, "each is asked again after a while");
 }
+
+/// Lookups fail one in seven by their nature, so each upstream fails three in a row every few seconds. None
+/// may be left out for that; but one that failed its way out and fails its probe too stays out.
+#[test]
+fn failures_that_a_service_answers_count_by_their_share() {
+    let (pool, mut health) = (pool(), Health::default());
+    let names = names(&pool);
+    for _ in 0..=FAILURES {
+        health.answered_failure(&pool[0], &names, 0);
+    }
+    assert!(!health.is_out(&pool[0], 1));
+    assert_eq!(
+        health.judge(&pool, &HashMap::new(), 0).len(),
+        1,
+        "the others fail none"
+    );
+    health.begin(&pool[0], HOLD_MS);
+    health.answered_failure(&pool[0], &names, HOLD_MS + 1);
+    assert!(health.is_out(&pool[0], HOLD_MS + 2));
+    assert!(health.is_out(&pool[0], 2 * HOLD_MS));
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -28,6 +28,8 @@
 pub(crate) mod suspend;
 pub mod upstreams;
 
+#[cfg(test)]
+mod beliefs_tests;
 #[cfg(test)]
 mod health_tests;
 #[cfg(test)]
