--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -141,6 +141,21 @@
         self.upstreams.borrow().get(id).is_some()
     }
 
+    /// When `id` started, if it is known.
+    pub(crate) fn started_ms(&self, id: &str) -> Option<u64> {
+        self.upstreams.borrow().get(id).map(|u| u.started_ms)
+    }
+
+    /// An upstream started again under its id.
+    ///
+    /// Failure guarded against: it crashed with all that it ran and held. What was seen of it before would
+    /// keep it without work, for good if its address had another owner meanwhile, and the request that
+    /// crashed it would never be found out, as its entry doesn't go.
+    pub(crate) fn restarted(&self, id: &Name, now_ms: u64) {
+        self.found_dead(id, now_ms);
+        self.health.borrow_mut().forget(id);
+    }
+
     pub(crate) fn upstreams_known(&self) -> usize {
         self.upstreams.borrow().len()
     }
@@ -209,8 +224,8 @@
         (pool, seats)
     }
 
-    /// Requests that the upstreams of `service` run at once, without those left out; `None` if one doesn't
-    /// say how many it runs.
+    /// Requests that the upstreams of `service` run at once, without those left out; `None` if they
+    /// don't say how many they run.
     pub(crate) fn places(&self, service: &str, now_ms: u64) -> Option<u32> {
         let upstreams = self.upstreams.borrow();
         let health = self.health.borrow();
@@ -221,8 +236,8 @@
                 && !health.is_unreachable(u, now_ms)
         };
         let open = upstreams.pool(service).iter().filter(takes_work);
-        let slots = open.map(|u| (u.slots > 0).then_some(u.slots));
-        slots.sum()
+        let slots: u32 = open.map(|u| u.slots).sum();
+        (slots > 0).then_some(slots)
     }
 
     /// How many requests to `service` each of the other routers wants to run.
--- a/src/path/beliefs_tests.rs
+++ b/src/path/beliefs_tests.rs
@@ -14,6 +14,7 @@
         addr: ([127, 0, 0, 1], 80).into(),
         data_center: "north".into(),
         slots: SLOTS,
+        started_ms: 0,
         draining: false,
     }
 }
@@ -70,3 +71,18 @@
     }
     assert_eq!(open(&beliefs), 5);
 }
+
+/// An upstream crashes, another one gets its address for a moment, then it starts again under its id. It
+/// must get work: what was seen of it before says nothing of it now.
+#[test]
+fn upstream_that_starts_again_under_its_id_gets_work() {
+    let beliefs = beliefs();
+    for _ in 0..FAILURES {
+        beliefs.failed(&upstream(0), "connection reset", 0);
+    }
+    beliefs.found_replaced(&upstream(1).id, 0);
+    assert_eq!(open(&beliefs), 4);
+    beliefs.restarted(&upstream(0).id, 1);
+    beliefs.restarted(&upstream(1).id, 1);
+    assert_eq!(open(&beliefs), 6);
+}
--- a/src/path/health.rs
+++ b/src/path/health.rs
@@ -170,6 +170,11 @@
         std::mem::take(&mut self.untold)
     }
 
+    /// Forgets what was seen of `id`: it started anew.
+    pub(crate) fn forget(&mut self, id: &Name) {
+        self.retain(|known| *known != **id);
+    }
+
     /// Forgets upstreams that `is_known` doesn't hold for.
     pub(crate) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.replaced.retain(|id| is_known(id));
--- a/src/path/health_tests.rs
+++ b/src/path/health_tests.rs
@@ -16,6 +16,7 @@
         addr: ([127, 0, 0, 1], 80).into(),
         data_center: "north".into(),
         slots: 8,
+        started_ms: 0,
         draining: false,
     };
     (0..6).map(|i| Rc::new(upstream(i))).collect()
--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -180,6 +180,9 @@
             Err(e) => return log::warn!("upstream {id} refused: {e}"),
         };
         let draining = upstream.draining;
+        let started_ms = upstream.started_ms;
+        let before_ms = self.beliefs.started_ms(id);
+        let is_restart = before_ms.is_some_and(|before_ms| before_ms < started_ms);
         let is_new = !self.beliefs.knows_upstream(id) && self.upstreams_at.get() > 0;
         self.missing.borrow_mut().remove(id);
         let is_change = self.beliefs.change_upstreams(|u| u.put(upstream));
@@ -187,8 +190,13 @@
         if !is_change && was_listed {
             return;
         }
-        if is_new {
-            self.beliefs.joined(id, self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        if is_restart {
+            log::info!("upstream {id} started again");
+            self.beliefs.restarted(&id.into(), now_ms);
+        }
+        if is_new || is_restart {
+            self.beliefs.joined(id, now_ms);
         }
         log::info!("upstream {id} is there, draining: {draining}, offset {at}");
         self.upstreams
--- a/src/path/news_tests.rs
+++ b/src/path/news_tests.rs
@@ -34,6 +34,7 @@
             addr: ([127, 0, 0, 1], 80).into(),
             data_center: "north".into(),
             slots: 1,
+            started_ms: 0,
             draining: record == b"draining",
         })
     }
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -6,10 +6,10 @@
 
 use crate::util::Name;
 
-/// One incarnation of one upstream: a restart is another upstream, perhaps at the same address.
+/// One upstream as it last told of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Upstream {
-    /// Names this incarnation.
+    /// Its name; a restart may keep it.
     pub id: Name,
     /// The service it belongs to.
     pub service: Name,
@@ -19,6 +19,9 @@
     pub data_center: Name,
     /// Requests that it runs at once; 0 if it doesn't say.
     pub slots: u32,
+    /// When it started, in Unix milliseconds; 0 if it doesn't say. One that starts again under its id has
+    /// nothing of before.
+    pub started_ms: u64,
     /// It is going away and takes no new work.
     pub draining: bool,
 }
@@ -42,6 +45,7 @@
     ///     addr: "10.0.0.1:80".parse().unwrap(),
     ///     data_center: "north".into(),
     ///     slots: 8,
+    ///     started_ms: 0,
     ///     draining: false,
     /// };
     /// let mut upstreams = Upstreams::default();
