Switch mechanisms of the request path off by the settings; a queue that emptied itself is a new one

Cause: an operator can't tell which mechanism misbehaves, and none can be measured alone. And a fault found by reading: when all who waited had given up, the queue kept the age of the former one, and the next burst was treated as a standing queue and refused early. queue_that_emptied_by_itself_is_a_new_one fails without the mend. Ruled out: a switch for the retry budget (it guards a rule).

--- a/src/config.rs
+++ b/src/config.rs
@@ -13,7 +13,9 @@
 pub use crate::config::check::Fault;
 pub(crate) use crate::config::fields::KEYED_LOG;
 use crate::config::fields::OWN_PROTOCOL;
-use crate::schema::settings::{Fleet, Host, Limits, Listen, Operator, Output, Platform, Settings};
+use crate::schema::settings::{
+    Decisions, Fleet, Host, Limits, Listen, Operator, Output, Platform, Settings,
+};
 
 /// Why settings can't be used.
 #[derive(Debug, Snafu)]
@@ -163,9 +165,26 @@
             log_level: "info".to_owned(),
             events: true,
         }),
+        decisions: Some(ALL_ON),
     }
 }
 
+/// Every mechanism of the path.
+pub(crate) const ALL_ON: Decisions = Decisions {
+    admission: true,
+    part_order: true,
+    load_bound: true,
+    fetch: true,
+    told_counts: true,
+    ejection: true,
+    grey: true,
+    unreachable: true,
+    quarantine: true,
+    ask_elsewhere: true,
+    resume: true,
+    connection_shares: true,
+};
+
 fn merge(base: &mut Value, given: Value) {
     match (base, given) {
         (Value::Object(base), Value::Object(given)) => {
--- a/src/config/fields.rs
+++ b/src/config/fields.rs
@@ -117,6 +117,18 @@
     optional("limits", "max_open_files", Rule::Whole(0, 1 << 30)),
     optional("output", "log_level", Rule::Word(LEVELS)),
     optional("output", "events", Rule::Bool),
+    optional("decisions", "admission", Rule::Bool),
+    optional("decisions", "part_order", Rule::Bool),
+    optional("decisions", "load_bound", Rule::Bool),
+    optional("decisions", "fetch", Rule::Bool),
+    optional("decisions", "told_counts", Rule::Bool),
+    optional("decisions", "ejection", Rule::Bool),
+    optional("decisions", "grey", Rule::Bool),
+    optional("decisions", "unreachable", Rule::Bool),
+    optional("decisions", "quarantine", Rule::Bool),
+    optional("decisions", "ask_elsewhere", Rule::Bool),
+    optional("decisions", "resume", Rule::Bool),
+    optional("decisions", "connection_shares", Rule::Bool),
 ];
 
 /// The field `name` of `section`.
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -171,9 +171,7 @@
     /// The next request whose wait is over; call until `None`.
     pub fn poll<R: Rng>(&mut self, room: Room, now_ms: u64, rng: &mut R) -> Option<Ready> {
         let ready = self.next(room, now_ms, rng);
-        if self.queue.is_empty() {
-            self.waiting_since_ms = None;
-        }
+        self.forget_empty_queue();
         if let Some(Ready::Start(id) | Ready::Refused(id, _)) = &ready {
             self.patience.remove(id);
         }
@@ -212,6 +210,13 @@
         if self.queue.remove(id).is_some() {
             self.patience.remove(&id);
         }
+        self.forget_empty_queue();
+    }
+
+    fn forget_empty_queue(&mut self) {
+        if self.queue.is_empty() {
+            self.waiting_since_ms = None;
+        }
     }
 
     fn has_place(&self, room: Room) -> bool {
--- a/src/decide/admission_tests.rs
+++ b/src/decide/admission_tests.rs
@@ -234,3 +234,24 @@
     assert_eq!(admission.poll(room, 2, &mut rng), None);
     assert_eq!(admission.wanted(), 0);
 }
+
+/// All who wait give up at once. Those who come later meet a new queue, a burst, not one that has stood for
+/// as long as nobody waited: they may wait until their time would be over.
+#[test]
+fn queue_that_emptied_by_itself_is_a_new_one() {
+    let mut admission = Admission::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let room = Room {
+        allowed: 1,
+        has_spare: false,
+    };
+    admission.offer(ask(1, "a", Priority::Normal, 0), room, 0, &mut rng);
+    admission.offer(ask(2, "a", Priority::Normal, 0), room, 0, &mut rng);
+    admission.finish(JobId(2), 1);
+    admission.offer(ask(3, "a", Priority::Normal, 5_000), room, 5_000, &mut rng);
+    assert_eq!(
+        admission.poll(room, 5_900, &mut rng),
+        None,
+        "it still waits"
+    );
+}
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -48,6 +48,24 @@
     pub source: Option<usize>,
 }
 
+/// What keeps a part from its first upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Bound {
+    /// It holds [`BOUND_FACTOR`] times the pool's mean and [`BOUND_SLACK`], or all its slots are taken.
+    ByMean,
+    /// All its slots are taken.
+    BySlots,
+}
+
+impl Bound {
+    fn limit(self, pool: &[Seat]) -> f64 {
+        match self {
+            Self::ByMean => mean(pool) * BOUND_FACTOR + BOUND_SLACK,
+            Self::BySlots => f64::INFINITY,
+        }
+    }
+}
+
 impl Seat {
     fn is_full(&self) -> bool {
         self.slots > 0 && self.running >= self.slots
@@ -66,16 +84,16 @@
 /// 20 ms where reading it anew takes 150 ms, of the upstream's time too.
 ///
 /// ```
-/// use cassiagrade::decide::spread::{Seat, by_part};
+/// use cassiagrade::decide::spread::{Bound, Seat, by_part};
 /// let mut pool = [1, 2, 3].map(|id_hash| Seat { id_hash, slots: 8, has_parts: true, ..Seat::default() });
-/// let first = by_part(7, &pool).unwrap();
+/// let first = by_part(7, &pool, Bound::ByMean).unwrap();
 /// assert_eq!(first.source, None);
 /// pool[first.at].running = 8;
-/// let second = by_part(7, &pool).unwrap();
+/// let second = by_part(7, &pool, Bound::ByMean).unwrap();
 /// assert_eq!(second.source, Some(first.at));
 /// ```
-pub fn by_part(part: u64, pool: &[Seat]) -> Option<Placed> {
-    let bound = mean(pool) * BOUND_FACTOR + BOUND_SLACK;
+pub fn by_part(part: u64, pool: &[Seat], bound: Bound) -> Option<Placed> {
+    let bound = bound.limit(pool);
     let has_room = |s: &Seat| !s.barred && !s.is_full() && f64::from(s.running) < bound;
     let open = pool.iter().enumerate().filter(|(_, s)| has_room(s));
     let best = open.max_by_key(|(_, s)| util::mix(part, s.id_hash));
--- a/src/decide/spread_tests.rs
+++ b/src/decide/spread_tests.rs
@@ -1,4 +1,4 @@
-use super::spread::{BOUND_FACTOR, BOUND_SLACK, Seat, by_load, by_part};
+use super::spread::{BOUND_FACTOR, BOUND_SLACK, Bound, Seat, by_load, by_part};
 use crate::util;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,7 +26,7 @@
         } else {
             rng.random()
         };
-        let at = by_part(part, &pool).unwrap().at;
+        let at = by_part(part, &pool, Bound::ByMean).unwrap().at;
         pool[at].running += 1;
     }
     let most = pool.iter().map(|s| s.running).max().unwrap();
@@ -39,8 +39,9 @@
 #[test]
 fn quiet_part_stays_at_one_upstream() {
     let pool = pool(12, 64);
-    let places: std::collections::HashSet<_> =
-        (0..50).map(|_| by_part(99, &pool).unwrap().at).collect();
+    let places: std::collections::HashSet<_> = (0..50)
+        .map(|_| by_part(99, &pool, Bound::ByMean).unwrap().at)
+        .collect();
     assert_eq!(places.len(), 1);
 }
 
@@ -51,8 +52,8 @@
     let mut fewer = whole.clone();
     fewer[3].barred = true;
     for part in 0..200 {
-        let before = by_part(part, &whole).unwrap().at;
-        let after = by_part(part, &fewer).unwrap();
+        let before = by_part(part, &whole, Bound::ByMean).unwrap().at;
+        let after = by_part(part, &fewer, Bound::ByMean).unwrap();
         if before == 3 {
             // It leaves but still answers: the new place fetches from it.
             assert_eq!(after.source, Some(3));
@@ -70,10 +71,10 @@
     pool[1].barred = true;
     pool[2].running = 2;
     let mut rng = SmallRng::seed_from_u64(1);
-    assert_eq!(by_part(5, &pool).map(|p| p.at), Some(2));
+    assert_eq!(by_part(5, &pool, Bound::ByMean).map(|p| p.at), Some(2));
     assert_eq!(by_load(&pool, &mut rng), Some(2));
     pool[2].barred = true;
-    assert_eq!(by_part(5, &pool), None);
+    assert_eq!(by_part(5, &pool, Bound::ByMean), None);
     assert_eq!(by_load(&pool, &mut rng), None);
 }
 
@@ -82,11 +83,13 @@
 #[test]
 fn new_upstream_fetches_from_the_one_before() {
     let mut pool = pool(12, 64);
-    let part = (0..).find(|p| by_part(*p, &pool).unwrap().at == 5).unwrap();
+    let part = (0..)
+        .find(|p| by_part(*p, &pool, Bound::ByMean).unwrap().at == 5)
+        .unwrap();
     pool[5].has_parts = false;
-    let placed = by_part(part, &pool).unwrap();
+    let placed = by_part(part, &pool, Bound::ByMean).unwrap();
     assert_eq!(placed.at, 5);
     let second = placed.source.unwrap();
     pool[5].barred = true;
-    assert_eq!(by_part(part, &pool).unwrap().at, second);
+    assert_eq!(by_part(part, &pool, Bound::ByMean).unwrap().at, second);
 }
--- a/src/gen/settings.rs
+++ b/src/gen/settings.rs
@@ -124,6 +124,49 @@
     #[prost(bool, tag = "2")]
     pub events: bool,
 }
+/// Mechanisms that can be switched off, with the keyed log: to find which one misbehaves, or to do without
+/// it until it is mended. All are on unless said otherwise.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Decisions {
+    /// Requests wait or are refused here when a service has no room. Off: all are sent at once.
+    #[prost(bool, tag = "1")]
+    pub admission: bool,
+    /// Prompts go where their shared parts are cached. Off: to the upstream that runs the least.
+    #[prost(bool, tag = "2")]
+    pub part_order: bool,
+    /// A part spreads to a second upstream when its first runs much more than the pool's mean. Off: only when that is full.
+    #[prost(bool, tag = "3")]
+    pub load_bound: bool,
+    /// An upstream fetches a shared part from one that has it. Off: it reads the part itself.
+    #[prost(bool, tag = "4")]
+    pub fetch: bool,
+    /// What other routers run counts towards an upstream's load. Off: only what this one runs.
+    #[prost(bool, tag = "5")]
+    pub told_counts: bool,
+    /// Upstreams that fail in a row or are slow beside their pool get no work for a while.
+    #[prost(bool, tag = "6")]
+    pub ejection: bool,
+    /// So do those that fail a share of their calls that their pool doesn't.
+    #[prost(bool, tag = "7")]
+    pub grey: bool,
+    /// So do those that took no connection a moment ago.
+    #[prost(bool, tag = "8")]
+    pub unreachable: bool,
+    /// Requests that crashed several upstreams are refused.
+    #[prost(bool, tag = "9")]
+    pub quarantine: bool,
+    /// A request that may run again is sent elsewhere when its answer stalls.
+    #[prost(bool, tag = "10")]
+    pub ask_elsewhere: bool,
+    /// A stream that broke off goes on at another upstream. Off: it is cut.
+    #[prost(bool, tag = "11")]
+    pub resume: bool,
+    /// Each router opens only its part of an upstream's connections.
+    #[prost(bool, tag = "12")]
+    pub connection_shares: bool,
+}
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -142,4 +185,6 @@
     pub limits: ::core::option::Option<Limits>,
     #[prost(message, optional, tag = "7")]
     pub output: ::core::option::Option<Output>,
+    #[prost(message, optional, tag = "8")]
+    pub decisions: ::core::option::Option<Decisions>,
 }
--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -179,7 +179,8 @@
                     self.attempts.note(Kind::RequestRetried, &upstream.id, &why);
                 }
             }
-            if !self.attempts.may_run_again() {
+            let may_resume = self.attempts.asked.path.beliefs.decisions().resume;
+            if !may_resume || !self.attempts.may_run_again() {
                 self.cut(
                     &upstream.id,
                     "the stream broke off and may not go on elsewhere",
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -9,7 +9,7 @@
 
 use crate::decide::connections::Share;
 use crate::decide::refusal::{Cause, RunState, spread_ms};
-use crate::decide::spread::{self, Placed};
+use crate::decide::spread::{self, Bound, Placed};
 use crate::event::{Kind, chat_name};
 use crate::path::Path;
 use crate::path::beliefs::Tried;
@@ -19,6 +19,7 @@
 use crate::path::refusal::Refused;
 use crate::path::routes::{Account, Route};
 use crate::path::upstreams::Upstream;
+use crate::schema::settings::Decisions;
 use crate::util::{self, Name};
 
 /// Upstreams that one request may be refused by or fail to reach. Each costs a round trip; a pool
@@ -253,7 +254,9 @@
     /// How long one try may take while another could still follow.
     fn stall(&self) -> Option<Duration> {
         let route = &self.asked.route;
-        if route.repeat.at_most_once() || self.runs + 1 >= route.max_attempts {
+        let is_last = self.runs + 1 >= route.max_attempts;
+        let may_ask_elsewhere = self.asked.path.beliefs.decisions().ask_elsewhere;
+        if route.repeat.at_most_once() || is_last || !may_ask_elsewhere {
             return None;
         }
         let stall = Duration::from_millis(route.objective_ms * STALL_FACTOR);
@@ -277,8 +280,11 @@
         let max_open = self.connection_share().open;
         let beliefs = &asked.path.beliefs;
         let (pool, seats) = beliefs.pool(&asked.service, &tried, max_open, now_ms);
+        let decisions = beliefs.decisions();
         let placed = match shared_part(&asked.head.prompt_parts) {
-            Some(part) if asked.route.cached_prompts => spread::by_part(part, &seats)?,
+            Some(part) if asked.route.cached_prompts && decisions.part_order => {
+                spread::by_part(part, &seats, bound(decisions))?
+            }
             _ => Placed {
                 at: spread::by_load(&seats, &mut rand::rng())?,
                 source: None,
@@ -286,7 +292,10 @@
         };
         Some(Choice {
             upstream: pool[placed.at].clone(),
-            fetch_from: placed.source.map(|at| pool[at].addr),
+            fetch_from: placed
+                .source
+                .filter(|_| decisions.fetch)
+                .map(|at| pool[at].addr),
         })
     }
 
@@ -351,6 +360,14 @@
     }
 }
 
+fn bound(decisions: Decisions) -> Bound {
+    if decisions.load_bound {
+        Bound::ByMean
+    } else {
+        Bound::BySlots
+    }
+}
+
 /// The last part of a prompt that others may share: the last of all is the request's own.
 fn shared_part(prompt_parts: &[u64]) -> Option<u64> {
     let at = prompt_parts.len().checked_sub(2)?;
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::watch;
 
+use crate::config::ALL_ON;
 use crate::decide::connections::{self, Share};
 use crate::decide::ejection::Change;
 use crate::decide::retry::Budget;
@@ -19,6 +20,7 @@
 use crate::path::upstreams::{Upstream, Upstreams};
 use crate::plant::{Plant, planted};
 use crate::schema::peer::{Flight, NewsMark, Suspicion, Wish};
+use crate::schema::settings::Decisions;
 use crate::util::{self, Name};
 
 /// Share of the fleet's retries that its routers may make together: the rest covers windows that
@@ -54,10 +56,22 @@
     /// When upstreams came that weren't there when this router started.
     joined_ms: RefCell<HashMap<Name, u64>>,
     retry_limit: Cell<RetryLimit>,
+    decisions: Cell<Decisions>,
     data_center: Name,
     gossip: Gossip,
 }
 
+impl Decisions {
+    /// Whether what left `upstream` out is on.
+    fn leaves_out(self, health: &Health, upstream: &Upstream) -> bool {
+        if health.is_grey(upstream) {
+            self.grey
+        } else {
+            self.ejection
+        }
+    }
+}
+
 /// Where a request was so far.
 pub(crate) struct Tried<'a> {
     pub(crate) upstreams: &'a [Name],
@@ -101,6 +115,7 @@
             suspicions: RefCell::new(gossip.suspicions()),
             joined_ms: RefCell::default(),
             retry_limit: Cell::new(retry_limit),
+            decisions: Cell::new(ALL_ON),
             data_center,
             gossip,
         }
@@ -114,6 +129,15 @@
         self.retry_limit.set(limit);
     }
 
+    /// Which mechanisms are on.
+    pub(crate) fn decisions(&self) -> Decisions {
+        self.decisions.get()
+    }
+
+    pub(crate) fn decide_by(&self, decisions: Decisions) {
+        self.decisions.set(decisions);
+    }
+
     /// Takes a configuration unless a newer one is in force; tells whether it was taken.
     ///
     /// Failure guarded against: the platform answers from the past, and requests are handled again
@@ -162,7 +186,10 @@
 
     /// What this router may have open to each upstream of `service`, as one of `routers`.
     pub(crate) fn connections(&self, service: &str, routers: usize) -> Share {
-        connections::share(self.deployment.borrow().max_connections(service), routers)
+        let deployment = self.deployment.borrow();
+        let max_connections = deployment.max_connections(service);
+        let is_parted = self.decisions().connection_shares;
+        connections::share(max_connections.filter(|_| is_parted), routers)
     }
 
     /// Requests of this router that run or wait at `upstream`.
@@ -183,14 +210,19 @@
         let others = &self.gossip.flights().upstreams;
         let running = self.running.borrow();
         let health = self.health.borrow();
-        let is_out = |u: &Upstream| health.is_out(u, now_ms);
+        let decisions = self.decisions();
+        let is_out = |u: &Upstream| health.is_out(u, now_ms) && decisions.leaves_out(&health, u);
         let own = |u: &Upstream| running.get(&u.id).copied().unwrap_or(0);
         let takes_no_more =
             |u: &Upstream| u.draining || health.is_replaced(u) || own(u) >= max_open;
-        let is_unreachable = |u: &Upstream| health.is_unreachable(u, now_ms);
+        let is_unreachable =
+            |u: &Upstream| decisions.unreachable && health.is_unreachable(u, now_ms);
         let joined = self.joined_ms.borrow();
         let seat = |u: &Rc<Upstream>| {
-            let of_others = others.get(&digest(&u.id)).map_or(0, |t| t.running);
+            let told = others.get(&digest(&u.id));
+            let of_others = told
+                .filter(|_| decisions.told_counts)
+                .map_or(0, |t| t.running);
             Seat {
                 id_hash: util::hash_bytes(u.id.as_bytes()),
                 running: own(u) + of_others,
@@ -229,12 +261,16 @@
     pub(crate) fn places(&self, service: &str, now_ms: u64) -> Option<u32> {
         let upstreams = self.upstreams.borrow();
         let health = self.health.borrow();
-        let takes_work = |u: &&Rc<Upstream>| {
-            !u.draining
-                && !health.is_replaced(u)
-                && !health.is_out(u, now_ms)
-                && !health.is_unreachable(u, now_ms)
+        let decisions = self.decisions();
+        if !decisions.admission {
+            return None;
+        }
+        let is_left_out = |u: &Upstream| {
+            let is_out = health.is_out(u, now_ms) && decisions.leaves_out(&health, u);
+            is_out || (decisions.unreachable && health.is_unreachable(u, now_ms))
         };
+        let takes_work =
+            |u: &&Rc<Upstream>| !(u.draining || health.is_replaced(u) || is_left_out(u));
         let open = upstreams.pool(service).iter().filter(takes_work);
         let slots: u32 = open.map(|u| u.slots).sum();
         (slots > 0).then_some(slots)
@@ -318,7 +354,8 @@
 
     /// How much longer a request may not run because it crashed upstreams.
     pub(crate) fn convicted_ms(&self, fingerprint: u64, now_ms: u64) -> Option<u64> {
-        self.suspects.borrow().convicted_ms(fingerprint, now_ms)
+        let convicted_ms = self.suspects.borrow().convicted_ms(fingerprint, now_ms);
+        convicted_ms.filter(|_| self.decisions().quarantine)
     }
 
     /// The answer of `upstream` to a request broke off.
--- a/src/path/health.rs
+++ b/src/path/health.rs
@@ -44,6 +44,11 @@
         ejector.is_some_and(|e| e.is_out(&upstream.id, now_ms))
     }
 
+    /// Whether `upstream` is left out for the share of calls that it fails.
+    pub(crate) fn is_grey(&self, upstream: &Upstream) -> bool {
+        self.grey.contains(&upstream.id)
+    }
+
     pub(crate) fn is_replaced(&self, upstream: &Upstream) -> bool {
         self.replaced.contains(&upstream.id)
     }
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -10,6 +10,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::watch;
 
+use crate::config::ALL_ON;
 use crate::event::Events;
 use crate::fleet::member::{Member, MemberState};
 use crate::fleet::swim::SwimPolicy;
@@ -72,6 +73,7 @@
             probes.gossip.clone(),
         );
         let beliefs = Rc::new(beliefs);
+        beliefs.decide_by(settings.decisions.unwrap_or(ALL_ON));
         let path = Rc::new(Path {
             news: News::new(beliefs.clone(), clock),
             beliefs,
@@ -119,6 +121,8 @@
     pub fn apply(&self, settings: &Settings) {
         let policy = settings.fleet.clone().unwrap_or_default();
         self.path.beliefs.limit_retries(retry_limit(&policy));
+        let decisions = settings.decisions.unwrap_or(ALL_ON);
+        self.path.beliefs.decide_by(decisions);
         self.entry_ttl
             .set(Duration::from_millis(policy.entry_ttl_ms.into()));
         self.grace.set(Duration::from_secs_f64(policy.grace_s));
