Tell all routers of a conviction before its caller hears of it

Cause: broke_off in serve/home/suspects.rs spawned the telling and answered its caller at once, who could send the request again through a router that did not know yet; that one lost the last two engines. Ruled out: gossip alone (it takes a second), the engines (they crash as asked).

The caller of a convicted request waits at most the second that a question to a router may take.

--- a/src/serve/home/suspects.rs
+++ b/src/serve/home/suspects.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use compio::net::TcpStream;
+use futures_util::future::join_all;
 
 use crate::decide::quarantine::{self, Quarantine, Standing};
 use crate::decide::refusal::Cause;
@@ -17,6 +18,7 @@
 use crate::schema::config::Upstream;
 use crate::schema::peer::{self, Done, Forward, Suspicion};
 use crate::serve::SharedCtx;
+use crate::util::Name;
 
 /// An upstream that can't be connected to within this is down.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -150,7 +152,7 @@
                 .emit_request(Kind::RequestQuarantined, forward, |e| {
                     e.detail = format!("{} died of it", at.name);
                 });
-            self.tell_all(fingerprint, deaths);
+            self.tell_all(fingerprint, deaths).await;
             refused.cause = Cause::Quarantined.to_string();
             refused.retry_after_ms = left_ms;
         }
@@ -173,25 +175,26 @@
         Done {}
     }
 
-    /// Gossip takes a second, and the caller may send the request again before that, through a
-    /// router that would lose two more engines. A conviction is rare: it is told to all directly.
-    fn tell_all(&self, fingerprint: u64, deaths: u32) {
+    /// Tells the other routers of a conviction and waits until they know, or don't answer in time.
+    ///
+    /// Failure guarded against: the caller is told first and sends the request again at once, through a
+    /// router that doesn't know yet and loses two more engines. Gossip takes a second, which is longer than a
+    /// caller needs. A conviction is rare, so all are told directly and its caller waits for them.
+    async fn tell_all(&self, fingerprint: u64, deaths: u32) {
         let suspicion = Suspicion {
             fingerprint,
             deaths,
             ..Suspicion::default()
         };
         let fleet = self.ctx.fleet();
-        for member in fleet.members.iter().filter(|m| m.host != self.ctx.host) {
-            let (peers, addr) = (self.peers.clone(), member.peer_addr.clone());
-            compio::runtime::spawn(async move {
-                let told = peers.ask::<_, Done>(&addr, CONVICTED, &suspicion).await;
-                if let Err(e) = told {
-                    log::debug!("{addr} wasn't told of a conviction: {e}");
-                }
-            })
-            .detach();
-        }
+        let others = fleet.members.iter().filter(|m| m.host != self.ctx.host);
+        let tell = async |addr: &Name| {
+            let told = self.peers.ask::<_, Done>(addr, CONVICTED, &suspicion).await;
+            if let Err(e) = told {
+                log::warn!("{addr} wasn't told of a conviction: {e}");
+            }
+        };
+        join_all(others.map(|m| tell(&m.peer_addr))).await;
     }
 
     fn publish(&self, fingerprint: u64, deaths: u32, cleared: bool) {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use cassiagrade::schema::config::change::Op;
 use serde_json::json;
 use support::{ACCOUNT_KEY, Fleet, Shape, account, call, chat_body, set_knobs, wait_until};
@@ -12,6 +14,8 @@
     plains: 0,
 };
 const CHAT: &str = "/v1/chat/completions";
+/// Less than a router waits for another that it tells something.
+const STANDS_STILL: Duration = Duration::from_millis(500);
 
 /// One request kills its engine. The fleet runs it once more, at another, which dies too; then the
 /// caller is told. Sent again through each router, it must not take the two engines that are left.
@@ -44,6 +48,33 @@
     assert_eq!(answered, 6, "engines are left");
 }
 
+/// A caller's request has crashed two engines, and it sends it again at once through another router. It is told of the
+/// conviction only after that router knows of it, though it stood still meanwhile: told earlier, the request would take
+/// the next two engines.
+#[compio::test]
+async fn caller_hears_of_a_conviction_after_all_routers() {
+    let shape = Shape {
+        engines: 2,
+        ..SHAPE
+    };
+    // Engines 0 and 1 have their homes in the data centres of routers 0 and 1.
+    let fleet = Fleet::start(shape).await;
+    for engine in &fleet.engines {
+        set_knobs(engine.addr, &json!({ "crash_marker": "poison" })).await;
+    }
+    let poison = chat_body("bad", "poison", 8);
+    fleet.routers[2].freeze();
+    let mut first = Box::pin(call(fleet.caller(0), "POST", CHAT, &[], &poison));
+    let early = compio::time::timeout(STANDS_STILL, &mut first).await;
+    fleet.routers[2].wake();
+    assert!(early.is_err(), "told before router 2: {early:?}");
+    let first = first.await.expect("an answer");
+    assert_eq!(first.status, 422, "{}", first.body);
+    let again = call(fleet.caller(2), "POST", CHAT, &[], &poison).await;
+    let again = again.expect("an answer");
+    assert!(again.status == 422 && again.not_run(), "{}", again.body);
+}
+
 /// An account may send two requests a second in the whole fleet, and sends thirty. It gets a few
 /// answers; the others are refused at once, as not run, with the time to come back.
 #[compio::test]
