Evacuation of a data centre: upstreams there get nothing new until operators take it back

Now the log's reader decodes it (platform/follow.rs), path/evacuations.rs keeps the set as of an offset of the operators' stream, routers tell one another the set with that offset, and no choice of an upstream takes one of an evacuated data centre: not for first tries, tries again, resumed streams, fetches of parts, nor as a last resort. With all evacuated callers are refused at once, truly: operators' word holds. A router's configuration counts as fresh only with the evacuations of the same offset, so a router that is turned away, starts or stood still learns both from peers. Readers go on from the offset that others told, instead of reading every configuration since their last own read again.

Fuzzed: beliefs_follow_the_log with evacuations, and the planted fault TakeOldOrders is found.

The test prints events now.

--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -361,6 +361,9 @@
     pub upstreams_at: u64,
     #[prost(uint32, tag = "4")]
     pub upstreams_age_ms: u32,
+    /// The offset up to which configuration and evacuations are those of the log.
+    #[prost(uint64, tag = "5")]
+    pub orders_at: u64,
 }
 /// Asks a router for what it knows beyond this.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -375,6 +378,8 @@
     /// Everything may be given, if the changes since aren't kept any more: the log itself is out of reach.
     #[prost(bool, tag = "3")]
     pub takes_all: bool,
+    #[prost(uint64, tag = "4")]
+    pub orders_at: u64,
 }
 /// One record of an upstream as the log has it.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -405,6 +410,9 @@
     pub is_whole: bool,
     #[prost(message, optional, tag = "4")]
     pub mark: ::core::option::Option<NewsMark>,
+    /// The data centres that are evacuated, if the mark's orders_at is beyond the asker's.
+    #[prost(string, repeated, tag = "5")]
+    pub evacuated: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// On the wire, eight bytes of keyed digest come first, so that strangers are not believed.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -1,6 +1,6 @@
 //! What one router believes: configuration, upstreams, and what it has seen of them.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,6 +14,7 @@
 use crate::decide::spread::{self, Seat};
 use crate::fleet::gossip::{Gossip, Publish};
 use crate::fleet::loads::digest;
+use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
 use crate::path::routes::Deployment;
 use crate::path::suspects::Suspects;
@@ -48,6 +49,7 @@
 pub(crate) struct Beliefs {
     deployment: RefCell<Rc<Deployment>>,
     upstreams: RefCell<Upstreams>,
+    evacuations: RefCell<Evacuations>,
     health: RefCell<Health>,
     budgets: RefCell<HashMap<Name, Budget>>,
     running: RefCell<HashMap<Name, u32>>,
@@ -108,6 +110,7 @@
         Self {
             deployment: RefCell::default(),
             upstreams: RefCell::default(),
+            evacuations: RefCell::default(),
             health: RefCell::default(),
             budgets: RefCell::default(),
             running: RefCell::default(),
@@ -161,6 +164,15 @@
         change(&mut self.upstreams.borrow_mut())
     }
 
+    /// The data centres that get no new work.
+    pub(crate) fn evacuations(&self) -> Ref<'_, Evacuations> {
+        self.evacuations.borrow()
+    }
+
+    pub(crate) fn change_evacuations<T>(&self, change: impl FnOnce(&mut Evacuations) -> T) -> T {
+        change(&mut self.evacuations.borrow_mut())
+    }
+
     pub(crate) fn knows_upstream(&self, id: &str) -> bool {
         self.upstreams.borrow().get(id).is_some()
     }
@@ -214,8 +226,14 @@
         let decisions = self.decisions();
         let is_out = |u: &Upstream| health.is_out(u, now_ms) && decisions.leaves_out(&health, u);
         let own = |u: &Upstream| running.get(&u.id).copied().unwrap_or(0);
-        let takes_no_more =
-            |u: &Upstream| u.draining || health.is_replaced(u) || own(u) >= max_open;
+        let evacuations = self.evacuations.borrow();
+        // Operators' word holds even where no other upstream is left: then the request is refused at once.
+        let takes_no_more = |u: &Upstream| {
+            u.draining
+                || health.is_replaced(u)
+                || own(u) >= max_open
+                || evacuations.holds(&u.data_center)
+        };
         let is_unreachable =
             |u: &Upstream| decisions.unreachable && health.is_unreachable(u, now_ms);
         let joined = self.joined_ms.borrow();
@@ -234,6 +252,7 @@
             near: u.data_center == self.data_center,
             barred: takes_no_more(u) || tried.has(&u.id) || is_out(u) || is_unreachable(u),
             has_parts: health.is_source(u, now_ms)
+                && !evacuations.holds(&u.data_center)
                 && joined.get(&u.id).is_none_or(|at| at + WARM_MS < now_ms),
         };
         let mut seats: Vec<Seat> = pool.iter().zip(&of_others).map(seat).collect();
@@ -272,8 +291,11 @@
             let is_out = health.is_out(u, now_ms) && decisions.leaves_out(&health, u);
             is_out || (decisions.unreachable && health.is_unreachable(u, now_ms))
         };
-        let takes_work =
-            |u: &&Rc<Upstream>| !(u.draining || health.is_replaced(u) || is_left_out(u));
+        let evacuations = self.evacuations.borrow();
+        let takes_work = |u: &&Rc<Upstream>| {
+            let is_closed = u.draining || evacuations.holds(&u.data_center);
+            !(is_closed || health.is_replaced(u) || is_left_out(u))
+        };
         let open = upstreams.pool(service).iter().filter(takes_work);
         let slots: u32 = open.map(|u| u.slots).sum();
         (slots > 0).then_some(slots)
--- a/src/path/beliefs_tests.rs
+++ b/src/path/beliefs_tests.rs
@@ -86,3 +86,24 @@
     beliefs.restarted(&upstream(1).id, 1);
     assert_eq!(open(&beliefs), 6);
 }
+
+/// A data centre is evacuated in which all upstreams of a service are. Nothing is sent there, also not as a last
+/// resort: its callers are told at once that nobody ran their requests.
+#[test]
+fn evacuated_data_center_gets_nothing() {
+    let beliefs = beliefs();
+    beliefs.change_upstreams(|upstreams| {
+        upstreams.put(Upstream {
+            data_center: "south".into(),
+            ..upstream(0)
+        })
+    });
+    beliefs.change_evacuations(|e| e.set(1, "north", true));
+    assert_eq!(open(&beliefs), 1);
+    assert_eq!(beliefs.places("s", 1), Some(SLOTS));
+    beliefs.change_evacuations(|e| e.set(2, "south", true));
+    assert_eq!(open(&beliefs), 0);
+    assert_eq!(beliefs.places("s", 1), None);
+    beliefs.change_evacuations(|e| e.set(3, "north", false));
+    assert_eq!(open(&beliefs), 5);
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod callers;
 mod changes;
 pub mod dialect;
+pub mod evacuations;
 pub mod events;
 pub(crate) mod gate;
 pub(crate) mod health;
--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -1,7 +1,7 @@
 //! What the platform's log says, as far as this router knows: read from it, or told by another.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::marker::PhantomData;
 use std::rc::Rc;
 
@@ -11,7 +11,7 @@
 use crate::path::beliefs::Beliefs;
 use crate::path::changes::Changes;
 use crate::path::dialect::Records;
-use crate::path::reading::Record;
+use crate::path::reading::{Order, Record};
 use crate::path::suspend::SuspendGuard;
 use crate::plant::{Plant, planted};
 use crate::schema::peer::{NewsAsk, NewsGive, NewsMark, UpstreamNews};
@@ -165,16 +165,69 @@
         self.upstreams_at.get()
     }
 
-    /// The log's configurations up to `seen_ms`, by a read that was asked for at `asked_ms`.
-    pub(crate) fn read_config(&self, records: Vec<Bytes>, asked_ms: u64, seen_ms: u64) {
+    /// The offset up to which configuration and evacuations are those of the log; 0 if nothing is known.
+    pub(crate) fn orders_at(&self) -> u64 {
+        self.beliefs.evacuations().at()
+    }
+
+    /// What operators wrote from offset `from` on: all there was at `seen_ms`, by a read that was asked for at
+    /// `asked_ms`.
+    pub(crate) fn read_orders(&self, from: u64, orders: Vec<Order>, asked_ms: u64, seen_ms: u64) {
         self.look();
-        for record in records {
-            self.configure(record, "the store");
+        let end = from + orders.len() as u64;
+        for (at, order) in (from + 1..).zip(orders) {
+            self.order(at, order);
         }
+        self.beliefs.change_evacuations(|e| e.read_to(end));
         self.confirm_config(seen_ms);
         self.suspend.told_anew(asked_ms);
     }
 
+    /// The newest of all that operators wrote up to offset `end`.
+    pub(crate) fn read_all_orders(&self, orders: Vec<Order>, end: u64, asked_ms: u64) {
+        self.look();
+        let mut evacuated = BTreeSet::new();
+        for order in orders {
+            match order {
+                Order::Configure(record) => self.configure(record, "the store"),
+                Order::Evacuate(data_center) => {
+                    evacuated.insert(data_center);
+                }
+                Order::Readmit(_) | Order::Other => {}
+            }
+        }
+        self.take_evacuated(end, evacuated, "the store");
+        self.confirm_config(asked_ms);
+        self.suspend.told_anew(asked_ms);
+    }
+
+    fn order(&self, at: u64, order: Order) {
+        let (data_center, is_evacuated) = match order {
+            Order::Configure(record) => return self.configure(record, "the store"),
+            Order::Evacuate(data_center) => (data_center, true),
+            Order::Readmit(data_center) => (data_center, false),
+            Order::Other => return,
+        };
+        if self
+            .beliefs
+            .change_evacuations(|e| e.set(at, &data_center, is_evacuated))
+        {
+            log::info!(data_center:%, evacuated = is_evacuated, offset = at; "evacuation from the store");
+        }
+    }
+
+    fn take_evacuated(&self, at: u64, evacuated: BTreeSet<Name>, source: &str) {
+        if self
+            .beliefs
+            .change_evacuations(|e| e.replace(at, evacuated))
+        {
+            let evacuations = self.beliefs.evacuations();
+            let names: Vec<&str> = evacuations.names().map(|n| &**n).collect();
+            let evacuated = names.join(",");
+            log::info!(evacuated, offset = at, source; "evacuations");
+        }
+    }
+
     /// Everything that the log says of upstreams up to offset `end`.
     pub(crate) fn read_all(&self, records: Vec<Record>, end: u64, asked_ms: u64) {
         self.look();
@@ -347,6 +400,7 @@
             config_age_ms: age(&self.config_fresh),
             upstreams_at: self.upstreams_at.get(),
             upstreams_age_ms: age(&self.upstreams_fresh),
+            orders_at: self.orders_at(),
         }
     }
 
@@ -354,6 +408,7 @@
     pub(crate) fn is_behind(&self, mark: &NewsMark) -> bool {
         mark.config_version > self.beliefs.deployment().version
             || mark.upstreams_at > self.upstreams_at.get()
+            || mark.orders_at > self.orders_at()
     }
 
     /// Another router's mark, as it came in passing.
@@ -367,7 +422,8 @@
     /// holds here too.
     fn confirm(&self, mark: &NewsMark, told_ms: u64) {
         let at = |age_ms: u32| told_ms.saturating_sub(age_ms.into());
-        if mark.config_version == self.beliefs.deployment().version {
+        let has_orders = mark.orders_at == self.orders_at();
+        if has_orders && mark.config_version == self.beliefs.deployment().version {
             self.confirm_config(at(mark.config_age_ms));
         }
         if mark.upstreams_at == self.upstreams_at.get() {
@@ -391,6 +447,7 @@
             is_whole: missed.is_none(),
             upstreams: missed.unwrap_or_else(|| self.whole()),
             mark: Some(self.mark()),
+            evacuated: self.evacuated(ask),
         }
     }
 
@@ -414,9 +471,18 @@
             is_whole: false,
             upstreams: Vec::new(),
             mark: Some(mark),
+            evacuated: self.evacuated(ask),
         }
     }
 
+    fn evacuated(&self, ask: &NewsAsk) -> Vec<String> {
+        let evacuations = self.beliefs.evacuations();
+        if evacuations.at() <= ask.orders_at {
+            return Vec::new();
+        }
+        evacuations.names().map(ToString::to_string).collect()
+    }
+
     fn whole(&self) -> Vec<UpstreamNews> {
         let upstreams = self.upstreams.borrow();
         let news = |(id, record): (&Name, &Bytes)| UpstreamNews {
@@ -434,6 +500,10 @@
         if !give.config.is_empty() {
             self.configure(give.config.clone().into(), source);
         }
+        if mark.orders_at > self.orders_at() {
+            let evacuated = give.evacuated.iter().map(|name| name.as_str().into());
+            self.take_evacuated(mark.orders_at, evacuated.collect(), source);
+        }
         if mark.upstreams_at > self.upstreams_at.get() {
             self.take_upstreams(give, mark.upstreams_at, source);
         } else if mark.upstreams_age_ms == UNTOLD_MS {
--- a/src/path/news_fake_tests.rs
+++ b/src/path/news_fake_tests.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::path::reading::{Ask, Record};
+use crate::path::reading::{Ask, Order, Record};
+use crate::util::Name;
 
 /// Three writes of an upstream: entries lapse after so long an outage.
 pub(super) const LAPSE_MS: u64 = 3_600;
@@ -19,11 +20,11 @@
     entry: Option<Entry>,
 }
 
-/// An answer to a reader.
+/// An answer to a reader: of upstreams' records, or of what operators wrote.
 #[derive(Clone, Debug)]
-pub(super) enum Answer {
-    All(Vec<Record>, u64),
-    News(u64, Vec<Record>),
+pub(super) enum Answer<T> {
+    All(Vec<T>, u64),
+    News(u64, Vec<T>),
     Expired,
 }
 
@@ -32,7 +33,9 @@
 pub(super) struct FakeStore {
     log: Vec<Written>,
     first_kept: usize,
-    configs: Vec<(u64, u64)>,
+    /// What operators wrote, and when.
+    orders: Vec<(u64, Order)>,
+    first_order_kept: usize,
     live: BTreeMap<String, Entry>,
     down_since_ms: Option<u64>,
     /// Entries that lapsed although their upstreams live, and when these write again.
@@ -92,10 +95,25 @@
     pub(super) fn configure(&mut self, now_ms: u64, step: u64) {
         if self.is_up() {
             let version = self.newest_version(u64::MAX) + step;
-            self.configs.push((now_ms, version));
+            self.orders
+                .push((now_ms, Order::Configure(version.to_string().into())));
         }
     }
 
+    /// Operators evacuate a data centre, or take that back.
+    pub(super) fn evacuate(&mut self, now_ms: u64, n: u8, evacuated: bool) {
+        if !self.is_up() {
+            return;
+        }
+        let data_center = format!("dc-{}", n % 3).into();
+        let order = if evacuated {
+            Order::Evacuate(data_center)
+        } else {
+            Order::Readmit(data_center)
+        };
+        self.orders.push((now_ms, order));
+    }
+
     pub(super) fn go_down(&mut self, now_ms: u64) {
         self.down_since_ms.get_or_insert(now_ms);
     }
@@ -135,9 +153,31 @@
 
     pub(super) fn forget_history(&mut self) {
         self.first_kept = self.log.len();
+        self.first_order_kept = self.orders.len();
+    }
+
+    /// What operators wrote, to a reader.
+    pub(super) fn answer_orders(&self, ask: Ask) -> Answer<Order> {
+        let end = self.orders.len();
+        match ask {
+            Ask::All => {
+                let version = self.newest_version(u64::MAX).to_string();
+                let evacuated = self.evacuated(end).into_iter().map(Order::Evacuate);
+                let config = std::iter::once(Order::Configure(version.into()));
+                Answer::All(config.chain(evacuated).collect(), end as u64)
+            }
+            Ask::From(from) => {
+                let at = usize::try_from(from).unwrap();
+                if at < self.first_order_kept {
+                    return Answer::Expired;
+                }
+                let news = self.orders.get(at..).unwrap_or_default().iter();
+                Answer::News(from, news.map(|(_, order)| order.clone()).collect())
+            }
+        }
     }
 
-    pub(super) fn answer(&self, ask: Ask) -> Answer {
+    pub(super) fn answer(&self, ask: Ask) -> Answer<Record> {
         let record = |w: &Written| Record {
             key: w.id.clone(),
             value: w.entry.map(encode),
@@ -164,8 +204,30 @@
 
     /// The newest configuration written by `at_ms`.
     pub(super) fn newest_version(&self, at_ms: u64) -> u64 {
-        let by_then = self.configs.iter().filter(|(ms, _)| *ms <= at_ms);
-        by_then.map(|(_, version)| *version).max().unwrap_or(0)
+        let by_then = self.orders.iter().filter(|(ms, _)| *ms <= at_ms);
+        let versions = by_then.filter_map(|(_, order)| match order {
+            Order::Configure(record) => std::str::from_utf8(record).ok()?.parse().ok(),
+            _ => None,
+        });
+        versions.max().unwrap_or(0)
+    }
+
+    /// The data centres that are evacuated as of offset `end`.
+    pub(super) fn evacuated(&self, end: usize) -> BTreeSet<Name> {
+        let mut evacuated = BTreeSet::new();
+        for (_, order) in &self.orders[..end] {
+            match order {
+                Order::Evacuate(data_center) => evacuated.insert(data_center.clone()),
+                Order::Readmit(data_center) => evacuated.remove(data_center),
+                _ => false,
+            };
+        }
+        evacuated
+    }
+
+    /// How much operators had written by `at_ms`.
+    pub(super) fn orders_end_at(&self, at_ms: u64) -> usize {
+        self.orders.partition_point(|(ms, _)| *ms <= at_ms)
     }
 
     /// The entries as of offset `end`.
--- a/src/path/news_fuzz_tests.rs
+++ b/src/path/news_fuzz_tests.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug)]
 enum Step {
     Configure(u8),
+    /// Operators evacuate a data centre, or take that back.
+    Evacuate(u8, bool),
     UpstreamStarts,
     UpstreamTells(u8, Tell),
     StoreGoes,
@@ -53,6 +55,7 @@
     fn transitions((): &()) -> BoxedStrategy<Step> {
         prop_oneof![
             3 => (1..4_u8).prop_map(Step::Configure),
+            3 => (pick(), any::<bool>()).prop_map(|(n, evacuated)| Step::Evacuate(n, evacuated)),
             4 => Just(Step::UpstreamStarts),
             6 => (pick(), tell()).prop_map(|(n, tell)| Step::UpstreamTells(n, tell)),
             1 => Just(Step::StoreGoes),
@@ -89,6 +92,7 @@
         let now_ms = world.now_ms();
         match step {
             Step::Configure(by) => world.store.configure(now_ms, by.into()),
+            Step::Evacuate(n, evacuated) => world.store.evacuate(now_ms, n, evacuated),
             Step::UpstreamStarts => world.store.up(now_ms),
             Step::UpstreamTells(n, tell) => world.store.tell(now_ms, n, tell),
             Step::StoreGoes => {
@@ -133,6 +137,7 @@
 #[test_case(Plant::KeepChangesOverGap)]
 #[test_case(Plant::TakeOldRecords)]
 #[test_case(Plant::TakeOlderVersion)]
+#[test_case(Plant::TakeOldOrders)]
 #[test_case(Plant::DoubtNothing)]
 #[test_case(Plant::HoldRemovalsBack)]
 fn planted_fault_is_found(fault: Plant) {
--- a/src/path/news_tests.rs
+++ b/src/path/news_tests.rs
@@ -2,6 +2,7 @@
 use super::changes::MAX_CHANGES;
 use super::dialect::Records;
 use super::news::{News, Paces};
+use super::reading::Order;
 use super::routes::{Deployment, Draft};
 use super::upstreams::Upstream;
 use crate::fleet::gossip::Gossip;
@@ -75,6 +76,7 @@
             config_version: self.beliefs.deployment().version,
             upstreams_at: self.news.upstreams_at(),
             takes_all: true,
+            orders_at: self.news.orders_at(),
         };
         let asked_ms = self.news.now_ms();
         self.news.take(other.news.give(&ask), "other", asked_ms);
@@ -168,6 +170,7 @@
         config_version: 0,
         upstreams_at: 4,
         takes_all: false,
+        orders_at: 0,
     };
     let give = later.news.give(&ask);
     assert!(give.upstreams.is_empty() && !give.is_whole);
@@ -182,3 +185,36 @@
         "all, if the log is away"
     );
 }
+
+/// Operators evacuate a data centre and take that back; a router reads the first of the two late, after another told it of
+/// both. It must not leave the data centre out again.
+#[test]
+fn evacuation_that_was_taken_back_stays_so() {
+    let (reader, late) = (Router::new(), Router::new());
+    let evacuate = || Order::Evacuate("north".into());
+    reader.news.read_orders(0, vec![evacuate()], 1, 1);
+    assert!(reader.beliefs.evacuations().holds("north"));
+    let readmit = vec![Order::Readmit("north".into())];
+    reader.news.read_orders(1, readmit, 2, 2);
+    late.learn_from(&reader);
+    late.news.read_orders(0, vec![evacuate()], 3, 3);
+    assert!(!late.beliefs.evacuations().holds("north"));
+    assert_eq!(late.news.orders_at(), 2);
+}
+
+/// A router starts while a data centre is evacuated, and the log is away: another tells it. It must not send there in
+/// the time until it has read the log itself.
+#[test]
+fn standing_evacuation_is_told_with_the_configuration() {
+    let (reader, starter) = (Router::new(), Router::new());
+    let orders = vec![
+        Order::Configure(Bytes::from_static(b"7")),
+        Order::Other,
+        Order::Evacuate("north".into()),
+    ];
+    reader.news.read_all_orders(orders, 9, 1);
+    starter.learn_from(&reader);
+    assert_eq!(starter.beliefs.deployment().version, 7);
+    assert!(starter.beliefs.evacuations().holds("north"));
+    assert_eq!(starter.news.orders_at(), 9);
+}
--- a/src/path/news_world_tests.rs
+++ b/src/path/news_world_tests.rs
@@ -1,13 +1,13 @@
 //! A fleet of routers that believe and tell, the log that they read, and what must hold of both.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use crate::path::news_fake_tests::{Answer, Entry, FakeStore, LAPSE_MS};
 use crate::path::news_tests::Router;
-use crate::path::reading::Reading;
+use crate::path::reading::{Order, Reading, Record};
 use crate::schema::peer::{NewsAsk, NewsGive, NewsMark};
-use crate::util::Clock;
+use crate::util::{Clock, Name};
 
 pub(super) const ROUTERS: usize = 4;
 /// Routers tell one another this often, and look at the clock.
@@ -21,9 +21,10 @@
 pub(super) struct Host {
     router: Router,
     reading: Reading,
+    reading_orders: Reading,
     /// The log's answers under way, and when they were asked for.
-    config: Option<(u64, Option<u64>)>,
-    upstreams: Option<(u64, Answer)>,
+    orders: Option<(u64, Answer<Order>)>,
+    upstreams: Option<(u64, Answer<Record>)>,
     peer: Option<(u64, NewsGive)>,
     /// What others told while this one stands still.
     marks: VecDeque<NewsMark>,
@@ -70,9 +71,11 @@
             return;
         }
         let now_ms = self.now_ms();
-        let version = self.store.newest_version(now_ms);
         let host = &mut self.hosts[at];
-        host.config.get_or_insert((now_ms, Some(version)));
+        if host.orders.is_none() {
+            let ask = host.reading_orders.ask(host.router.news.orders_at());
+            host.orders = Some((now_ms, self.store.answer_orders(ask)));
+        }
         if host.upstreams.is_none() {
             let ask = host.reading.ask(host.router.news.upstreams_at());
             host.upstreams = Some((now_ms, self.store.answer(ask)));
@@ -84,9 +87,18 @@
             return;
         }
         let host = &mut self.hosts[at];
-        if let Some((asked_ms, version)) = host.config.take() {
-            let records = version.iter().map(|v| v.to_string().into()).collect();
-            host.router.news.read_config(records, asked_ms, asked_ms);
+        match host.orders.take() {
+            Some((asked_ms, Answer::All(orders, end))) => {
+                host.reading_orders.took_all(end);
+                host.router.news.read_all_orders(orders, end, asked_ms);
+            }
+            Some((asked_ms, Answer::News(from, orders))) => {
+                host.reading_orders.took(from, orders.len());
+                let news = &host.router.news;
+                news.read_orders(from, orders, asked_ms, asked_ms);
+            }
+            Some((_, Answer::Expired)) => host.reading_orders.expired(),
+            None => {}
         }
         match host.upstreams.take() {
             Some((asked_ms, Answer::All(records, end))) => {
@@ -111,6 +123,7 @@
             config_version: router.beliefs.deployment().version,
             upstreams_at: router.news.upstreams_at(),
             takes_all: true,
+            orders_at: router.news.orders_at(),
         };
         let give = self.hosts[peer].router.news.give(&ask);
         self.hosts[at].peer = Some((self.now_ms(), give));
@@ -171,6 +184,7 @@
     pub(super) fn check(&mut self) {
         for at in 0..ROUTERS {
             self.check_config(at);
+            self.check_evacuations(at);
             if !self.sleeps(at) {
                 self.check_upstreams(at);
             }
@@ -195,6 +209,23 @@
         );
     }
 
+    /// What is evacuated is what operators wrote up to the offset that is told, and what was confirmed is all there was.
+    fn check_evacuations(&self, at: usize) {
+        let router = &self.hosts[at].router;
+        let evacuated: BTreeSet<Name> = router.beliefs.evacuations().names().cloned().collect();
+        let end = usize::try_from(router.news.orders_at()).unwrap();
+        let written = self.store.evacuated(end);
+        assert_eq!(evacuated, written, "{at}: not the log's at {end}");
+        let confirmed = self.store.orders_end_at(router.news.config_confirmed_ms());
+        if confirmed > end {
+            let then = self.store.evacuated(confirmed);
+            assert_eq!(
+                evacuated, then,
+                "{at}: confirmed at {confirmed}, is at {end}"
+            );
+        }
+    }
+
     fn check_upstreams(&self, at: usize) {
         let router = &self.hosts[at].router;
         let listed: BTreeMap<String, Entry> = router.news.listed();
@@ -265,7 +296,11 @@
         }
         let newest = self.store.newest_version(u64::MAX);
         let entries = self.store.entries(self.store.end());
+        let evacuated = self.store.evacuated(self.store.orders_end_at(u64::MAX));
         for host in &self.hosts {
+            let known = host.router.beliefs.evacuations();
+            let known: BTreeSet<Name> = known.names().cloned().collect();
+            assert_eq!(known, evacuated, "healed");
             assert_eq!(host.router.beliefs.deployment().version, newest, "healed");
             assert_eq!(host.router.news.listed(), entries, "healed");
             assert_eq!(
@@ -281,7 +316,8 @@
     Host {
         router: Router::with_clock(Clock::set_by(now_ms)),
         reading: Reading::default(),
-        config: None,
+        reading_orders: Reading::default(),
+        orders: None,
         upstreams: None,
         peer: None,
         marks: VecDeque::new(),
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -143,6 +143,7 @@
         config_version: path.beliefs.deployment().version,
         upstreams_at: path.news.upstreams_at(),
         takes_all: path.news.log_fails() || path.unready().is_some(),
+        orders_at: path.news.orders_at(),
     };
     let asked_ms = path.clock.now_ms();
     match client.ask::<_, NewsGive>(addr, NEWS, &ask).await {
--- a/src/path/reading.rs
+++ b/src/path/reading.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use crate::util::Name;
+
 /// One record of a keyed stream. Without a value, the key is dropped.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct Record {
@@ -9,6 +11,19 @@
     pub(crate) value: Option<Bytes>,
 }
 
+/// One thing that operators wrote.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Order {
+    /// A whole configuration.
+    Configure(Bytes),
+    /// The upstreams of a data centre get no new work.
+    Evacuate(Name),
+    /// They get work again.
+    Readmit(Name),
+    /// Nothing that this system knows.
+    Other,
+}
+
 /// What a reader asks a keyed stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Ask {
--- a/src/plant.rs
+++ b/src/plant.rs
@@ -40,6 +40,8 @@
     KeepChangesOverGap,
     /// Records that others told already are taken again.
     TakeOldRecords,
+    /// An evacuation that others told was taken back counts again.
+    TakeOldOrders,
     /// An older configuration replaces a newer one.
     TakeOlderVersion,
     /// Entries that lapsed while the log was away are gone at once.
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -24,7 +24,7 @@
 use crate::path::news::{News, Paces};
 use crate::path::{Path, callers, peers, stop, tend};
 use crate::peers::{PeerClient, Probes, probes};
-use crate::platform::{Fleet, Headers, Pages, Store, follow_deployment, follow_upstreams};
+use crate::platform::{Fleet, Headers, Pages, Store, follow_orders, follow_upstreams};
 use crate::router::{AddrSnafu, BindSnafu, Outputs, RouterError};
 use crate::schema::settings::{Limits, Listen, Settings};
 use crate::serve::admin;
@@ -99,7 +99,7 @@
         compio::runtime::spawn(peers::follow(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::ask_after_suspend(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::join(path.clone(), client, seeds)).detach();
-        compio::runtime::spawn(follow_deployment(open(), path.clone())).detach();
+        compio::runtime::spawn(follow_orders(open(), path.clone())).detach();
         compio::runtime::spawn(follow_upstreams(open(), path.clone())).detach();
         compio::runtime::spawn(fleet.clone().follow()).detach();
         compio::runtime::spawn(tend(path.clone())).detach();
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -45,7 +45,8 @@
         let good = call(fleet.caller(i % 3), "POST", CHAT, &[], &body).await;
         answered += u32::from(good.is_some_and(|a| a.status == 200));
     }
-    assert_eq!(answered, 6, "engines are left");
+    let events = fleet.events();
+    assert_eq!(answered, 6, "engines are left; events: {events:#?}");
 }
 
 /// A caller's request has crashed two engines, and it sends it again at once through another router. It is told of the
