--- a/src/serve/home/mod.rs
+++ b/src/serve/home/mod.rs
@@ -16,6 +16,8 @@
 
 #[cfg(test)]
 mod reports_tests;
+#[cfg(test)]
+mod suspects_tests;
 
 use std::rc::Rc;
 
--- a/src/serve/home/suspects.rs
+++ b/src/serve/home/suspects.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use futures_util::future::join_all;
 
@@ -20,7 +21,7 @@
 use crate::serve::SharedCtx;
 use crate::util::Name;
 
-/// An upstream that can't be connected to within this is down.
+/// An upstream that can't be connected to within this is down; one that is up answers within it, if it isn't slow.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A handle to what is held.
@@ -226,10 +227,27 @@
     }
 }
 
-async fn is_up(addr: &str) -> bool {
+/// Whether something at `addr` still answers.
+///
+/// Failure guarded against: a crashing upstream breaks its calls a moment before its listening socket goes, and in between a
+/// new connection opens all the same. Taken for up by that, it isn't counted among those that the request has
+/// crashed, and the request goes on to the next, until none is left. So it has to answer, and one whose new
+/// connection breaks too is down. One that is only slow to answer is up.
+pub(super) async fn is_up(addr: &str) -> bool {
     let Ok(addr) = addr.parse::<SocketAddr>() else {
         return true;
     };
     let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
-    matches!(connected, Ok(Ok(_)))
+    let Ok(Ok(mut stream)) = connected else {
+        return false;
+    };
+    let question = format!("HEAD / HTTP/1.1\r\nhost: {addr}\r\nconnection: close\r\n\r\n");
+    let answer = async {
+        stream.write_all(question.into_bytes()).await.0?;
+        stream.read(Vec::with_capacity(1)).await.0
+    };
+    match compio::time::timeout(CONNECT_TIMEOUT, answer).await {
+        Ok(read) => read.is_ok_and(|bytes| bytes > 0),
+        Err(_) => true,
+    }
 }
