--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -399,7 +399,7 @@
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct NewsGive {
-    /// Empty if the asker has it.
+    /// Empty if the asker has it; deflated.
     #[prost(bytes = "vec", tag = "1")]
     #[serde(with = "serde_bytes")]
     pub config: ::prost::alloc::vec::Vec<u8>,
--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -13,6 +13,7 @@
 use crate::path::dialect::Records;
 use crate::path::reading::{Order, Record};
 use crate::path::suspend::SuspendGuard;
+use crate::peers::packed;
 use crate::plant::{Plant, planted};
 use crate::schema::peer::{NewsAsk, NewsGive, NewsMark, UpstreamNews};
 use crate::util::{Clock, Name};
@@ -37,7 +38,8 @@
     beliefs: Rc<Beliefs>,
     clock: Clock,
     paces: Cell<Paces>,
-    config: RefCell<Bytes>,
+    /// The configuration in force as other routers are told it.
+    packed_config: RefCell<Bytes>,
     config_fresh: Cell<Freshness>,
     upstreams: RefCell<HashMap<Name, Bytes>>,
     upstreams_at: Cell<u64>,
@@ -59,7 +61,7 @@
             beliefs,
             clock,
             paces: Cell::new(paces),
-            config: RefCell::default(),
+            packed_config: RefCell::default(),
             config_fresh: Cell::default(),
             upstreams: RefCell::default(),
             upstreams_at: Cell::default(),
@@ -99,7 +101,7 @@
             Ok(deployment) => {
                 let version = deployment.version;
                 if self.beliefs.configure(deployment) {
-                    self.config.replace(record);
+                    self.pack_config(&record);
                     log::info!("configuration {version} in force, from {source}");
                 }
             }
@@ -107,6 +109,23 @@
         }
     }
 
+    /// Failure guarded against: a configuration of 1,400 routes takes 280 KB. Dozens of routers ask the first that have it,
+    /// over links of 10 Mbit/s: each gives some in a second, the rest wait, and a change is in force too late. Packed, it
+    /// takes some hundredths of that.
+    fn pack_config(&self, record: &[u8]) {
+        let packed = packed::pack(record);
+        let packed = packed.inspect_err(|e| log::error!("configuration can't be told: {e}"));
+        self.packed_config.replace(packed.unwrap_or_default());
+    }
+
+    /// Takes a configuration that another router told.
+    fn configure_packed(&self, config: &[u8], source: &str) {
+        match packed::unpack(config) {
+            Ok(record) => self.configure(record, source),
+            Err(e) => log::error!("configuration from {source} can't be unpacked: {e}"),
+        }
+    }
+
     /// The configuration is the newest there was at `at_ms`.
     pub(crate) fn confirm_config(&self, at_ms: u64) {
         let mut fresh = self.config_fresh.get();
@@ -442,7 +461,7 @@
         }
         NewsGive {
             config: if has_newer {
-                self.config.borrow().to_vec()
+                self.packed_config.borrow().to_vec()
             } else {
                 Vec::new()
             },
@@ -466,7 +485,7 @@
         };
         NewsGive {
             config: if has_newer {
-                self.config.borrow().to_vec()
+                self.packed_config.borrow().to_vec()
             } else {
                 Vec::new()
             },
@@ -500,7 +519,7 @@
         self.look();
         let mark = give.mark.unwrap_or_default();
         if !give.config.is_empty() {
-            self.configure(give.config.clone().into(), source);
+            self.configure_packed(&give.config, source);
         }
         if mark.orders_at > self.orders_at() {
             let evacuated = give.evacuated.iter().map(|name| name.as_str().into());
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 pub(crate) mod frames;
 pub(crate) mod http2;
+pub(crate) mod packed;
 pub(crate) mod probes;
 pub(crate) mod refuse;
 pub(crate) mod server;
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -89,7 +89,7 @@
         });
         let platform = settings.platform.clone().unwrap_or_default();
         let store = parse("platform.addr", &platform.addr)?;
-        let open = || Store::open(store);
+        let open = move || Store::open(store);
         let fleet = Fleet::new(open(), me, probes.gossip, path.fleet.clone());
         let key: Name = policy.key.as_str().into();
         let bound = peers::bind(peer_addr, key, path.clone()).await;
@@ -99,8 +99,8 @@
         compio::runtime::spawn(peers::follow(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::ask_after_suspend(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::join(path.clone(), client, seeds)).detach();
-        compio::runtime::spawn(follow_orders(open(), path.clone())).detach();
-        compio::runtime::spawn(follow_upstreams(open(), path.clone())).detach();
+        compio::runtime::spawn(follow_orders(open, path.clone())).detach();
+        compio::runtime::spawn(follow_upstreams(open, path.clone())).detach();
         compio::runtime::spawn(fleet.clone().follow()).detach();
         compio::runtime::spawn(tend(path.clone())).detach();
         let entry_ttl = Duration::from_millis(policy.entry_ttl_ms.into());
