--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -36,5 +36,8 @@
     for host in drained {
         println!("draining   {}", host.host);
     }
+    for mark in &state.data_centers {
+        println!("evacuated  {}", mark.data_center);
+    }
     Ok(())
 }
--- a/src/cmd/fleet.rs
+++ b/src/cmd/fleet.rs
@@ -36,6 +36,9 @@
         "as {} sees it: configuration version {}",
         reply.host, reply.config_version
     );
+    for data_center in &reply.evacuated {
+        println!("evacuated: {data_center}");
+    }
     println!();
     print_hosts(&reply.hosts);
     println!();
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 pub mod config;
 pub mod drain;
+pub mod evacuate;
 pub mod fleet;
 pub mod order;
 mod output;
--- a/src/gen/config.rs
+++ b/src/gen/config.rs
@@ -101,6 +101,16 @@
     #[prost(bool, tag = "2")]
     pub draining: bool,
 }
+/// Upstreams of an evacuated data centre get no new work.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DataCenterMark {
+    #[prost(string, tag = "1")]
+    pub data_center: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub evacuated: bool,
+}
 /// A wanted version for every engine of a service.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -127,7 +137,7 @@
     pub against_version: u64,
     #[prost(string, tag = "2")]
     pub author: ::prost::alloc::string::String,
-    #[prost(oneof = "change::Op", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "change::Op", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub op: ::core::option::Option<change::Op>,
 }
 /// Nested message and enum types in `Change`.
@@ -156,6 +166,8 @@
         PutRollout(super::Rollout),
         #[prost(string, tag = "13")]
         DeleteRollout(::prost::alloc::string::String),
+        #[prost(message, tag = "14")]
+        MarkDataCenter(super::DataCenterMark),
     }
 }
 /// The whole state after the record at `offset`; lists are sorted by name.
@@ -184,6 +196,9 @@
     pub last_change: ::prost::alloc::string::String,
     #[prost(string, tag = "10")]
     pub last_author: ::prost::alloc::string::String,
+    /// Those that are evacuated.
+    #[prost(message, repeated, tag = "11")]
+    pub data_centers: ::prost::alloc::vec::Vec<DataCenterMark>,
 }
 /// One record of the configuration stream.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/gen/operator.rs
+++ b/src/gen/operator.rs
@@ -80,6 +80,9 @@
     pub hosts: ::prost::alloc::vec::Vec<HostState>,
     #[prost(message, repeated, tag = "5")]
     pub upstreams: ::prost::alloc::vec::Vec<UpstreamState>,
+    /// Data centres whose upstreams get no new work.
+    #[prost(string, repeated, tag = "6")]
+    pub evacuated: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/log/check.rs
+++ b/src/log/check.rs
@@ -40,6 +40,7 @@
         Op::PutPolicy(v) => policy(state, v),
         Op::PutRollout(v) => rollout(state, v),
         Op::MarkHost(v) => name("host.host", &v.host),
+        Op::MarkDataCenter(v) => name("data_center.data_center", &v.data_center),
         Op::DeleteService(name) => delete_service(state, name),
         Op::DeleteAccount(name) => {
             let known = state.accounts.iter().any(|v| v.name == *name);
--- a/src/log/check_tests.rs
+++ b/src/log/check_tests.rs
@@ -2,10 +2,10 @@
 
 use crate::log::Entry;
 use crate::log::check::check;
-use crate::log::config::{Applied, ConfigFold};
+use crate::log::config::{Applied, ConfigFold, SCHEMA};
 use crate::schema::config::change::Op;
 use crate::schema::config::{
-    Account, HostMark, IdempotencyRule, Policy, Rollout, Service, State, Upstream,
+    Account, DataCenterMark, HostMark, IdempotencyRule, Policy, Rollout, Service, State, Upstream,
 };
 
 fn engine() -> Service {
@@ -113,6 +113,10 @@
 #[test_case(Op::PutPolicy(Policy { shed_order: vec!["vip".to_owned()], ..policy() }), "policy.shed_order")]
 #[test_case(Op::PutPolicy(Policy { shed_order: vec!["batch".to_owned(); 2], ..policy() }), "policy.shed_order")]
 #[test_case(Op::MarkHost(HostMark::default()), "host.host")]
+#[test_case(
+    Op::MarkDataCenter(DataCenterMark::default()),
+    "data_center.data_center"
+)]
 #[test_case(Op::PutRollout(Rollout { service: "records".to_owned(), ..rollout() }), "rollout.service")]
 #[test_case(Op::PutRollout(Rollout { version: String::new(), ..rollout() }), "rollout.version")]
 #[test_case(Op::PutRollout(Rollout { at_once: 0, ..rollout() }), "rollout.at_once")]
@@ -142,9 +146,10 @@
 #[test]
 fn newer_record_stops_the_fold() {
     let mut fold = ConfigFold::default();
-    let text = r#"{"id":"a","schema":2,"unheard_of":1}"#.to_owned();
+    let schema = SCHEMA + 1;
+    let text = format!(r#"{{"id":"a","schema":{schema},"unheard_of":1}}"#);
     let newer = Entry { offset: 0, text };
-    assert_eq!(fold.apply(&newer), Applied::Newer { schema: 2 });
+    assert_eq!(fold.apply(&newer), Applied::Newer { schema });
     assert_eq!(fold.next_offset(), 0);
     let text = "not JSON".to_owned();
     assert_eq!(fold.apply(&Entry { offset: 0, text }), Applied::Skipped);
--- a/src/log/config.rs
+++ b/src/log/config.rs
@@ -17,7 +17,7 @@
 pub const STREAM: &str = "config";
 
 /// The newest record schema this build understands.
-pub const SCHEMA: u32 = 1;
+pub const SCHEMA: u32 = 2;
 
 /// What became of one record.
 #[derive(Clone, Debug, PartialEq)]
@@ -171,6 +171,10 @@
         Op::PutPolicy(v) => put(&mut state.policies, v, |v| &v.service),
         Op::DeletePolicy(name) => state.policies.retain(|v| v.service != name),
         Op::MarkHost(v) => put(&mut state.hosts, v, |v| &v.host),
+        Op::MarkDataCenter(v) if v.evacuated => put(&mut state.data_centers, v, |v| &v.data_center),
+        Op::MarkDataCenter(v) => state
+            .data_centers
+            .retain(|m| m.data_center != v.data_center),
         Op::PutRollout(v) => put(&mut state.rollouts, v, |v| &v.service),
         Op::DeleteRollout(name) => state.rollouts.retain(|v| v.service != name),
     }
--- a/src/log/view.rs
+++ b/src/log/view.rs
@@ -94,18 +94,29 @@
         self.pools.get(service)
     }
 
+    /// Whether `upstream` gets new work: it doesn't drain, and its data centre isn't evacuated.
+    pub fn takes_work(&self, upstream: &Upstream) -> bool {
+        takes_work(&self.state, upstream)
+    }
+
     /// The upstream of this name in `service`.
     pub fn upstream(&self, service: &str, name: &str) -> Option<&Arc<Upstream>> {
         self.pools.get(service)?.upstreams.get(name)
     }
 }
 
+/// Whether `upstream` gets new work: it doesn't drain, and its data centre isn't evacuated.
+fn takes_work(state: &State, upstream: &Upstream) -> bool {
+    let mut evacuated = state.data_centers.iter().map(|m| &m.data_center);
+    !upstream.draining && !evacuated.any(|name| *name == upstream.data_center)
+}
+
 fn pools(state: &State) -> HashMap<Name, Arc<Pool>> {
     let mut pools: HashMap<Name, Pool> = HashMap::new();
     for upstream in &state.upstreams {
         let pool = pools.entry(upstream.service.as_str().into()).or_default();
         let name = Name::from(upstream.name.as_str());
-        if !upstream.draining {
+        if takes_work(state, upstream) {
             pool.names.push(name.clone());
         }
         pool.upstreams.insert(name, Arc::new(upstream.clone()));
--- a/src/serve/home/admit.rs
+++ b/src/serve/home/admit.rs
@@ -120,9 +120,9 @@
     fn check_stays(&self, forward: &Forward) -> Result<(), peer::Refusal> {
         let config = self.ctx.config();
         let upstream = config.upstream(&forward.service, &forward.upstream);
-        let draining = upstream.is_none_or(|u| u.draining);
-        if draining || self.ctx.fleet().is_leaving(&forward.upstream) {
-            let detail = format!("{} is leaving", forward.upstream);
+        let takes_work = upstream.is_some_and(|u| config.takes_work(u));
+        if !takes_work || self.ctx.fleet().is_leaving(&forward.upstream) {
+            let detail = format!("{} takes no new work", forward.upstream);
             return Err(refuse::not_run(Cause::NoUpstream, 0, detail));
         }
         Ok(())
@@ -163,7 +163,9 @@
     /// Brings a displaced chat's cache along. A failure costs a prefill, so it only gets a log line.
     async fn import(&self, forward: &Forward, to: &Upstream) {
         let config = self.ctx.config();
-        let Some(from) = config.upstream(&forward.service, &forward.warm_at) else {
+        let from = config.upstream(&forward.service, &forward.warm_at);
+        let is_evacuated = |u: &Upstream| !u.draining && !config.takes_work(u);
+        let Some(from) = from.filter(|u| !is_evacuated(u)) else {
             return;
         };
         let chat = ChatKey(forward.chat_key);
--- a/src/serve/operator/mod.rs
+++ b/src/serve/operator/mod.rs
@@ -216,12 +216,15 @@
                 draining: u.draining,
             }
         });
+        let marks = config.state.data_centers.iter();
+        let evacuated = marks.map(|m| m.data_center.clone());
         Ok(RpcResponse::new(FleetReply {
             host: self.host.to_string(),
             config_version: config.state.version,
             config_offset: config.state.offset,
             hosts: hosts.collect(),
             upstreams: upstreams.collect(),
+            evacuated: evacuated.collect(),
         }))
     }
 
