Homes of routes and accounts: requests and entry answers keep to the regions that both allow

No code read the operators' allowed_regions. path/regions.rs holds the region of each data centre (a setting, rendered from the platform's own table) and whether a route's and an account's homes allow it; no choice of an upstream leaves them, also as a last resort, and entry answers name routers of the caller's region or of one that all routes of the name allow. Unset means all. Where a region isn't known, only what has no homes goes there.

--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -231,6 +231,13 @@
                 .filter(|a| !a.is_empty())
                 .try_for_each(|a| addr(a).map(|_| ()))
         }
+        Rule::Pairs => {
+            let given = text()?;
+            given
+                .split(',')
+                .filter(|p| !p.is_empty())
+                .try_for_each(pair)
+        }
         Rule::Bool => {
             let given = value.as_boolean_lit();
             given
@@ -255,6 +262,14 @@
     ))
 }
 
+fn pair(text: &str) -> Result<(), String> {
+    let (key, value) = text
+        .split_once('=')
+        .ok_or_else(|| "must be pairs of names such as north=home".to_owned())?;
+    name(key)?;
+    name(value)
+}
+
 fn addr(text: &str) -> Result<SocketAddr, String> {
     let reason = |_| "must be an IP number and port, such as 10.0.0.1:7001".to_owned();
     text.parse().map_err(reason)
--- a/src/config/fields.rs
+++ b/src/config/fields.rs
@@ -21,6 +21,8 @@
     Number(f64, f64),
     /// IP numbers and ports, separated by commas; may be empty.
     Addrs,
+    /// Pairs of names, each as `NAME=NAME`, separated by commas; may be empty.
+    Pairs,
     /// One of these words.
     Word(&'static [&'static str]),
 }
@@ -76,6 +78,7 @@
     required("host", "name", Rule::Name),
     required("host", "data_center", Rule::Name),
     optional("host", "region", Rule::Name),
+    optional("host", "data_center_regions", Rule::Pairs),
     optional("listen", "caller_addr", Rule::ToldAddr),
     optional("listen", "peer_addr", Rule::ToldAddr),
     optional("listen", "operator_addr", Rule::Addr),
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -162,6 +162,10 @@
     ];
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/settings.tmpl");
     let mut text = std::fs::read_to_string(path).unwrap();
+    // As the platform fills in the table of data centres and their regions.
+    let table = "{{#zones}}{{@}}={{.}}{{,}}{{/zones}}";
+    assert!(text.contains(table));
+    text = text.replace(table, "hala-brasov=ro-centru,hala-sibiu=ro-centru");
     for (field, value) in values {
         text = text.replace(&format!("{{{{{field}}}}}"), value);
     }
@@ -169,6 +173,8 @@
     let settings = parse("deploy/settings.tmpl", &text).unwrap();
     let burst: f64 = retry_slack.parse().unwrap();
     assert_eq!(settings.fleet.unwrap().retry_burst, burst);
+    let regions = settings.host.unwrap().data_center_regions;
+    assert_eq!(regions, "hala-brasov=ro-centru,hala-sibiu=ro-centru");
 }
 
 #[test]
--- a/src/gen/settings.rs
+++ b/src/gen/settings.rs
@@ -9,6 +9,9 @@
     pub data_center: ::prost::alloc::string::String,
     #[prost(string, tag = "3")]
     pub region: ::prost::alloc::string::String,
+    /// The region of each data centre, with the keyed log: DATA_CENTER=REGION, separated by commas.
+    #[prost(string, tag = "4")]
+    pub data_center_regions: ::prost::alloc::string::String,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -279,7 +279,9 @@
         };
         let max_open = self.connection_share().open;
         let beliefs = &asked.path.beliefs;
-        let (pool, seats) = beliefs.pool(&asked.service, &tried, max_open, now_ms);
+        let of_account = asked.account.as_ref().map_or(&None, |a| &a.homes);
+        let homes = [&asked.route.homes, of_account];
+        let (pool, seats) = beliefs.pool(&asked.service, &tried, &homes, max_open, now_ms);
         let decisions = beliefs.decisions();
         let placed = match shared_part(&asked.head.prompt_parts) {
             Some(part) if asked.route.cached_prompts && decisions.part_order => {
--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -17,6 +17,7 @@
 use crate::fleet::loads::digest;
 use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
+use crate::path::regions::{Homes, Regions};
 use crate::path::routes::Deployment;
 use crate::path::suspects::Suspects;
 use crate::path::upstreams::{Upstream, Upstreams};
@@ -62,6 +63,7 @@
     retry_limit: Cell<RetryLimit>,
     decisions: Cell<Decisions>,
     data_center: Name,
+    regions: Regions,
     gossip: Gossip,
 }
 
@@ -108,7 +110,12 @@
 }
 
 impl Beliefs {
-    pub(crate) fn new(retry_limit: RetryLimit, data_center: Name, gossip: Gossip) -> Self {
+    pub(crate) fn new(
+        retry_limit: RetryLimit,
+        data_center: Name,
+        regions: Regions,
+        gossip: Gossip,
+    ) -> Self {
         Self {
             deployment: RefCell::default(),
             upstreams: RefCell::default(),
@@ -123,6 +130,7 @@
             retry_limit: Cell::new(retry_limit),
             decisions: Cell::new(ALL_ON),
             data_center,
+            regions,
             gossip,
         }
     }
@@ -190,6 +198,11 @@
         cold_starts.assign(host, hosts, per_s, now_ms);
     }
 
+    /// Which region a data centre is in.
+    pub(crate) fn regions(&self) -> &Regions {
+        &self.regions
+    }
+
     pub(crate) fn knows_upstream(&self, id: &str) -> bool {
         self.upstreams.borrow().get(id).is_some()
     }
@@ -232,6 +245,7 @@
         &self,
         service: &str,
         tried: &Tried<'_>,
+        homes: &[&Homes],
         max_open: u32,
         now_ms: u64,
     ) -> (Vec<Rc<Upstream>>, Vec<Seat>) {
@@ -245,7 +259,7 @@
         let own = |u: &Upstream| running.get(&u.id).copied().unwrap_or(0);
         let evacuations = self.evacuations.borrow();
         let cold_starts = self.cold_starts.borrow();
-        // An evacuation, and what a cold upstream bears, hold even where no other is left: then the request is refused at
+        // An evacuation, homes, and what a cold upstream bears hold even where no other is left: then the request is refused at
         // once.
         let takes_no_more = |u: &Upstream| {
             u.draining
@@ -253,6 +267,7 @@
                 || own(u) >= max_open
                 || evacuations.holds(&u.data_center)
                 || !cold_starts.admits(&u.id, now_ms)
+                || !self.regions.allow(homes, &u.data_center)
         };
         let is_unreachable =
             |u: &Upstream| decisions.unreachable && health.is_unreachable(u, now_ms);
--- a/src/path/beliefs_tests.rs
+++ b/src/path/beliefs_tests.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use super::beliefs::{Beliefs, RetryLimit, Running, Tried};
+use super::regions::{Homes, Regions};
 use super::upstreams::Upstream;
 use crate::decide::ejection::FAILURES;
 use crate::fleet::gossip::Gossip;
@@ -26,7 +27,12 @@
         share: 0.2,
         burst: 10.0,
     };
-    let beliefs = Rc::new(Beliefs::new(limit, "north".into(), gossip));
+    let beliefs = Rc::new(Beliefs::new(
+        limit,
+        "north".into(),
+        Regions::parse("north=home,south=abroad"),
+        gossip,
+    ));
     for i in 0..6 {
         beliefs.change_upstreams(|upstreams| upstreams.put(upstream(i)));
     }
@@ -44,7 +50,7 @@
         upstreams: &[],
         may_return: false,
     };
-    let (_, seats) = beliefs.pool("s", &tried, u32::MAX, 1);
+    let (_, seats) = beliefs.pool("s", &tried, &[], u32::MAX, 1);
     seats.iter().filter(|s| !s.barred).count()
 }
 
@@ -108,3 +114,28 @@
     beliefs.change_evacuations(|e| e.set(3, "north", false));
     assert_eq!(open(&beliefs), 5);
 }
+
+/// An operator binds a route to a region. Its requests go nowhere else, also where that region has no upstream left.
+#[test]
+fn requests_stay_in_their_homes() {
+    let beliefs = beliefs();
+    let abroad = Some(["abroad".into()].into());
+    let home = Some(["home".into()].into());
+    let tried = Tried {
+        upstreams: &[],
+        may_return: false,
+    };
+    let open = |homes: &[&Homes]| {
+        let (_, seats) = beliefs.pool("s", &tried, homes, u32::MAX, 1);
+        seats.iter().filter(|s| !s.barred).count()
+    };
+    assert_eq!(open(&[&home, &None]), 6);
+    assert_eq!(open(&[&home, &abroad]), 0);
+    beliefs.change_upstreams(|upstreams| {
+        upstreams.put(Upstream {
+            data_center: "south".into(),
+            ..upstream(0)
+        })
+    });
+    assert_eq!(open(&[&abroad, &None]), 1);
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) mod peers;
 pub(crate) mod reading;
 pub(crate) mod refusal;
+pub mod regions;
 pub(crate) mod request;
 pub mod routes;
 pub(crate) mod stop;
@@ -42,6 +43,8 @@
 #[cfg(test)]
 mod news_world_tests;
 #[cfg(test)]
+mod regions_tests;
+#[cfg(test)]
 mod suspects_tests;
 
 use std::rc::Rc;
@@ -71,6 +74,15 @@
 /// How often what belongs to gone upstreams is thrown away, in tellings.
 const SWEEP_TELLINGS: u32 = 10;
 
+/// What a caller says when it asks where to connect.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Entry<'a> {
+    /// The host name that it will ask for.
+    pub(crate) name: Option<&'a str>,
+    /// Where it is.
+    pub(crate) region: Option<&'a str>,
+}
+
 /// What the tasks of the path share.
 pub(crate) struct Path<D> {
     pub(crate) beliefs: Rc<Beliefs>,
@@ -119,12 +131,19 @@
         self.beliefs.assign_cold(&self.host, &hosts, now_ms);
     }
 
-    /// Where callers should connect: routers that take work, in a random order, at most `max`.
-    pub(crate) fn entry_addrs(&self, max: usize) -> Vec<Name> {
+    /// Where callers of `entry` should connect: routers that take work, in a random order, at most `max`.
+    ///
+    /// Where routes have homes, these are routers of the caller's region or of one that all of the name's routes allow: a
+    /// request that starts elsewhere would leave its homes before any of them has a say.
+    pub(crate) fn entry_addrs(&self, entry: &Entry<'_>, max: usize) -> Vec<Name> {
         let fleet = self.fleet.borrow();
+        let deployment = self.beliefs.deployment();
+        let homes = entry.name.map_or_else(Vec::new, |n| deployment.homes(n));
+        let regions = self.beliefs.regions();
         let is_stopping = self.drain.is_stopping();
         let open = |m: &&Member| m.takes_work() && !(is_stopping && m.host == self.host);
-        let open = fleet.members.iter().filter(open);
+        let may_start = |m: &&Member| regions.may_start(entry.region, &homes, &m.data_center);
+        let open = fleet.members.iter().filter(open).filter(may_start);
         open.map(|m| m.caller_addr.clone())
             .choose_multiple(&mut rand::rng(), max)
     }
--- a/src/path/news_tests.rs
+++ b/src/path/news_tests.rs
@@ -3,6 +3,7 @@
 use super::dialect::Records;
 use super::news::{News, Paces};
 use super::reading::Order;
+use super::regions::Regions;
 use super::routes::{Deployment, Draft};
 use super::upstreams::Upstream;
 use crate::fleet::gossip::Gossip;
@@ -62,7 +63,12 @@
             burst: 10.0,
         };
         let (gossip, _, _) = Gossip::open();
-        let beliefs = Rc::new(Beliefs::new(limit, "north".into(), gossip));
+        let beliefs = Rc::new(Beliefs::new(
+            limit,
+            "north".into(),
+            Regions::default(),
+            gossip,
+        ));
         let paces = Paces {
             config: Pace::within(2_000.0),
             upstreams: Pace::within(2_000.0),
--- /dev/null
+++ b/src/path/regions_tests.rs
@@ -0,0 +1,39 @@
+use super::regions::{Homes, Regions};
+use test_case::test_case;
+
+const REGIONS: &str = "a-1=east,a-2=east,b-1=west,c-1=south";
+
+fn homes(names: &str) -> Homes {
+    (!names.is_empty()).then(|| names.split(' ').map(Into::into).collect())
+}
+
+/// A route may be served in some of three regions, and an account in others. A request must stay where both allow it;
+/// unset allows all.
+#[test_case("", "", "a-1 a-2 b-1 c-1 unknown"; "no homes")]
+#[test_case("east", "", "a-1 a-2"; "of the route")]
+#[test_case("", "west south", "b-1 c-1"; "of the account")]
+#[test_case("east west", "west south", "b-1"; "of both")]
+#[test_case("east", "west", ""; "none in common")]
+#[test_case("north", "", ""; "no data centre")]
+fn request_stays_at_home(route: &str, account: &str, wanted: &str) {
+    let regions = Regions::parse(REGIONS);
+    let (route, account) = (homes(route), homes(account));
+    let allowed = ["a-1", "a-2", "b-1", "c-1", "unknown"].into_iter();
+    let allowed = allowed.filter(|dc| regions.allow(&[&route, &account], dc));
+    let allowed: Vec<&str> = allowed.collect();
+    assert_eq!(allowed.join(" "), wanted);
+}
+
+/// A caller asks where to connect, and one of the routes of its host name has homes. It is sent to routers of its own
+/// region, where it may always start, or of one that all of the routes allow; unset, to any.
+#[test_case(Some("south"), "west", "b-1 c-1"; "abroad")]
+#[test_case(Some("west"), "west", "b-1"; "at home")]
+#[test_case(None, "west", "b-1"; "untold")]
+#[test_case(Some("south"), "", "a-1 a-2 b-1 c-1"; "no homes")]
+fn callers_start_in_homes_or_their_own_region(caller: Option<&str>, route: &str, wanted: &str) {
+    let regions = Regions::parse(REGIONS);
+    let (route, other) = (homes(route), None);
+    let start = ["a-1", "a-2", "b-1", "c-1"].into_iter();
+    let start = start.filter(|dc| regions.may_start(caller, &[&route, &other], dc));
+    assert_eq!(start.collect::<Vec<_>>().join(" "), wanted);
+}
--- a/src/path/routes.rs
+++ b/src/path/routes.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 
+use crate::path::regions::Homes;
 use crate::util::Name;
 
 /// What a failed request may do.
@@ -67,6 +68,8 @@
     pub public: bool,
     /// Its prompts share parts that upstreams cache.
     pub cached_prompts: bool,
+    /// Regions that its requests may go to.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -91,6 +94,8 @@
     pub name: Name,
     /// Goes before the route's; among equal ones that decides.
     pub priority: Option<u8>,
+    /// Regions that its requests may go to.
+    pub homes: Homes,
 }
 
 /// What a caller may send, and how long it may take.
@@ -215,6 +220,7 @@
     ///     priority: 0,
     ///     public: true,
     ///     cached_prompts: false,
+    ///     homes: None,
     /// };
     /// let routes = vec![("a.example".into(), route("all", "/")), ("a.example".into(), route("one", "/x/"))];
     /// let deployment = Deployment::from(Draft { version: 1, routes, ..Draft::default() });
@@ -231,6 +237,12 @@
         of_host.iter().find(|r| path.starts_with(&*r.path_prefix))
     }
 
+    /// The homes of all routes of `host`.
+    pub fn homes(&self, host: &str) -> Vec<&Homes> {
+        let routes = self.routes.get(host).into_iter().flatten();
+        routes.map(|r| &r.homes).collect()
+    }
+
     /// Connections that each upstream of `service` takes from all routers together, if it says.
     pub fn max_connections(&self, service: &str) -> Option<u32> {
         self.max_connections.get(service).copied()
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -22,6 +22,7 @@
 use crate::path::gate::Gates;
 use crate::path::link::Links;
 use crate::path::news::{News, Paces};
+use crate::path::regions::Regions;
 use crate::path::{Path, callers, peers, stop, tend};
 use crate::peers::{PeerClient, Probes, probes};
 use crate::platform::{Fleet, Headers, Pages, Store, follow_orders, follow_upstreams};
@@ -71,6 +72,7 @@
         let beliefs = Beliefs::new(
             retry_limit(&policy),
             me.data_center.clone(),
+            regions(&settings),
             probes.gossip.clone(),
         );
         let beliefs = Rc::new(beliefs);
@@ -207,6 +209,15 @@
     }
 }
 
+/// Which region each data centre is in; at the least this host's.
+fn regions(settings: &Settings) -> Regions {
+    let host = settings.host.clone().unwrap_or_default();
+    if host.data_center_regions.is_empty() {
+        return Regions::parse(&format!("{}={}", host.data_center, host.region));
+    }
+    Regions::parse(&host.data_center_regions)
+}
+
 /// Hosts to ask for the fleet; their routers listen on the same port as this one.
 fn seeds(seed_addrs: &str, own: SocketAddr) -> Vec<Name> {
     let addrs = seed_addrs
