--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -27,9 +27,8 @@
 ///
 /// Load pattern: a small pool with short requests. In the time in which routers tell what they want, each
 /// place serves several of them; parted among routers whose callers come in clumps, places idle while
-/// callers wait for their router's part (at five times the load of three upstreams with 6 places and nine
-/// routers 0.58 of the answers were in time, and 0.90 without parts). So short requests queue at the
-/// upstreams, whose queue is everybody's, for as long as callers allow.
+/// callers wait for their router's part. So short requests queue at the upstreams, whose queue is everybody's, for
+/// as long as callers allow.
 ///
 /// ```
 /// use cassiagrade::decide::allowance::fill;
--- a/src/decide/concurrency.rs
+++ b/src/decide/concurrency.rs
@@ -16,8 +16,8 @@
 const START: f64 = 16.0;
 /// No upstream gets more.
 const CEILING: f64 = 512.0;
-/// Kept of the limit when calls are slow or fail. Halving empties short queues but costs a
-/// service of 3 runners half its throughput; 0.8 settles within five windows.
+/// Kept of the limit when calls are slow or fail. Halving empties short queues, but costs a small service half of its
+/// throughput each time.
 const DECREASE: f64 = 0.8;
 /// Times the usual latency that count as slow.
 const SLOW_FACTOR: f64 = 2.0;
@@ -25,9 +25,8 @@
 const NOISE_MS: f64 = 5.0;
 /// Weight of a window that is quicker than usual.
 const QUICK_GAIN: f64 = 1.0 / 16.0;
-/// Weight of one that is slower. It must be small: at 1/16 the usual latency followed a service that
-/// had lost nine tenths of its capacity before the limit did, and the limit stayed at 47 for a
-/// capacity of 8. It isn't zero, so that a service that is slower for good leaves the floor again.
+/// Weight of one that is slower. It must be small, or the usual latency follows a service that loses its capacity
+/// before the limit does. It isn't zero, so that a service that is slower for good leaves the floor again.
 const SLOW_GAIN: f64 = 1.0 / 256.0;
 /// Calls that make up a window.
 const WINDOW: u32 = 16;
--- a/src/decide/ejection.rs
+++ b/src/decide/ejection.rs
@@ -20,9 +20,8 @@
 /// Times the pool's median time to a first frame that count as slow. Queueing alone stays below
 /// two at the bound on work.
 pub const SLOW_FACTOR: f64 = 4.0;
-/// A mean below this is never called slow: under a third of the 0.66 s in which the first token must
-/// come. In a healthy pool first frames take a millisecond, and a few KV caches moved to an engine
-/// are many times that; without the floor one engine of 18 was ejected by five of nine routers.
+/// A mean below this is never called slow: no caller notices. In a healthy pool first frames take a millisecond, and a few
+/// KV caches moved to an engine are many times that.
 pub const SLOW_FLOOR_MS: f64 = 200.0;
 /// Answers to see of an upstream before it is called slow.
 const SLOW_SAMPLES: u32 = 8;
--- a/src/decide/home.rs
+++ b/src/decide/home.rs
@@ -34,11 +34,10 @@
 /// Jobs to see before the pace may be used to foretell a service time.
 const PACE_SAMPLES: u32 = 8;
 /// Share of epsilon that jobs are admitted up to; the rest absorbs the drift of a mean that is a
-/// gossip round old. With 1.0 the busiest engine's p99 is 1.29 times the mean at 80% load and
-/// epsilon 0.25, with 0.8 it is 1.24.
+/// gossip round old.
 const HEADROOM: f64 = 0.8;
 /// Share of the admitted band that a chat with nothing cached may use; the rest is kept for long
-/// histories, whose displacement costs most. With 1.0, reuse falls by 0.01.
+/// histories, whose displacement costs most.
 const NEW_SHARE: f64 = 0.7;
 /// Cached tokens from which a history counts as long: a quarter of a second of prefill.
 const LONG_TOKENS: f64 = 2_000.0;
--- a/src/decide/loads.rs
+++ b/src/decide/loads.rs
@@ -2,8 +2,7 @@
 //!
 //! Load pattern: reports are a second old and some get lost, while each of many routers places
 //! work by them. Acting on the reports alone, all routers send to the engine that was idle a
-//! second ago; in the experiment the busiest engine's p99 then rises from 1.25 to 1.45 times the
-//! mean. Two corrections are free: every answer of a home carries its exact work at that
+//! second ago. Two corrections are free: every answer of a home carries its exact work at that
 //! moment, and what this router itself has placed since the last report is added.
 //!
 //! A view costs one table look-up an upstream when it is rebuilt, and nothing in between.
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -34,7 +34,7 @@
 /// What moving a chat's KV cache costs whatever its length: two round trips between hosts of a
 /// region, and the engines' own handling.
 const IMPORT_MS: f64 = 20.0;
-/// KV tokens moved a millisecond. At 160 KB a token, 80 of them are 100 Gbit/s: the trial's link.
+/// KV tokens moved a millisecond, over a link of 100 Gbit/s.
 const IMPORT_TOKENS_PER_MS: f64 = 80.0;
 /// The warm one and the level ones.
 const MAX_TRIES: usize = LEVEL_TRIES + 1;
@@ -143,8 +143,8 @@
 
     /// The least loaded of all; of equals the first in the chat's order.
     ///
-    /// By the order of names, every router's chats would go to one and the same of the equals: in a
-    /// half idle pool of 18 that one's first frames took 250 ms, and it was ejected as slow.
+    /// By the order of names, every router's chats would go to one and the same of the equals, which is then late in a
+    /// pool that is half idle, and is ejected for it.
     fn least(&self, chat: ChatKey, load_ms: &[f64]) -> Option<usize> {
         let rank = |at: &usize| (level(load_ms[*at]), util::mix(chat.0, self.hashes[*at]));
         (0..self.names.len())
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -11,8 +11,8 @@
 
 use rand::Rng;
 
-/// Share of first tries that may be repeated, unless the policy says otherwise. At 0.2 a pool
-/// that fails everything gets 1.2 times its load, and one engine of a dozen is covered twice.
+/// Share of first tries that may be repeated, unless the policy says otherwise. A pool
+/// that fails everything gets so much more load; one failing engine of a dozen is covered.
 pub const DEFAULT_SHARE: f64 = 0.2;
 /// Retries that may come at once after a quiet time.
 const BURST: f64 = 10.0;
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -20,8 +20,8 @@
 
 use crate::util;
 
-/// Times the pool's mean that an upstream may hold. Below the 2 at which callers notice the longer
-/// pauses between tokens, as loads of other routers are a fifth of a second old.
+/// Times the pool's mean that an upstream may hold. Well below where callers notice the longer
+/// pauses between tokens, as the loads that other routers told are a little old.
 pub const BOUND_FACTOR: f64 = 1.4;
 /// Requests beyond that: with few in flight a factor alone would move parts at every request.
 pub const BOUND_SLACK: f64 = 2.0;
@@ -49,8 +49,7 @@
 /// the pool's mean.
 ///
 /// Failure guarded against: with half of the routers heard, an upstream that runs three requests looks like one that runs
-/// six as often as not, its parts spread to others, and these read them anew. Left as they are, such counts moved
-/// 0.4 more memory between upstreams than with nothing worked out at 195 routers. The best guess of one count would
+/// six as often as not, its parts spread to others, and these read them anew. The best guess of one count would
 /// draw by the share itself; a hot part's upstream could then stand at over twice the mean, so it is the root.
 ///
 /// ```
@@ -133,8 +132,8 @@
 }
 
 /// The seat for a request whose last shared part is `part`, and where that part is likely cached if
-/// not there: at the first of the part's order. Fetching a part of 10,000 tokens from there takes some
-/// 20 ms where reading it anew takes 150 ms, of the upstream's time too.
+/// not there: at the first of the part's order. Fetching a part from there takes a
+/// fraction of the time that reading it anew takes, of the upstream's time too.
 ///
 /// ```
 /// use cassiagrade::decide::spread::{Bound, Seat, by_part};
--- a/src/decide/types.rs
+++ b/src/decide/types.rs
@@ -77,7 +77,7 @@
 }
 
 impl Default for Rates {
-    /// 8,000 prompt tokens a second and 25 output tokens a second a slot: the trial's engine.
+    /// Of a middling engine; only proportions between requests matter.
     fn default() -> Self {
         Self {
             prefill_ms: 0.125,
--- a/src/fleet/flights.rs
+++ b/src/fleet/flights.rs
@@ -109,7 +109,7 @@
 
     /// What all `live` routers run and want, this one left out, by those of them that were heard lately.
     ///
-    /// Failure guarded against: of 195 routers half are heard at a time. Summed as if they were all, upstreams
+    /// Failure guarded against: in a large fleet half of the routers are heard at a time. Summed as if they were all, upstreams
     /// look half as loaded as they are, and each router takes twice its part of a full service's places.
     pub fn picture(&mut self, live: usize, now_ms: u64) -> Picture {
         let mut upstreams = self.sums(now_ms);
--- a/src/fleet/news.rs
+++ b/src/fleet/news.rs
@@ -9,8 +9,8 @@
 //! time of its own, so that the first few of these spare the rest. How soon that must be follows from
 //! how soon a change must be in force.
 //!
-//! A log that is away is asked by all who grow stale. Asked by each four times a second, as a single router would,
-//! it got 1,600 calls a second from 195 routers and answered none. So the routers that can reach one another share
+//! A log that is away is asked by all who grow stale, as often as a single router would, and the calls grow with the
+//! fleet. So the routers that can reach one another share
 //! a rate of tries, and whoever succeeds tells the rest; one that hears nobody counts as a
 //! fleet of one, and keeps its bound by itself.
 
@@ -23,7 +23,7 @@
 
 /// Routers that read. With three, the loss of two at once leaves one.
 pub const READERS: usize = 3;
-/// Role of a bound that a read of the log waits for a change. A connection that went silent shows after this and
+/// Part of a bound that a read of the log waits for a change. A connection that went silent shows after this and
 /// the time for an answer; longer waits are fewer calls.
 const WAIT_SHARE: f64 = 0.45;
 /// News of this part of a bound make a router read for itself, at the earliest: a reader's wait, and two or three
@@ -31,13 +31,13 @@
 const STALE_SHARE: f64 = 0.65;
 /// The wait beyond that is drawn from up to this part: each router keeps the bound by itself, whoever else reads.
 ///
-/// Failure guarded against: drawn from up to 50 ms a router of the fleet, 4.4 s for 88, the last ones relied on those
-/// before them, and a request reached an upstream 4.2 s after it had said that it leaves, where 3 s are allowed.
+/// Failure guarded against: drawn from a time that grows with the fleet, the last ones rely on those before them, and a
+/// request reaches an upstream longer after it said that it leaves than is allowed.
 const SPREAD_SHARE: f64 = 0.25;
 /// Longer bounds are taken for this: the shortest that deployments have, and what held on all of them.
 const MAX_BOUND_MS: f64 = 2_000.0;
-/// Between two tries by routers of one fleet that grow stale together: 20 calls a second to each stream, whatever
-/// the fleet's size. The first of 195 tries 50 ms after the first has grown stale.
+/// Between two tries by routers of one fleet that grow stale together: so many calls a second to each stream, whatever
+/// the fleet's size.
 const TRY_SPACING_MS: f64 = 50.0;
 /// The first pause after a failed read; it doubles with each further failure.
 const RETRY_MS: u64 = 300;
--- a/src/path/changes.rs
+++ b/src/path/changes.rs
@@ -4,9 +4,8 @@
 
 use crate::schema::peer::UpstreamNews;
 
-/// Changes that are kept; a router that missed more is told everything. A start of 3,000 upstreams
-/// within seconds stays below: with a few hundred, each router was told everything, 0.7 MB of records,
-/// again and again. At 250 bytes each, 1 MB.
+/// Changes that are kept; a router that missed more is told everything. A start of thousands of upstreams
+/// within seconds stays below: with fewer kept, each router is told everything, again and again. They take a megabyte.
 pub(super) const MAX_CHANGES: usize = 4_096;
 
 /// Changes in the order of the log.
--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -109,9 +109,9 @@
         }
     }
 
-    /// Failure guarded against: a configuration of 1,400 routes takes 280 KB. Dozens of routers ask the first that have it,
-    /// over links of 10 Mbit/s: each gives some in a second, the rest wait, and a change is in force too late. Packed, it
-    /// takes some hundredths of that.
+    /// Failure guarded against: a configuration of a thousand routes takes hundreds of kilobytes. Dozens of routers ask the
+    /// first that have it, over thin links: each gives to a few in a second, the rest wait, and a change is in force too
+    /// late. Packed, it takes some hundredths of that.
     fn pack_config(&self, record: &[u8]) {
         let packed = packed::pack(record);
         let packed = packed.inspect_err(|e| log::error!("configuration can't be told: {e}"));
@@ -384,8 +384,8 @@
 
     /// Everything was taken at once, from `source`.
     ///
-    /// Failure guarded against: a router that starts logs a line for each upstream: 157 of them took a host with an eighth
-    /// of a core 90 ms, during which it served nobody, and a fleet of 390 before 2,200 would write 858,000.
+    /// Failure guarded against: a router that starts logs a line for each upstream, serves nobody meanwhile, and a
+    /// fleet that starts together writes as many lines as it has pairs of router and upstream.
     fn took_all(&self, source: &str) {
         self.is_bulk.set(false);
         let known = self.beliefs.upstreams_known();
@@ -474,8 +474,8 @@
 
     /// What an asker gets that must read the upstreams from the log: as far as this answer says, nothing came since.
     ///
-    /// Failure guarded against: 300 routers start at once while upstreams come and go. Each keeps the changes since its own
-    /// read alone, so those that read earlier were given all of 3,000 upstreams again and again by those that read
+    /// Failure guarded against: hundreds of routers start at once while upstreams come and go. Each keeps the changes since
+    /// its own read alone, so those that read earlier would be given all upstreams again and again by those that read
     /// later, over links that callers need. The log gives them the few changes that they miss.
     fn give_config_alone(&self, ask: &NewsAsk, has_newer: bool) -> NewsGive {
         let mark = NewsMark {
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -23,8 +23,8 @@
 const START_ASKS: usize = 3;
 /// Pause between two looks whether another must be asked, while nothing is known.
 const START_PAUSE: Duration = Duration::from_millis(400);
-/// How long a router that starts waits for the log alone, unless the log fails. A configuration of 1,000 routes over a link of
-/// 10 Mbit/s takes 0.3 s; a log that went silent fails only after some seconds, and peers know what it would say.
+/// How long a router that starts waits for the log alone, unless the log fails. A large configuration over a thin link
+/// takes a part of that; a log that went silent fails only after some seconds, and peers know what it would say.
 const LOG_ALONE_MS: u64 = 2_000;
 /// When a router that has started asks another for its members. Of a fleet that starts for the first time at once, the
 /// first to read the list find few in it; what they miss would take the probes' rumours many seconds.
@@ -70,9 +70,9 @@
 /// Asks another for everything, one at a time, until something is known: the log may be out of reach of a router that
 /// starts.
 ///
-/// Failure guarded against: 300 routers that start at once before 3,000 upstreams have read half of the log after 0.4 s.
-/// Each then asked six others for all of it, 750 KB a time over links of 20 Mbit/s; those that were ready first, and the
-/// three that all are told of, were jammed for over 30 s, and callers with them.
+/// Failure guarded against: hundreds of routers that start at once before thousands of upstreams have read half of the log
+/// when they begin to ask. If each asks several others for all of it, those that are ready first, and the few that all
+/// are told of, are jammed for long, and callers with them.
 pub(crate) async fn join<D: Dialect + Records>(
     path: Rc<Path<D>>,
     client: PeerClient,
--- a/src/serve/home/task.rs
+++ b/src/serve/home/task.rs
@@ -29,8 +29,8 @@
 
 /// How often waiting jobs are looked at when nothing else happens.
 const TICK: Duration = Duration::from_millis(20);
-/// How often an engine is asked for its load and cache events. With the 6 engines that a router is
-/// home to in a fleet of 390 and 2,200, reports of 200 bytes make 600 bytes a second.
+/// How often an engine is asked for its load and cache events. The reports of the few engines that a router is home to are
+/// a part of what it may spend on control.
 const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// When to come back to an upstream that takes no work.
 const LEAVING_RETRY_MS: u64 = 1_000;
--- a/src/serve/route/placer.rs
+++ b/src/serve/route/placer.rs
@@ -26,8 +26,7 @@
 use crate::serve::home::loads::{SharedLoads, pool_slots};
 use crate::util::Name;
 
-/// Chats remembered. At 48 bytes and a shared name each, under a third of the 32 MB for control;
-/// at letter 1's size, 7 million chats over 390 routers make 18,000 each.
+/// Chats remembered: several times a router's part of the largest fleet's, in a few megabytes.
 const MEMORY_CHATS: u64 = 100_000;
 /// Longer than two hosts of a region need, shorter than the prefill of a short history.
 const ASK_TIMEOUT: Duration = Duration::from_millis(50);
--- a/src/serve/route/resume.rs
+++ b/src/serve/route/resume.rs
@@ -25,8 +25,8 @@
 const CHANNEL: usize = 64;
 
 /// How often one answer may be picked up again. A request that kills its engines is stopped by the
-/// quarantine long before; this bounds the work for one that meets a broken network. With two,
-/// 1 of 300 callers was left without an answer when engines crossed some of theirs.
+/// quarantine long before; this bounds the work for one that meets a broken network and
+/// engines that cross some of their answers.
 const RESUMES: u32 = 4;
 
 /// Spreads the pick-ups of all the streams that one engine's death cuts at once.
--- a/src/serve/stop.rs
+++ b/src/serve/stop.rs
@@ -48,7 +48,7 @@
 }
 
 /// Until all have heard of the leave: only then is the last entry answer given that names this
-/// router. On the virtual clock of `benches/fleet` it took 1.7 s at 9 routers and 3.5 s at 390.
+/// router. It grows with the logarithm of the fleet, as rumours do.
 fn news_ms(probe_interval_ms: u32, routers: usize) -> u64 {
     let rounds = u64::from(routers.max(2).ilog2()) + 1;
     u64::from(probe_interval_ms) * rounds
