Short requests before many routers: exact counts win nothing below overload

Hypothesis: tickets come late since 71 routers choose among 4 upstreams by their own counts, and permits of a home, which sees all, would put them in time. Conclusion: the standing way stays; a round trip and a host that can fail buy nothing below what the pool can do, and above it who is admitted decides.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -59,6 +59,8 @@
 #[cfg(test)]
 mod shed_tests;
 #[cfg(test)]
+mod short_requests_tests;
+#[cfg(test)]
 mod spread_tests;
 #[cfg(test)]
 mod take_over_tests;
