--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -43,9 +43,12 @@
 impl<D: Dialect + Records> Questions for Rc<Path<D>> {
     async fn answer(&self, path: &str, body: Incoming) -> Response<Answer> {
         match path {
-            NEWS => server::reply(body, async |ask: NewsAsk| self.news.give(&ask)).await,
+            NEWS => server::reply(NEWS, body, async |ask: NewsAsk| self.news.give(&ask)).await,
             MEMBERS => {
-                server::reply(body, async |ask| server::members(&self.gossip, ask).await).await
+                server::reply(MEMBERS, body, async |ask| {
+                    server::members(&self.gossip, ask).await
+                })
+                .await
             }
             _ => server::status(StatusCode::NOT_FOUND),
         }
--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -19,7 +19,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::mpsc;
 
-use super::{CHANNEL, FORWARD};
+use super::{CHANNEL, FORWARD, kind};
 use crate::decide::refusal::{Cause, Refusal};
 use crate::event::Events;
 use crate::peers::frames::{self, Decoder, FrameError};
@@ -117,7 +117,7 @@
     pub(crate) async fn ask<Q, A>(
         &self,
         addr: &Name,
-        path: &str,
+        path: &'static str,
         question: &Q,
     ) -> Result<A, AskError>
     where
@@ -126,7 +126,7 @@
     {
         let call = async {
             let payload = frames::to_vec(question).context(EncodeSnafu)?;
-            stats::control_bytes("sent", "ask", payload.len());
+            stats::control_bytes("sent", kind(path), payload.len());
             let request = Request::post(format!("http://{addr}{path}"))
                 .header(AUTHORIZATION, &*self.key)
                 .body(Full::new(payload.into()))
@@ -138,7 +138,9 @@
                 return StatusSnafu { status }.fail();
             }
             let body = response.into_body().collect().await.context(LostSnafu)?;
-            frames::from_slice(&body.to_bytes()).context(EncodeSnafu)
+            let answer = body.to_bytes();
+            stats::control_bytes("received", kind(path), answer.len());
+            frames::from_slice(&answer).context(EncodeSnafu)
         };
         compio::time::timeout(ASK_TIMEOUT, call)
             .await
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -27,5 +27,10 @@
 pub(crate) const DEMAND: &str = "/demand";
 pub(crate) const CONVICTED: &str = "/convicted";
 
+/// The kind of question that `path` stands for, as bytes are counted by it.
+pub(crate) fn kind(path: &'static str) -> &'static str {
+    path.trim_start_matches('/')
+}
+
 /// Frames that may wait between a stream and its task.
 pub(crate) const CHANNEL: usize = 64;
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -19,10 +19,11 @@
 use crate::fleet::gossip::{Gossip, Note};
 use crate::front::body::Answer;
 use crate::front::{Drain, listen};
-use crate::peers::frames;
 use crate::peers::http2::LocalExec;
+use crate::peers::{frames, kind};
 use crate::schema::peer::{self, MembersAsk, MembersGive};
 use crate::socket::watch_silence;
+use crate::stats;
 use crate::util::Name;
 
 /// Answers other routers' questions.
@@ -82,8 +83,12 @@
     given.ct_eq(key.as_bytes()).into()
 }
 
-/// Decodes one question and encodes its answer.
-pub(crate) async fn reply<Q, A>(body: Incoming, reply: impl AsyncFnOnce(Q) -> A) -> Response<Answer>
+/// Decodes one question, asked on `path`, and encodes its answer.
+pub(crate) async fn reply<Q, A>(
+    path: &'static str,
+    body: Incoming,
+    reply: impl AsyncFnOnce(Q) -> A,
+) -> Response<Answer>
 where
     Q: DeserializeOwned,
     A: Serialize,
@@ -91,7 +96,9 @@
     let Ok(body) = Limited::new(body, frames::MAX_FRAME_BYTES).collect().await else {
         return status(StatusCode::BAD_REQUEST);
     };
-    let question = match frames::from_slice(&body.to_bytes()) {
+    let question = body.to_bytes();
+    stats::control_bytes("received", kind(path), question.len());
+    let question = match frames::from_slice(&question) {
         Ok(question) => question,
         Err(e) => {
             log::warn!("peer's question not understood: {e}");
@@ -99,7 +106,10 @@
         }
     };
     match frames::to_vec(&reply(question).await) {
-        Ok(bytes) => Response::new(Answer::whole(bytes)),
+        Ok(bytes) => {
+            stats::control_bytes("sent", kind(path), bytes.len());
+            Response::new(Answer::whole(bytes))
+        }
         Err(e) => {
             log::warn!("peer's question not answered: {e}");
             status(StatusCode::INTERNAL_SERVER_ERROR)
--- a/src/serve/peers/mod.rs
+++ b/src/serve/peers/mod.rs
@@ -36,13 +36,18 @@
         let Self { ctx, dispatch } = self;
         match path {
             FORWARD => forward(ctx, dispatch, body).await,
-            CLAIM => reply(body, async |ask| give_claim(ctx, ask).await).await,
-            CLAIM_NOTE => reply(body, async |note| take_note(ctx, note)).await,
-            CONFIG => reply(body, async |ask| give_config(ctx, &ask)).await,
-            MEMBERS => reply(body, async |ask| server::members(&ctx.gossip, ask).await).await,
-            WARM => reply(body, async |ask| dispatch.warm(ask)).await,
-            DEMAND => reply(body, async |report| dispatch.grant(&report)).await,
-            CONVICTED => reply(body, async |told| dispatch.convicted(&told)).await,
+            CLAIM => reply(CLAIM, body, async |ask| give_claim(ctx, ask).await).await,
+            CLAIM_NOTE => reply(CLAIM_NOTE, body, async |note| take_note(ctx, note)).await,
+            CONFIG => reply(CONFIG, body, async |ask| give_config(ctx, &ask)).await,
+            MEMBERS => {
+                reply(MEMBERS, body, async |ask| {
+                    server::members(&ctx.gossip, ask).await
+                })
+                .await
+            }
+            WARM => reply(WARM, body, async |ask| dispatch.warm(ask)).await,
+            DEMAND => reply(DEMAND, body, async |report| dispatch.grant(&report)).await,
+            CONVICTED => reply(CONVICTED, body, async |told| dispatch.convicted(&told)).await,
             _ => status(StatusCode::NOT_FOUND),
         }
     }
--- a/tests/observe.rs
+++ b/tests/observe.rs
@@ -70,6 +70,12 @@
         .await
             > 0.0
     );
+    // Routers that start ask another for all members, and its answer counts too.
+    let members =
+        |way: &str| format!("cassiagrade_control_bytes_total{{kind=\"members\",way=\"{way}\"}}");
+    for way in ["sent", "received"] {
+        assert!(sum(&fleet, &members(way)).await > 0.0, "{way}");
+    }
     let page = get(fleet.admin(0), "/metrics").await.unwrap();
     assert!(
         page.contains("# HELP cassiagrade_requests_total "),
