--- a/src/path/beliefs.rs
+++ b/src/path/beliefs.rs
@@ -1,5 +1,7 @@
 //! What one router believes: configuration, upstreams, and what it has seen of them.
 
+mod pool;
+
 use std::cell::{Cell, Ref, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -12,28 +14,23 @@
 use crate::decide::connections::{self, Share};
 use crate::decide::ejection::Change;
 use crate::decide::retry::Budget;
-use crate::decide::spread::{self, Seat};
 use crate::fleet::gossip::{Gossip, Publish};
 use crate::fleet::loads::digest;
 use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
-use crate::path::regions::{Homes, Regions};
+use crate::path::regions::Regions;
 use crate::path::routes::Deployment;
 use crate::path::suspects::Suspects;
 use crate::path::upstreams::{Upstream, Upstreams};
 use crate::plant::{Plant, planted};
 use crate::schema::peer::{Flight, NewsMark, Suspicion, Wish};
 use crate::schema::settings::Decisions;
-use crate::util::{self, Name};
+use crate::util::Name;
 
 /// Share of the fleet's retries that its routers may make together: the rest covers windows that
 /// begin within a burst.
 const BUDGET_SHARE: f64 = 0.85;
 
-/// An upstream that came this short a time ago has hardly any shared parts yet: most of them are
-/// asked for every few seconds.
-const WARM_MS: u64 = 8_000;
-
 /// Share of a pool's slots from which its upstreams may be late or full because of their load: batches that
 /// are half full already read prompts between one another's tokens.
 const LOADED_SHARE: f64 = 0.5;
@@ -239,105 +236,6 @@
         self.running.borrow().get(upstream).copied().unwrap_or(0)
     }
 
-    /// The upstreams of `service` that take work, and how each is believed to stand now; this router
-    /// may have `max_open` connections to each.
-    pub(crate) fn pool(
-        &self,
-        service: &str,
-        tried: &Tried<'_>,
-        homes: &[&Homes],
-        max_open: u32,
-        now_ms: u64,
-    ) -> (Vec<Rc<Upstream>>, Vec<Seat>) {
-        let pool = self.upstreams.borrow().pool(service).to_vec();
-        let picture = self.gossip.flights();
-        let others = &picture.upstreams;
-        let running = self.running.borrow();
-        let health = self.health.borrow();
-        let decisions = self.decisions();
-        let is_out = |u: &Upstream| health.is_out(u, now_ms) && decisions.leaves_out(&health, u);
-        let own = |u: &Upstream| running.get(&u.id).copied().unwrap_or(0);
-        let evacuations = self.evacuations.borrow();
-        let cold_starts = self.cold_starts.borrow();
-        // An evacuation, homes, and what a cold upstream bears hold even where no other is left: then the request is refused at
-        // once.
-        let takes_no_more = |u: &Upstream| {
-            u.draining
-                || health.is_replaced(u)
-                || own(u) >= max_open
-                || evacuations.holds(&u.data_center)
-                || !cold_starts.admits(&u.id, now_ms)
-                || !self.regions.allow(homes, &u.data_center)
-        };
-        let is_unreachable =
-            |u: &Upstream| decisions.unreachable && health.is_unreachable(u, now_ms);
-        let joined = self.joined_ms.borrow();
-        let told = |u: &Rc<Upstream>| {
-            let told = others.get(&digest(&u.id));
-            told.filter(|_| decisions.told_counts)
-                .map_or(0.0, |t| t.running)
-        };
-        let mut of_others: Vec<f64> = pool.iter().map(told).collect();
-        spread::steady(&mut of_others, picture.share);
-        let seat = |(u, of_others): (&Rc<Upstream>, &f64)| Seat {
-            id_hash: util::hash_bytes(u.id.as_bytes()),
-            running: own(u) + of_others.round() as u32,
-            own: own(u),
-            slots: u.slots,
-            near: u.data_center == self.data_center,
-            barred: takes_no_more(u) || tried.has(&u.id) || is_out(u) || is_unreachable(u),
-            has_parts: health.is_source(u, now_ms)
-                && !evacuations.holds(&u.data_center)
-                && joined.get(&u.id).is_none_or(|at| at + WARM_MS < now_ms),
-        };
-        let mut seats: Vec<Seat> = pool.iter().zip(&of_others).map(seat).collect();
-        if seats.iter().all(|s| s.barred) {
-            // All that are left were ejected: trying is better than refusing for what was true a
-            // moment ago.
-            for (seat, upstream) in seats.iter_mut().zip(&pool) {
-                seat.barred =
-                    takes_no_more(upstream) || tried.has(&upstream.id) || is_unreachable(upstream);
-            }
-        }
-        if seats.iter().all(|s| s.barred) {
-            for (seat, upstream) in seats.iter_mut().zip(&pool) {
-                seat.barred = takes_no_more(upstream) || tried.has(&upstream.id);
-            }
-        }
-        if tried.may_return && seats.iter().all(|s| s.barred) {
-            // Those that failed this request once may serve it now.
-            for (seat, upstream) in seats.iter_mut().zip(&pool) {
-                seat.barred = takes_no_more(upstream);
-            }
-        }
-        (pool, seats)
-    }
-
-    /// Requests that the upstreams of `service` run at once, without those left out; `None` if they
-    /// don't say how many they run.
-    pub(crate) fn places(&self, service: &str, now_ms: u64) -> Option<u32> {
-        let upstreams = self.upstreams.borrow();
-        let health = self.health.borrow();
-        let decisions = self.decisions();
-        if !decisions.admission {
-            return None;
-        }
-        let is_left_out = |u: &Upstream| {
-            let is_out = health.is_out(u, now_ms) && decisions.leaves_out(&health, u);
-            is_out || (decisions.unreachable && health.is_unreachable(u, now_ms))
-        };
-        let evacuations = self.evacuations.borrow();
-        let cold_starts = self.cold_starts.borrow();
-        let takes_work = |u: &&Rc<Upstream>| {
-            let is_cold = cold_starts.is_cold(&u.id, now_ms);
-            let is_closed = u.draining || is_cold || evacuations.holds(&u.data_center);
-            !(is_closed || health.is_replaced(u) || is_left_out(u))
-        };
-        let open = upstreams.pool(service).iter().filter(takes_work);
-        let slots: u32 = open.map(|u| u.slots).sum();
-        (slots > 0).then_some(slots)
-    }
-
     /// How old the other routers' counts are on the mean.
     pub(crate) fn counts_age_ms(&self) -> f64 {
         self.gossip.flights().age_ms
--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -1,7 +1,10 @@
 //! What the platform's log says, as far as this router knows: read from it, or told by another.
 
+mod orders;
+mod told;
+
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::marker::PhantomData;
 use std::rc::Rc;
 
@@ -11,15 +14,13 @@
 use crate::path::beliefs::Beliefs;
 use crate::path::changes::Changes;
 use crate::path::dialect::Records;
-use crate::path::reading::{Order, Record};
+use crate::path::reading::Record;
 use crate::path::suspend::SuspendGuard;
 use crate::peers::packed;
 use crate::plant::{Plant, planted};
-use crate::schema::peer::{NewsAsk, NewsGive, NewsMark, UpstreamNews};
+use crate::schema::peer::UpstreamNews;
 use crate::util::{Clock, Name};
 
-/// The age of upstreams that the giver knows more of than it tells.
-const UNTOLD_MS: u32 = u32::MAX;
 /// Silence of the log for which entries of upstreams lapse: three of their writes.
 const LAPSE_MS: u64 = 3_000;
 /// An upstream whose entry lapsed while the log was away is back within two seconds of its return,
@@ -184,69 +185,6 @@
         self.upstreams_at.get()
     }
 
-    /// The offset up to which configuration and evacuations are those of the log; 0 if nothing is known.
-    pub(crate) fn orders_at(&self) -> u64 {
-        self.beliefs.evacuations().at()
-    }
-
-    /// What operators wrote from offset `from` on: all there was at `seen_ms`, by a read that was asked for at
-    /// `asked_ms`.
-    pub(crate) fn read_orders(&self, from: u64, orders: Vec<Order>, asked_ms: u64, seen_ms: u64) {
-        self.look();
-        let end = from + orders.len() as u64;
-        for (at, order) in (from + 1..).zip(orders) {
-            self.order(at, order);
-        }
-        self.beliefs.change_evacuations(|e| e.read_to(end));
-        self.confirm_config(seen_ms);
-        self.suspend.told_anew(asked_ms);
-    }
-
-    /// The newest of all that operators wrote up to offset `end`.
-    pub(crate) fn read_all_orders(&self, orders: Vec<Order>, end: u64, asked_ms: u64) {
-        self.look();
-        let mut evacuated = BTreeSet::new();
-        for order in orders {
-            match order {
-                Order::Configure(record) => self.configure(record, "the store"),
-                Order::Evacuate(data_center) => {
-                    evacuated.insert(data_center);
-                }
-                Order::Readmit(_) | Order::Other => {}
-            }
-        }
-        self.take_evacuated(end, evacuated, "the store");
-        self.confirm_config(asked_ms);
-        self.suspend.told_anew(asked_ms);
-    }
-
-    fn order(&self, at: u64, order: Order) {
-        let (data_center, is_evacuated) = match order {
-            Order::Configure(record) => return self.configure(record, "the store"),
-            Order::Evacuate(data_center) => (data_center, true),
-            Order::Readmit(data_center) => (data_center, false),
-            Order::Other => return,
-        };
-        if self
-            .beliefs
-            .change_evacuations(|e| e.set(at, &data_center, is_evacuated))
-        {
-            log::info!(data_center:%, evacuated = is_evacuated, offset = at; "evacuation from the store");
-        }
-    }
-
-    fn take_evacuated(&self, at: u64, evacuated: BTreeSet<Name>, source: &str) {
-        if self
-            .beliefs
-            .change_evacuations(|e| e.replace(at, evacuated))
-        {
-            let evacuations = self.beliefs.evacuations();
-            let names: Vec<&str> = evacuations.names().map(|n| &**n).collect();
-            let evacuated = names.join(",");
-            log::info!(evacuated, offset = at, source; "evacuations");
-        }
-    }
-
     /// Everything that the log says of upstreams up to offset `end`.
     pub(crate) fn read_all(&self, records: Vec<Record>, end: u64, asked_ms: u64) {
         self.look();
@@ -410,154 +348,6 @@
             record: record.into(),
         });
     }
-
-    /// How much is known here.
-    pub(crate) fn mark(&self) -> NewsMark {
-        let now_ms = self.clock.now_ms();
-        let age =
-            |fresh: &Cell<Freshness>| u32::try_from(fresh.get().age_ms(now_ms)).unwrap_or(u32::MAX);
-        NewsMark {
-            config_version: self.beliefs.deployment().version,
-            config_age_ms: age(&self.config_fresh),
-            upstreams_at: self.upstreams_at.get(),
-            upstreams_age_ms: age(&self.upstreams_fresh),
-            orders_at: self.orders_at(),
-        }
-    }
-
-    /// Whether a router with this mark knows more.
-    pub(crate) fn is_behind(&self, mark: &NewsMark) -> bool {
-        mark.config_version > self.beliefs.deployment().version
-            || mark.upstreams_at > self.upstreams_at.get()
-            || mark.orders_at > self.orders_at()
-    }
-
-    /// Another router's mark, as it came in passing.
-    pub(crate) fn heard(&self, mark: &NewsMark) {
-        if !self.needs_refresh() {
-            self.confirm(mark, self.clock.now_ms());
-        }
-    }
-
-    /// What another router knew at `told_ms`: if that is no more than is known here, what it confirmed
-    /// holds here too.
-    fn confirm(&self, mark: &NewsMark, told_ms: u64) {
-        let at = |age_ms: u32| told_ms.saturating_sub(age_ms.into());
-        let has_orders = mark.orders_at == self.orders_at();
-        if has_orders && mark.config_version == self.beliefs.deployment().version {
-            self.confirm_config(at(mark.config_age_ms));
-        }
-        if mark.upstreams_at == self.upstreams_at.get() {
-            self.confirm_upstreams(at(mark.upstreams_age_ms));
-        }
-    }
-
-    /// What an asker doesn't know yet.
-    pub(crate) fn give(&self, ask: &NewsAsk) -> NewsGive {
-        let has_newer = self.beliefs.deployment().version > ask.config_version;
-        let missed = self.changes.borrow().since(ask.upstreams_at);
-        if missed.is_none() && !ask.takes_all {
-            return self.give_config_alone(ask, has_newer);
-        }
-        NewsGive {
-            config: if has_newer {
-                self.packed_config.borrow().to_vec()
-            } else {
-                Vec::new()
-            },
-            is_whole: missed.is_none(),
-            upstreams: missed.unwrap_or_else(|| self.whole()),
-            mark: Some(self.mark()),
-            evacuated: self.evacuated(ask),
-        }
-    }
-
-    /// What an asker gets that must read the upstreams from the log: as far as this answer says, nothing came since.
-    ///
-    /// Failure guarded against: hundreds of routers start at once while upstreams come and go. Each keeps the changes since
-    /// its own read alone, so those that read earlier would be given all upstreams again and again by those that read
-    /// later, over links that callers need. The log gives them the few changes that they miss.
-    fn give_config_alone(&self, ask: &NewsAsk, has_newer: bool) -> NewsGive {
-        let mark = NewsMark {
-            upstreams_at: ask.upstreams_at,
-            upstreams_age_ms: UNTOLD_MS,
-            ..self.mark()
-        };
-        NewsGive {
-            config: if has_newer {
-                self.packed_config.borrow().to_vec()
-            } else {
-                Vec::new()
-            },
-            is_whole: false,
-            upstreams: Vec::new(),
-            mark: Some(mark),
-            evacuated: self.evacuated(ask),
-        }
-    }
-
-    fn evacuated(&self, ask: &NewsAsk) -> Vec<String> {
-        let evacuations = self.beliefs.evacuations();
-        if evacuations.at() <= ask.orders_at {
-            return Vec::new();
-        }
-        evacuations.names().map(ToString::to_string).collect()
-    }
-
-    fn whole(&self) -> Vec<UpstreamNews> {
-        let upstreams = self.upstreams.borrow();
-        let news = |(id, record): (&Name, &Bytes)| UpstreamNews {
-            at: self.upstreams_at.get(),
-            id: id.to_string(),
-            record: record.to_vec(),
-        };
-        upstreams.iter().map(news).collect()
-    }
-
-    /// Takes what another router gave when it was asked at `asked_ms`.
-    pub(crate) fn take(&self, give: NewsGive, source: &str, asked_ms: u64) {
-        self.look();
-        let mark = give.mark.unwrap_or_default();
-        if !give.config.is_empty() {
-            self.configure_packed(&give.config, source);
-        }
-        if mark.orders_at > self.orders_at() {
-            let evacuated = give.evacuated.iter().map(|name| name.as_str().into());
-            self.take_evacuated(mark.orders_at, evacuated.collect(), source);
-        }
-        if mark.upstreams_at > self.upstreams_at.get() {
-            self.take_upstreams(give, mark.upstreams_at, source);
-        } else if mark.upstreams_age_ms == UNTOLD_MS {
-            self.read_anew();
-        }
-        self.confirm(&mark, asked_ms);
-        self.suspend.told_anew(asked_ms);
-    }
-
-    fn take_upstreams(&self, give: NewsGive, at: u64, source: &str) {
-        self.returned();
-        let is_whole = give.is_whole;
-        self.is_bulk.set(is_whole);
-        if is_whole {
-            self.start_at(at);
-            let there = |id: &Name| give.upstreams.iter().any(|u| *u.id == **id);
-            let known: Vec<Name> = self.upstreams.borrow().keys().cloned().collect();
-            for id in known.iter().filter(|id| !there(id)) {
-                self.remove(at, id);
-            }
-        }
-        for news in give.upstreams {
-            if news.record.is_empty() {
-                self.remove(news.at, &news.id);
-            } else {
-                self.put(news.at, &news.id, news.record.into());
-            }
-        }
-        self.upstreams_at.set(at);
-        if is_whole {
-            self.took_all(source);
-        }
-    }
 }
 
 /// What tests hold against the log.
--- /dev/null
+++ b/src/path/news/orders.rs
@@ -0,0 +1,73 @@
+//! What operators wrote: configurations and evacuations, by the offset of their stream.
+
+use std::collections::BTreeSet;
+
+use crate::path::dialect::Records;
+use crate::path::news::News;
+use crate::path::reading::Order;
+use crate::util::Name;
+
+impl<D: Records> News<D> {
+    /// The offset up to which configuration and evacuations are those of the log; 0 if nothing is known.
+    pub(crate) fn orders_at(&self) -> u64 {
+        self.beliefs.evacuations().at()
+    }
+
+    /// What operators wrote from offset `from` on: all there was at `seen_ms`, by a read that was asked for at
+    /// `asked_ms`.
+    pub(crate) fn read_orders(&self, from: u64, orders: Vec<Order>, asked_ms: u64, seen_ms: u64) {
+        self.look();
+        let end = from + orders.len() as u64;
+        for (at, order) in (from + 1..).zip(orders) {
+            self.order(at, order);
+        }
+        self.beliefs.change_evacuations(|e| e.read_to(end));
+        self.confirm_config(seen_ms);
+        self.suspend.told_anew(asked_ms);
+    }
+
+    /// The newest of all that operators wrote up to offset `end`.
+    pub(crate) fn read_all_orders(&self, orders: Vec<Order>, end: u64, asked_ms: u64) {
+        self.look();
+        let mut evacuated = BTreeSet::new();
+        for order in orders {
+            match order {
+                Order::Configure(record) => self.configure(record, "the store"),
+                Order::Evacuate(data_center) => {
+                    evacuated.insert(data_center);
+                }
+                Order::Readmit(_) | Order::Other => {}
+            }
+        }
+        self.take_evacuated(end, evacuated, "the store");
+        self.confirm_config(asked_ms);
+        self.suspend.told_anew(asked_ms);
+    }
+
+    fn order(&self, at: u64, order: Order) {
+        let (data_center, is_evacuated) = match order {
+            Order::Configure(record) => return self.configure(record, "the store"),
+            Order::Evacuate(data_center) => (data_center, true),
+            Order::Readmit(data_center) => (data_center, false),
+            Order::Other => return,
+        };
+        if self
+            .beliefs
+            .change_evacuations(|e| e.set(at, &data_center, is_evacuated))
+        {
+            log::info!(data_center:%, evacuated = is_evacuated, offset = at; "evacuation from the store");
+        }
+    }
+
+    pub(super) fn take_evacuated(&self, at: u64, evacuated: BTreeSet<Name>, source: &str) {
+        if self
+            .beliefs
+            .change_evacuations(|e| e.replace(at, evacuated))
+        {
+            let evacuations = self.beliefs.evacuations();
+            let names: Vec<&str> = evacuations.names().map(|n| &**n).collect();
+            let evacuated = names.join(",");
+            log::info!(evacuated, offset = at, source; "evacuations");
+        }
+    }
+}
