--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -329,7 +329,19 @@
     }
 
     pub(crate) async fn write_config(&self, text: &str) {
-        let body = record("config", text);
+        self.write_order("config", text).await;
+    }
+
+    /// Evacuates a data centre, or takes that back.
+    pub(crate) async fn evacuate(&self, data_center: &str, evacuated: bool) {
+        let key = format!("evacuate/{data_center}");
+        self.write_order(&key, if evacuated { "{}" } else { "" })
+            .await;
+    }
+
+    /// Writes what operators write under `key`; without a value, the key goes.
+    async fn write_order(&self, key: &str, value: &str) {
+        let body = record(key, value);
         let url = format!(
             "http://{}/log-append?stream_name=keyed.op&part=0",
             self.store.addr
@@ -382,18 +394,21 @@
     pub(crate) fn runs(&self) -> HashMap<String, Vec<Run>> {
         let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
         for name in &self.upstream_names {
-            let path = self.dir.path().join(format!("{name}.out"));
-            let text = std::fs::read_to_string(path).unwrap_or_default();
-            let of_upstream = text
-                .lines()
-                .filter_map(|l| serde_json::from_str::<Run>(l).ok());
-            for run in of_upstream {
+            for run in self.runs_at(name) {
                 runs.entry(run.request_id.clone()).or_default().push(run);
             }
         }
         runs
     }
 
+    /// Every run that the upstream process `name` recorded.
+    pub(crate) fn runs_at(&self, name: &str) -> Vec<Run> {
+        let path = self.dir.path().join(format!("{name}.out"));
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let runs = text.lines();
+        runs.filter_map(|l| serde_json::from_str(l).ok()).collect()
+    }
+
     pub(crate) fn runs_of(&self, id: &str) -> usize {
         self.runs().get(id).map_or(0, Vec::len)
     }
