A short request waits at its router for what the upstreams' queue leaves of its objective

The change: what three for each place and a long run take is taken off the wait, also in a burst; who can't start in it is refused at once, truly, with a time to come back.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -14,6 +14,8 @@
 //!   [`STANDING_MS`], only for as long as the answer could still be in time: otherwise all would be
 //!   late, each served after the wait of all before it (Maurer, "Fail at Scale", 2015, shortens the
 //!   wait of a standing queue in the same way).
+//! - Short requests queue at the upstreams too (see `allowance`). What that takes is taken off the wait here, in a burst as
+//!   well: given half of the objective here and half there, each of them is late, and so are those behind it.
 //! - Whoever can't start within that is refused at once, truly, and told when room is expected. Nobody
 //!   is refused while places are free that another router doesn't ask for.
 //!
@@ -155,7 +157,7 @@
             self.start(job.id, work_ms, now_ms);
             return Offer::Start;
         }
-        let patience = patience(&job, objective_ms, now_ms);
+        let patience = self.patience(&job, objective_ms, now_ms);
         let latest_ms = patience.latest_ms(self.must_be_in_time(room, now_ms));
         let start_ms = now_ms as f64 + self.wait_ms(&job, room);
         if !room.has_spare && start_ms > latest_ms as f64 {
@@ -218,6 +220,31 @@
         self.forget_empty_queue();
     }
 
+    fn patience(&self, job: &Job, objective_ms: u64, now_ms: u64) -> Patience {
+        let left_ms = job.deadline_ms.saturating_sub(now_ms) as f64;
+        let burst_ms = left_ms * BURST_SHARE;
+        let half_ms = objective_ms as f64 * IN_TIME_SHARE;
+        let (in_time_ms, burst_ms) = match self.upstream_ms() {
+            None => (half_ms.min(burst_ms), burst_ms),
+            Some(upstream_ms) => {
+                let spare_ms = (objective_ms as f64 - upstream_ms).max(0.0);
+                let in_time_ms = spare_ms.min(half_ms).min(burst_ms);
+                (in_time_ms, in_time_ms)
+            }
+        };
+        Patience {
+            in_time_ms: now_ms + in_time_ms as u64,
+            burst_ms: now_ms + burst_ms as u64,
+        }
+    }
+
+    /// How long an upstream takes for a request that queues there and then runs longer than usual; `None` where requests
+    /// don't queue there, or nothing was seen yet.
+    fn upstream_ms(&self) -> Option<f64> {
+        let queues_there = self.usual_ms().is_some_and(allowance::is_short);
+        queues_there.then(|| (self.fill() + 1.0) * self.usual_ms)
+    }
+
     fn forget_empty_queue(&mut self) {
         if self.queue.is_empty() {
             self.waiting_since_ms = None;
@@ -282,15 +309,6 @@
     }
 }
 
-fn patience(job: &Job, objective_ms: u64, now_ms: u64) -> Patience {
-    let left_ms = job.deadline_ms.saturating_sub(now_ms) as f64;
-    let in_time_ms = (objective_ms as f64 * IN_TIME_SHARE).min(left_ms * BURST_SHARE);
-    Patience {
-        in_time_ms: now_ms + in_time_ms as u64,
-        burst_ms: now_ms + (left_ms * BURST_SHARE) as u64,
-    }
-}
-
 /// The class of a request that `rank` kinds of request to its service go before.
 pub fn class(rank: u8) -> Priority {
     match rank {
--- a/src/decide/admission_tests.rs
+++ b/src/decide/admission_tests.rs
@@ -255,3 +255,39 @@
         "it still waits"
     );
 }
+
+/// A ticket: over in 60 ms, to be answered within 300 ms, given up after 1.5 s.
+fn ticket(id: u64, now_ms: u64) -> Ask {
+    let mut ask = ask(id, "a", Priority::Normal, now_ms);
+    ask.job.deadline_ms = now_ms + 1_500;
+    ask.objective_ms = 300;
+    ask
+}
+
+/// Tickets come in a burst. Upstreams have three for each of their places, so one that starts takes some 180 ms, and a
+/// long one 240 ms: it may wait here for the 60 ms that are left. Given the half of its objective that a longer request gets,
+/// or the 600 ms of a burst, all would come late, each behind the one before.
+#[test]
+fn ticket_waits_for_what_the_upstreams_queue_leaves() {
+    let (mut admission, mut rng) = (Admission::default(), SmallRng::seed_from_u64(1));
+    for id in 0..40 {
+        let started = admission.offer(ticket(id, 0), FULL, 0, &mut rng);
+        assert_eq!(started, Offer::Start);
+        admission.finish(JobId(id), 60);
+    }
+    assert_eq!(admission.fill(), 3.0);
+    for id in 100..110 {
+        let offer = admission.offer(ticket(id, 100), FULL, 100, &mut rng);
+        assert_eq!(offer, Offer::Start);
+    }
+    // Ten places end a ticket each 6 ms.
+    let offers = (110..130).map(|id| admission.offer(ticket(id, 100), FULL, 100, &mut rng));
+    let offers: Vec<Offer> = offers.collect();
+    let waiting = offers.iter().take_while(|o| **o == Offer::Wait).count();
+    assert!((9..=11).contains(&waiting), "{waiting} wait");
+    let refused = |o: &Offer| matches!(o, Offer::Refused(r) if r.run == RunState::NotRun);
+    assert!(offers[waiting..].iter().all(refused), "at once, as not run");
+    assert_eq!(admission.poll(FULL, 155, &mut rng), None);
+    let given_up = admission.poll(FULL, 165, &mut rng);
+    assert!(matches!(given_up, Some(Ready::Refused(..))), "{given_up:?}");
+}
--- a/src/decide/allowance.rs
+++ b/src/decide/allowance.rs
@@ -36,12 +36,17 @@
 /// assert_eq!(fill(2_000.0, 250.0), 0.9);
 /// ```
 pub fn fill(usual_ms: f64, wait_ms: f64) -> f64 {
-    if usual_ms >= SHORT_MS {
+    if !is_short(usual_ms) {
         return FILL;
     }
     (1.0 + wait_ms / usual_ms.max(1.0)).min(MAX_FILL)
 }
 
+/// Whether requests that usually take `usual_ms` queue at the upstreams.
+pub fn is_short(usual_ms: f64) -> bool {
+    usual_ms < SHORT_MS
+}
+
 /// The room of a router that wants `own` of `places`, where each of the other routers wants `others`.
 ///
 /// ```
