All upstreams go packed between routers; the log is asked twice for the configuration alone

Worked out, not shown: 1.2 MB of upstreams in base64 for each of 300 routers at the store's 80 MB a second are 4.5 s, and asked for twice after 400 ms, 9. So upstreams are asked for once; and a router that gives all of them gives them deflated, packed once an offset. What was O(n squared) in taking them is a set. Test: large_configuration_is_little_on_the_way.

--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -403,11 +403,13 @@
     #[prost(bytes = "vec", tag = "1")]
     #[serde(with = "serde_bytes")]
     pub config: ::prost::alloc::vec::Vec<u8>,
+    /// What changed.
     #[prost(message, repeated, tag = "2")]
     pub upstreams: ::prost::alloc::vec::Vec<UpstreamNews>,
-    /// The upstreams are all there are, not what changed.
-    #[prost(bool, tag = "3")]
-    pub is_whole: bool,
+    /// All upstreams there are, if what changed isn't known any more: a list of UpstreamNews, deflated.
+    #[prost(bytes = "vec", tag = "3")]
+    #[serde(with = "serde_bytes")]
+    pub all_upstreams: ::prost::alloc::vec::Vec<u8>,
     #[prost(message, optional, tag = "4")]
     pub mark: ::core::option::Option<NewsMark>,
     /// The data centres that are evacuated, if the mark's orders_at is beyond the asker's.
--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -34,6 +34,13 @@
     pub(crate) upstreams: Pace,
 }
 
+/// What was packed, and the offset that it is as of.
+#[derive(Default)]
+struct Packed {
+    bytes: Bytes,
+    at: u64,
+}
+
 /// Configuration and upstreams with what other routers need of them.
 pub(crate) struct News<D> {
     beliefs: Rc<Beliefs>,
@@ -41,6 +48,7 @@
     paces: Cell<Paces>,
     /// The configuration in force as other routers are told it.
     packed_config: RefCell<Bytes>,
+    packed_upstreams: RefCell<Packed>,
     config_fresh: Cell<Freshness>,
     upstreams: RefCell<HashMap<Name, Bytes>>,
     upstreams_at: Cell<u64>,
@@ -63,6 +71,7 @@
             clock,
             paces: Cell::new(paces),
             packed_config: RefCell::default(),
+            packed_upstreams: RefCell::default(),
             config_fresh: Cell::default(),
             upstreams: RefCell::default(),
             upstreams_at: Cell::default(),
--- a/src/path/news/told.rs
+++ b/src/path/news/told.rs
@@ -1,12 +1,14 @@
 //! What routers tell one another of the log, and what one makes of it.
 
 use std::cell::Cell;
+use std::collections::HashSet;
 
 use bytes::Bytes;
 
 use crate::fleet::news::Freshness;
 use crate::path::dialect::Records;
 use crate::path::news::News;
+use crate::peers::{frames, packed};
 use crate::schema::peer::{NewsAsk, NewsGive, NewsMark, UpstreamNews};
 use crate::util::Name;
 
@@ -62,17 +64,21 @@
         if missed.is_none() && !ask.takes_all {
             return self.give_config_alone(ask, has_newer);
         }
-        NewsGive {
-            config: if has_newer {
-                self.packed_config.borrow().to_vec()
-            } else {
-                Vec::new()
-            },
-            is_whole: missed.is_none(),
-            upstreams: missed.unwrap_or_else(|| self.whole()),
+        let mut give = NewsGive {
+            config: self.packed_config(has_newer),
             mark: Some(self.mark()),
             evacuated: self.evacuated(ask),
-        }
+            ..NewsGive::default()
+        };
+        let Some(changes) = missed else {
+            give.all_upstreams = self.packed_upstreams();
+            if give.all_upstreams.is_empty() {
+                return self.give_config_alone(ask, has_newer);
+            }
+            return give;
+        };
+        give.upstreams = changes;
+        give
     }
 
     /// What an asker gets that must read the upstreams from the log: as far as this answer says, nothing came since.
@@ -87,15 +93,18 @@
             ..self.mark()
         };
         NewsGive {
-            config: if has_newer {
-                self.packed_config.borrow().to_vec()
-            } else {
-                Vec::new()
-            },
-            is_whole: false,
-            upstreams: Vec::new(),
+            config: self.packed_config(has_newer),
             mark: Some(mark),
             evacuated: self.evacuated(ask),
+            ..NewsGive::default()
+        }
+    }
+
+    fn packed_config(&self, is_wanted: bool) -> Vec<u8> {
+        if is_wanted {
+            self.packed_config.borrow().to_vec()
+        } else {
+            Vec::new()
         }
     }
 
@@ -107,14 +116,33 @@
         evacuations.names().map(ToString::to_string).collect()
     }
 
-    fn whole(&self) -> Vec<UpstreamNews> {
+    /// All upstreams, packed once for all that ask at the same offset.
+    ///
+    /// Failure guarded against: thousands of records take hundreds of kilobytes. A fleet that starts at once hands them from
+    /// router to router over thin links, and callers wait for those links.
+    fn packed_upstreams(&self) -> Vec<u8> {
+        let at = self.upstreams_at.get();
+        let mut packed = self.packed_upstreams.borrow_mut();
+        if packed.at != at {
+            packed.bytes = self.pack_upstreams();
+            packed.at = at;
+        }
+        packed.bytes.to_vec()
+    }
+
+    fn pack_upstreams(&self) -> Bytes {
         let upstreams = self.upstreams.borrow();
         let news = |(id, record): (&Name, &Bytes)| UpstreamNews {
             at: self.upstreams_at.get(),
             id: id.to_string(),
             record: record.to_vec(),
         };
-        upstreams.iter().map(news).collect()
+        let all: Vec<UpstreamNews> = upstreams.iter().map(news).collect();
+        let packed = frames::to_vec(&all).map_err(|e| e.to_string());
+        let packed = packed.and_then(|all| packed::pack(&all).map_err(|e| e.to_string()));
+        packed
+            .inspect_err(|e| log::error!("upstreams can't be told: {e}"))
+            .unwrap_or_default()
     }
 
     /// Takes what another router gave when it was asked at `asked_ms`.
@@ -129,7 +157,9 @@
             self.take_evacuated(mark.orders_at, evacuated.collect(), source);
         }
         if mark.upstreams_at > self.upstreams_at.get() {
-            self.take_upstreams(give, mark.upstreams_at, source);
+            if !self.take_upstreams(give, mark.upstreams_at, source) {
+                return;
+            }
         } else if mark.upstreams_age_ms == UNTOLD_MS {
             self.read_anew();
         }
@@ -137,28 +167,49 @@
         self.suspend.told_anew(asked_ms);
     }
 
-    fn take_upstreams(&self, give: NewsGive, at: u64, source: &str) {
-        self.returned();
-        let is_whole = give.is_whole;
-        self.is_bulk.set(is_whole);
-        if is_whole {
-            self.start_at(at);
-            let there = |id: &Name| give.upstreams.iter().any(|u| *u.id == **id);
-            let known: Vec<Name> = self.upstreams.borrow().keys().cloned().collect();
-            for id in known.iter().filter(|id| !there(id)) {
-                self.remove(at, id);
+    /// Tells whether what was given could be read.
+    fn take_upstreams(&self, give: NewsGive, at: u64, source: &str) -> bool {
+        if give.all_upstreams.is_empty() {
+            self.returned();
+            self.take_changes(give.upstreams);
+            self.upstreams_at.set(at);
+            return true;
+        }
+        let all = packed::unpack(&give.all_upstreams).map_err(|e| e.to_string());
+        let all = all.and_then(|all| frames::from_slice(&all).map_err(|e| e.to_string()));
+        match all {
+            Ok(all) => {
+                self.returned();
+                self.take_all(all, at, source);
+                true
             }
+            Err(e) => {
+                log::error!("upstreams from {source} can't be unpacked: {e}");
+                false
+            }
+        }
+    }
+
+    fn take_all(&self, all: Vec<UpstreamNews>, at: u64, source: &str) {
+        self.is_bulk.set(true);
+        self.start_at(at);
+        let there: HashSet<&str> = all.iter().map(|u| u.id.as_str()).collect();
+        let known: Vec<Name> = self.upstreams.borrow().keys().cloned().collect();
+        for id in known.iter().filter(|id| !there.contains(&***id)) {
+            self.remove(at, id);
         }
-        for news in give.upstreams {
+        self.take_changes(all);
+        self.upstreams_at.set(at);
+        self.took_all(source);
+    }
+
+    fn take_changes(&self, changes: Vec<UpstreamNews>) {
+        for news in changes {
             if news.record.is_empty() {
                 self.remove(news.at, &news.id);
             } else {
                 self.put(news.at, &news.id, news.record.into());
             }
         }
-        self.upstreams_at.set(at);
-        if is_whole {
-            self.took_all(source);
-        }
     }
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod frames;
 pub(crate) mod http2;
 pub(crate) mod packed;
+#[cfg(test)]
+mod packed_tests;
 pub(crate) mod probes;
 pub(crate) mod refuse;
 pub(crate) mod server;
--- /dev/null
+++ b/src/peers/packed_tests.rs
@@ -0,0 +1,27 @@
+use super::packed::{pack, unpack};
+
+/// An operator adds 1,400 routes, and dozens of routers ask the first one that has them, over a link of 10 Mbit/s. Within the
+/// second that a question may take, forty must get it: 30 KB each.
+#[test]
+fn large_configuration_is_little_on_the_way() {
+    let route = |i: u32| {
+        format!(
+            r#"{{"name":"r-{i:x}","host":"h{i}.example","path_prefix":"/p{}/","type":"streaming","timeout_ms":12000,"target_latency_ms":800,"priority":1,"service":"s{}","max_attempts":1,"public":false,"session_affinity":true,"stream_resume":false,"target_gap_ms":400}}"#,
+            i.wrapping_mul(2_654_435_761),
+            i % 2
+        )
+    };
+    let routes: Vec<String> = (0..1_400).map(route).collect();
+    let config = format!(r#"{{"version":7,"routes":[{}]}}"#, routes.join(","));
+    assert!(config.len() > 250_000);
+    let packed = pack(config.as_bytes()).unwrap();
+    assert!(packed.len() < 30_000, "{} bytes", packed.len());
+    assert_eq!(unpack(&packed).unwrap(), config.as_bytes());
+}
+
+#[test]
+fn garbled_or_endless_records_are_refused() {
+    assert!(unpack(b"no such thing").is_err());
+    let endless = pack(&vec![0; 17 << 20]).unwrap();
+    assert!(unpack(&endless).is_err());
+}
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -102,7 +102,7 @@
         compio::runtime::spawn(peers::ask_after_suspend(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::join(path.clone(), client, seeds)).detach();
         compio::runtime::spawn(follow_orders(open, path.clone())).detach();
-        compio::runtime::spawn(follow_upstreams(open, path.clone())).detach();
+        compio::runtime::spawn(follow_upstreams(open(), path.clone())).detach();
         compio::runtime::spawn(fleet.clone().follow()).detach();
         compio::runtime::spawn(tend(path.clone())).detach();
         let entry_ttl = Duration::from_millis(policy.entry_ttl_ms.into());
