The pool's last resorts are one ladder; homes are looked up only where routes have some

An entry answer went through the homes of all routes of its name for each router; now only through those that some route has.

--- a/src/path/beliefs/pool.rs
+++ b/src/path/beliefs/pool.rs
@@ -13,6 +13,21 @@
 /// asked for every few seconds.
 const WARM_MS: u64 = 8_000;
 
+/// What is overlooked where no upstream would be left: trying is better than refusing for what was true a moment ago.
+#[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
+enum Lenience {
+    None,
+    /// That it was ejected.
+    Ejected,
+    /// That it took no connection.
+    Unreachable,
+    /// That this request failed there: it may be served there now.
+    Tried,
+}
+
+/// In the order in which more is overlooked.
+const LENIENCES: [Lenience; 3] = [Lenience::Ejected, Lenience::Unreachable, Lenience::Tried];
+
 impl Beliefs {
     /// The upstreams of `service` that take work, and how each is believed to stand now; this router
     /// may have `max_open` connections to each.
@@ -46,6 +61,12 @@
         };
         let is_unreachable =
             |u: &Upstream| decisions.unreachable && health.is_unreachable(u, now_ms);
+        let is_barred = |u: &Upstream, lenience: Lenience| {
+            takes_no_more(u)
+                || (lenience < Lenience::Tried || !tried.may_return) && tried.has(&u.id)
+                || lenience < Lenience::Unreachable && is_unreachable(u)
+                || lenience < Lenience::Ejected && is_out(u)
+        };
         let joined = self.joined_ms.borrow();
         let told = |u: &Rc<Upstream>| {
             let told = others.get(&digest(&u.id));
@@ -60,29 +81,18 @@
             own: own(u),
             slots: u.slots,
             near: u.data_center == self.data_center,
-            barred: takes_no_more(u) || tried.has(&u.id) || is_out(u) || is_unreachable(u),
+            barred: is_barred(u, Lenience::None),
             has_parts: health.is_source(u, now_ms)
                 && !evacuations.holds(&u.data_center)
                 && joined.get(&u.id).is_none_or(|at| at + WARM_MS < now_ms),
         };
         let mut seats: Vec<Seat> = pool.iter().zip(&of_others).map(seat).collect();
-        if seats.iter().all(|s| s.barred) {
-            // All that are left were ejected: trying is better than refusing for what was true a
-            // moment ago.
-            for (seat, upstream) in seats.iter_mut().zip(&pool) {
-                seat.barred =
-                    takes_no_more(upstream) || tried.has(&upstream.id) || is_unreachable(upstream);
+        for lenience in LENIENCES {
+            if seats.iter().any(|s| !s.barred) {
+                break;
             }
-        }
-        if seats.iter().all(|s| s.barred) {
-            for (seat, upstream) in seats.iter_mut().zip(&pool) {
-                seat.barred = takes_no_more(upstream) || tried.has(&upstream.id);
-            }
-        }
-        if tried.may_return && seats.iter().all(|s| s.barred) {
-            // Those that failed this request once may serve it now.
             for (seat, upstream) in seats.iter_mut().zip(&pool) {
-                seat.barred = takes_no_more(upstream);
+                seat.barred = is_barred(upstream, lenience);
             }
         }
         (pool, seats)
--- a/src/path/routes.rs
+++ b/src/path/routes.rs
@@ -237,10 +237,11 @@
         of_host.iter().find(|r| path.starts_with(&*r.path_prefix))
     }
 
-    /// The homes of all routes of `host`.
+    /// The homes of those routes of `host` that have some.
     pub fn homes(&self, host: &str) -> Vec<&Homes> {
         let routes = self.routes.get(host).into_iter().flatten();
-        routes.map(|r| &r.homes).collect()
+        let homes = routes.map(|r| &r.homes);
+        homes.filter(|h| h.is_some()).collect()
     }
 
     /// Connections that each upstream of `service` takes from all routers together, if it says.
