--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -37,6 +37,8 @@
 #[cfg(test)]
 mod news_fake_tests;
 #[cfg(test)]
+mod news_fleet_tests;
+#[cfg(test)]
 mod news_fuzz_tests;
 #[cfg(test)]
 mod news_tests;
