--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -32,6 +32,7 @@
         .field_attribute(".peer.Forward.body", "#[serde(with = \"serde_bytes\")]")
         .field_attribute(".peer.Header.value", "#[serde(with = \"serde_bytes\")]")
         .field_attribute(".peer.NewsGive.config", "#[serde(with = \"serde_bytes\")]")
+        .field_attribute(".peer.NewsGive.changes", "#[serde(with = \"serde_bytes\")]")
         .field_attribute(
             ".peer.NewsGive.all_upstreams",
             "#[serde(with = \"serde_bytes\")]",
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -397,16 +397,17 @@
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
-#[derive(Clone, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NewsGive {
     /// Empty if the asker has it; deflated.
     #[prost(bytes = "vec", tag = "1")]
     #[serde(with = "serde_bytes")]
     pub config: ::prost::alloc::vec::Vec<u8>,
-    /// What changed.
-    #[prost(message, repeated, tag = "2")]
-    pub upstreams: ::prost::alloc::vec::Vec<UpstreamNews>,
-    /// All upstreams there are, if what changed isn't known any more: a list of UpstreamNews, deflated.
+    /// What changed: a list of UpstreamNews, deflated. Empty if nothing did.
+    #[prost(bytes = "vec", tag = "2")]
+    #[serde(with = "serde_bytes")]
+    pub changes: ::prost::alloc::vec::Vec<u8>,
+    /// All upstreams there are, if what changed isn't known any more; the same.
     #[prost(bytes = "vec", tag = "3")]
     #[serde(with = "serde_bytes")]
     pub all_upstreams: ::prost::alloc::vec::Vec<u8>,
--- a/src/path/news/told.rs
+++ b/src/path/news/told.rs
@@ -77,7 +77,12 @@
             }
             return give;
         };
-        give.upstreams = changes;
+        if !changes.is_empty() {
+            give.changes = pack(&changes);
+            if give.changes.is_empty() {
+                return self.give_config_alone(ask, has_newer);
+            }
+        }
         give
     }
 
@@ -124,13 +129,13 @@
         let at = self.upstreams_at.get();
         let mut packed = self.packed_upstreams.borrow_mut();
         if packed.at != at {
-            packed.bytes = self.pack_upstreams();
+            packed.bytes = self.pack_upstreams().into();
             packed.at = at;
         }
         packed.bytes.to_vec()
     }
 
-    fn pack_upstreams(&self) -> Bytes {
+    fn pack_upstreams(&self) -> Vec<u8> {
         let upstreams = self.upstreams.borrow();
         let news = |(id, record): (&Name, &Bytes)| UpstreamNews {
             at: self.upstreams_at.get(),
@@ -138,11 +143,7 @@
             record: record.to_vec(),
         };
         let all: Vec<UpstreamNews> = upstreams.iter().map(news).collect();
-        let packed = frames::to_vec(&all).map_err(|e| e.to_string());
-        let packed = packed.and_then(|all| packed::pack(&all).map_err(|e| e.to_string()));
-        packed
-            .inspect_err(|e| log::error!("upstreams can't be told: {e}"))
-            .unwrap_or_default()
+        pack(&all)
     }
 
     /// Takes what another router gave when it was asked at `asked_ms`.
@@ -169,25 +170,27 @@
 
     /// Tells whether what was given could be read.
     fn take_upstreams(&self, give: NewsGive, at: u64, source: &str) -> bool {
-        if give.all_upstreams.is_empty() {
-            self.returned();
-            self.take_changes(give.upstreams);
-            self.upstreams_at.set(at);
-            return true;
-        }
-        let all = packed::unpack(&give.all_upstreams).map_err(|e| e.to_string());
-        let all = all.and_then(|all| frames::from_slice(&all).map_err(|e| e.to_string()));
-        match all {
-            Ok(all) => {
-                self.returned();
-                self.take_all(all, at, source);
-                true
-            }
+        let is_all = !give.all_upstreams.is_empty();
+        let packed = if is_all {
+            &give.all_upstreams
+        } else {
+            &give.changes
+        };
+        let news = match unpack(packed) {
+            Ok(news) => news,
             Err(e) => {
                 log::error!("upstreams from {source} can't be unpacked: {e}");
-                false
+                return false;
             }
+        };
+        self.returned();
+        if is_all {
+            self.take_all(news, at, source);
+        } else {
+            self.take_changes(news);
+            self.upstreams_at.set(at);
         }
+        true
     }
 
     fn take_all(&self, all: Vec<UpstreamNews>, at: u64, source: &str) {
@@ -213,3 +216,21 @@
         }
     }
 }
+
+/// Upstreams as they go between routers; nothing if they can't be packed, which is logged.
+fn pack(news: &Vec<UpstreamNews>) -> Vec<u8> {
+    let listed = frames::to_vec(news).map_err(|e| e.to_string());
+    let packed = listed.and_then(|listed| packed::pack(&listed).map_err(|e| e.to_string()));
+    packed
+        .inspect_err(|e| log::error!("upstreams can't be told: {e}"))
+        .unwrap_or_default()
+        .to_vec()
+}
+
+fn unpack(packed: &[u8]) -> Result<Vec<UpstreamNews>, String> {
+    if packed.is_empty() {
+        return Ok(Vec::new());
+    }
+    let listed = packed::unpack(packed).map_err(|e| e.to_string())?;
+    frames::from_slice(&listed).map_err(|e| e.to_string())
+}
--- a/src/path/news_tests.rs
+++ b/src/path/news_tests.rs
@@ -180,7 +180,7 @@
         orders_at: 0,
     };
     let give = later.news.give(&ask);
-    assert!(give.upstreams.is_empty() && give.all_upstreams.is_empty());
+    assert!(give.changes.is_empty() && give.all_upstreams.is_empty());
     earlier.news.take(give, "later", 1_000);
     assert_eq!(earlier.beliefs.deployment().version, 7);
     assert_eq!(earlier.news.upstreams_at(), 4);
