--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -28,6 +28,21 @@
     pub cold_ms: u64,
 }
 
+impl Upstream {
+    /// Whether `next` says nothing that matters beyond this: at most that it is a little less cold.
+    ///
+    /// Failure guarded against: a cold upstream writes each second how much longer it stays so. Taken for changes, a start of
+    /// thousands is told between hundreds of routers several times over.
+    fn covers(&self, next: &Self) -> bool {
+        let counts_down = next.cold_ms > 0 && next.cold_ms <= self.cold_ms;
+        let rest = Self {
+            cold_ms: self.cold_ms,
+            ..next.clone()
+        };
+        rest == *self && (counts_down || next.cold_ms == self.cold_ms)
+    }
+}
+
 /// All upstreams that are there.
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
@@ -56,13 +71,19 @@
     /// assert!(!upstreams.put(one.clone()));
     /// assert!(upstreams.put(Upstream { draining: true, ..one }));
     /// assert!(upstreams.pool("s")[0].draining);
+    /// // Cold, still cold, warm.
+    /// let cold = |cold_ms| Upstream { cold_ms, ..(*upstreams.pool("s")[0]).clone() };
+    /// let (first, second, warm) = (cold(3_000), cold(1_800), cold(0));
+    /// assert!(upstreams.put(first));
+    /// assert!(!upstreams.put(second));
+    /// assert!(upstreams.put(warm));
     /// assert!(upstreams.remove("i-1"));
     /// ```
     pub fn put(&mut self, upstream: Upstream) -> bool {
         if self
             .by_id
             .get(&upstream.id)
-            .is_some_and(|u| **u == upstream)
+            .is_some_and(|u| u.covers(&upstream))
         {
             return false;
         }
