--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -308,7 +308,9 @@
         let read = |p: &Process| std::fs::read_to_string(self.out_path(&p.name)).unwrap();
         let texts: Vec<String> = self.routers.iter().map(read).collect();
         let lines = texts.iter().flat_map(|t| t.lines());
-        lines.filter_map(|l| serde_json::from_str(l).ok()).collect()
+        let objects = lines.filter_map(|l| serde_json::from_str(l).ok());
+        // Log lines stand on the same output.
+        objects.filter(|o: &Value| o["kind"].is_string()).collect()
     }
 
     /// What all upstreams recorded so far, killed ones included.
