Tests read a router's log only once it holds all that was logged

No caller saw anything: the router had its configuration from the log.

Cause: a router gathers its lines for 20 ms before they go out (src/outlet.rs), by design; the test read the file as its answer came, which by then may be as much as those 20 ms and a busy writer's turn old. Ruled out: that the first process's line is lost by its kill (it stands in all ten logs), that the line comes from a peer (none does), that it's logged after the request is served.

Routed::log_until_now and Fleet::events_until_now send a request that is refused and wait for its line: lines keep their order, so all earlier ones are there. The test's checks are as they were; its check that no peer was asked now sees what it might have missed. The same fault elsewhere, mended alike: replaced_upstream_is_asked_once, chat_is_answered_whole (both count what must be few or none, and could pass unread), every_router_serves_every_chat, returning_chats_land_at_their_home.

--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -29,7 +29,7 @@
             assert_eq!(answer.status, 200, "{answer:?}");
             assert!(answer.whole);
         }
-        let events = fleet.events();
+        let events = fleet.events_until_now().await;
         hops.push(
             events
                 .iter()
--- a/tests/routed_store.rs
+++ b/tests/routed_store.rs
@@ -169,7 +169,7 @@
     routed.routers[1].kill();
     routed.spawn_router(1);
     routed.wait_status(1, "/get/1", 200).await;
-    let log = routed.log(1);
+    let log = routed.log_until_now(1).await;
     let starts = log.matches("in force, from the store").count();
     assert_eq!(starts, 2, "{log}");
     assert!(!log.contains("in force, from 127."), "{log}");
--- a/tests/routed_upstream_faults.rs
+++ b/tests/routed_upstream_faults.rs
@@ -177,7 +177,8 @@
         let (_, received) = routed.call(0, "/get/1", "1").await;
         assert_eq!(received.unwrap().status, 200);
     }
-    let rejected = routed.log(0).matches("rejected with 421").count();
+    let log = routed.log_until_now(0).await;
+    let rejected = log.matches("rejected with 421").count();
     assert!(rejected <= usize::from(REPLACED), "{rejected} rejections");
 }
 
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use super::caller::{get, put, set_knobs, wait_until};
+use super::caller::{call, get, put, set_knobs, wait_until};
 use super::operator::{
     account, apply_at, data_center, engine_service, plain_service, upstream, upstream_at,
 };
@@ -303,7 +303,24 @@
         .await;
     }
 
-    /// Every time line event the routers wrote, in no order.
+    /// Every time line event up to now of routers that all run, in no order. Lines leave a router in order but some time
+    /// later: a request that is refused marks the place.
+    pub(crate) async fn events_until_now(&self) -> Vec<Value> {
+        for i in 0..self.routers.len() {
+            let addr = self.caller(u8::try_from(i).unwrap());
+            let refused = call(addr, "POST", "/no-route", &[], "").await.unwrap();
+            let refused: Value = serde_json::from_str(&refused.body).unwrap();
+            let id = &refused["error"]["request_id"];
+            assert!(id.is_string(), "{refused}");
+            wait_until("the events to hold all until now", || async {
+                self.events().iter().any(|e| e["request_id"] == *id)
+            })
+            .await;
+        }
+        self.events()
+    }
+
+    /// Every time line event that the routers wrote out so far, in no order.
     pub(crate) fn events(&self) -> Vec<Value> {
         let read = |p: &Process| std::fs::read_to_string(self.out_path(&p.name)).unwrap();
         let texts: Vec<String> = self.routers.iter().map(read).collect();
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -413,6 +413,19 @@
         self.runs().get(id).map_or(0, Vec::len)
     }
 
+    /// The log of router `i` with all that it logged before this call. Lines leave a router in order but some time later:
+    /// a request that is refused marks the place.
+    pub(crate) async fn log_until_now(&self, i: u8) -> String {
+        let (id, received) = self.call(i, "/no-route", "").await;
+        assert_eq!(received.map(|r| r.status), Some(404));
+        wait_until("the log to hold all until now", || async {
+            self.log(i).contains(&id)
+        })
+        .await;
+        self.log(i)
+    }
+
+    /// The log of router `i` as far as it was written out, which may be behind what the router does.
     pub(crate) fn log(&self, i: u8) -> String {
         let path = self.dir.path().join(format!("router-{i}.out"));
         std::fs::read_to_string(path).unwrap_or_default()
--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -42,7 +42,8 @@
     );
     assert_eq!(answer.data().last(), Some(&"[DONE]"));
     assert!(answer.body.contains(": chunks=13"), "{}", answer.body);
-    let hopped = fleet.events().iter().any(|e| e["kind"] == "request_hopped");
+    let events = fleet.events_until_now().await;
+    let hopped = events.iter().any(|e| e["kind"] == "request_hopped");
     assert!(!hopped, "the entry answer named the home");
 }
 
@@ -59,7 +60,8 @@
             .unwrap();
         assert_eq!(answer.text(), expected_answer(&prompt, 4), "{answer:?}");
     }
-    let hopped = fleet.events().iter().any(|e| e["kind"] == "request_hopped");
+    let events = fleet.events_until_now().await;
+    let hopped = events.iter().any(|e| e["kind"] == "request_hopped");
     assert!(hopped, "some chats had their home elsewhere");
 }
 
