A router that knows nothing confirms nothing to others

Cause: an age is counted from the last confirmation, and one that never came counts from the start of the clock. A router that started 400 ms ago and knows nothing said "nothing, 400 ms old"; another that knew nothing either found its own state confirmed as of its 50th ms. By that it was neither stale nor in need of the log: if its first read failed, it would not read again for 1.3 to 1.8 s, and again after the next such message.

Such a state now has an age beyond any clock. routers_that_know_nothing_confirm_nothing failed before. Ruled out as the cause: is_loaded itself (the same with a confirmation by the log alone).

--- a/src/path/news/told.rs
+++ b/src/path/news/told.rs
@@ -14,13 +14,14 @@
 
 /// The age of upstreams that the giver knows more of than it tells.
 const UNTOLD_MS: u32 = u32::MAX;
+/// The age of what the giver doesn't know at all: older than any clock, so that it confirms nothing.
+const UNKNOWN_MS: u32 = u32::MAX - 1;
 
 impl<D: Records> News<D> {
     /// How much is known here.
     pub(crate) fn mark(&self) -> NewsMark {
         let now_ms = self.clock.now_ms();
-        let age =
-            |fresh: &Cell<Freshness>| u32::try_from(fresh.get().age_ms(now_ms)).unwrap_or(u32::MAX);
+        let age = |fresh: &Cell<Freshness>| age_ms(fresh.get(), now_ms);
         NewsMark {
             config_version: self.beliefs.deployment().version,
             config_age_ms: age(&self.config_fresh),
@@ -218,6 +219,13 @@
 }
 
 /// Upstreams as they go between routers; nothing if they can't be packed, which is logged.
+fn age_ms(fresh: Freshness, now_ms: u64) -> u32 {
+    if fresh.confirmed_ms() == 0 {
+        return UNKNOWN_MS;
+    }
+    u32::try_from(fresh.age_ms(now_ms)).map_or(UNKNOWN_MS, |ms| ms.min(UNKNOWN_MS))
+}
+
 fn pack(news: &Vec<UpstreamNews>) -> Vec<u8> {
     let listed = frames::to_vec(news).map_err(|e| e.to_string());
     let packed = listed.and_then(|listed| packed::pack(&listed).map_err(|e| e.to_string()));
--- a/src/path/news_tests.rs
+++ b/src/path/news_tests.rs
@@ -134,6 +134,20 @@
     assert_eq!(other.news.upstreams_at(), last);
 }
 
+/// Routers that start at once must not take one another's empty state for fresh news: none would read the log when its first read fails.
+#[test]
+fn routers_that_know_nothing_confirm_nothing() {
+    let clock_at = |ms| Clock::set_by(Box::leak(Box::new(AtomicU64::new(ms))));
+    let (late, early) = (
+        Router::with_clock(clock_at(500)),
+        Router::with_clock(clock_at(900)),
+    );
+    early.news.heard(&late.news.mark());
+    early.learn_from(&late);
+    assert_eq!(early.news.config_confirmed_ms(), 0);
+    assert_eq!(early.news.upstreams_confirmed_ms(), 0);
+}
+
 /// Two routers tell each other in turn; the one that knows an older version must not bring it back.
 #[test]
 fn older_version_is_not_taken_from_a_peer() {
