Requests that reach a loading router wait for its first load

What callers saw: 503 "no configuration is known yet" and "no upstream left" from routers that would know both within 400 ms; they came back 300 to 450 ms later, past their objectives, some with no retry left.

A request now waits for the first load, at most half of its caller's time and until 2 s after the start; none while the log fails. A counter and an event say so. requests_wait_for_the_first_load (two cases) failed before with 503.

--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use tokio::sync::Notify;
 
 use crate::fleet::news::{Freshness, Pace};
 use crate::path::beliefs::Beliefs;
@@ -61,6 +62,7 @@
     is_bulk: Cell<bool>,
     log_fails: Cell<bool>,
     suspend: SuspendGuard,
+    loaded: Rc<Notify>,
     records: PhantomData<D>,
 }
 
@@ -82,6 +84,7 @@
             is_bulk: Cell::default(),
             log_fails: Cell::default(),
             suspend: SuspendGuard::new(clock),
+            loaded: Rc::default(),
             records: PhantomData,
         }
     }
@@ -136,18 +139,39 @@
         }
     }
 
+    /// Whether both configuration and upstreams were loaded since the start of this router.
+    pub(crate) fn is_loaded(&self) -> bool {
+        let has_config = self.config_fresh.get().confirmed_ms() > 0;
+        has_config && self.upstreams_fresh.get().confirmed_ms() > 0
+    }
+
+    /// Notified once both are.
+    pub(crate) fn loaded(&self) -> Rc<Notify> {
+        self.loaded.clone()
+    }
+
     /// The configuration is the newest there was at `at_ms`.
     pub(crate) fn confirm_config(&self, at_ms: u64) {
+        let was_loaded = self.is_loaded();
         let mut fresh = self.config_fresh.get();
         fresh.confirm(at_ms, &mut rand::rng());
         self.config_fresh.set(fresh);
+        self.notify_loaded(was_loaded);
     }
 
     /// The upstreams are all there were at `at_ms`.
     pub(crate) fn confirm_upstreams(&self, at_ms: u64) {
+        let was_loaded = self.is_loaded();
         let mut fresh = self.upstreams_fresh.get();
         fresh.confirm(at_ms, &mut rand::rng());
         self.upstreams_fresh.set(fresh);
+        self.notify_loaded(was_loaded);
+    }
+
+    fn notify_loaded(&self, was_loaded: bool) {
+        if !was_loaded && self.is_loaded() {
+            self.loaded.notify_waiters();
+        }
     }
 
     /// How fresh the configuration is.
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -32,6 +32,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// For a router that was suspended to ask anew: some round trips to the store or to another router.
 const REFRESH_LIMIT: Duration = Duration::from_millis(400);
+/// How long after its start a router holds requests for its first load; one that takes longer is jammed or cut off.
+const LOAD_LIMIT_MS: u64 = 2_000;
+/// Part of a caller's time that may pass before the first load: the rest is for the request itself.
+const LOAD_WAIT_SHARE: f64 = 0.5;
 /// Where a caller doesn't say how long it waits.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -69,6 +73,8 @@
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
     refresh_after_suspend(&path).await;
+    let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    wait_for_first_load(&path, &head, caller_ms).await;
     let deployment = path.beliefs.deployment();
     check(&parts, &deployment.limits)?;
     if path.drain.phase() == Phase::Refusing {
@@ -85,7 +91,6 @@
         let detail = "requests like this one crashed upstreams";
         return Err(Refused::not_run(Cause::Quarantined, left_ms, detail));
     }
-    let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline = started + Duration::from_millis(caller_ms.min(route.timeout_ms));
     let service = route.draw_service(&mut rand::rng()).clone();
     tally.service(&service);
@@ -154,6 +159,29 @@
     let _ = compio::time::timeout(REFRESH_LIMIT, refreshed.notified()).await;
 }
 
+/// Holds a request that comes to a router which is still loading configuration and upstreams.
+///
+/// Refused instead, all callers of a fleet that restarts come back together some hundred milliseconds later, when their
+/// objectives are missed and some have no retry left. Nothing is held while the log is known to fail.
+async fn wait_for_first_load<D: Records>(path: &Path<D>, head: &CallerHead, caller_ms: u64) {
+    if path.news.is_loaded() || path.news.log_fails() {
+        return;
+    }
+    let came_ms = path.clock.now_ms();
+    let left_ms = LOAD_LIMIT_MS.saturating_sub(came_ms);
+    let wait_ms = left_ms.min((caller_ms as f64 * LOAD_WAIT_SHARE) as u64);
+    let loaded = path.news.loaded();
+    let wait = Duration::from_millis(wait_ms);
+    // A request whose time is up is refused by what is missing then.
+    let _ = compio::time::timeout(wait, loaded.notified()).await;
+    stats::held_for_load();
+    let waited_ms = path.clock.now_ms().saturating_sub(came_ms);
+    path.events.emit(Kind::RequestQueued, |e| {
+        e.request_id = head.request_id.clone().unwrap_or_default();
+        e.detail = format!("{waited_ms} ms for this router's first load");
+    });
+}
+
 fn fingerprint(account: Option<&Account>, parts: &Parts, body: &[u8]) -> u64 {
     let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
     quarantine::fingerprint(account.map_or("", |a| &*a.name), target, body)
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -18,6 +18,7 @@
 const CONNECTIONS: &str = "cassiagrade_caller_connections";
 const CALLERS_CUT: &str = "cassiagrade_callers_cut_total";
 const QUEUE_WAIT_MS: &str = "cassiagrade_queue_wait_ms";
+const HELD_FOR_LOAD: &str = "cassiagrade_requests_held_for_load_total";
 const HOPS: &str = "cassiagrade_hops_total";
 const CONTROL_BYTES: &str = "cassiagrade_control_bytes_total";
 const CONTROL_MESSAGES: &str = "cassiagrade_control_messages_total";
@@ -74,6 +75,10 @@
         QUEUE_WAIT_MS,
         "Wait for a place at the home, or at the router that sends itself, in milliseconds"
     );
+    describe_counter!(
+        HELD_FOR_LOAD,
+        "Requests that waited for this router's first load of configuration and upstreams"
+    );
     describe_counter!(HOPS, "Requests passed on to another router");
     describe_counter!(
         CONTROL_BYTES,
@@ -154,6 +159,11 @@
     histogram!(QUEUE_WAIT_MS).record(as_ms(took));
 }
 
+/// Counts a request that waited for this router's first load.
+pub(crate) fn held_for_load() {
+    counter!(HELD_FOR_LOAD).increment(1);
+}
+
 /// Counts a prompt's tokens, and how many of them the engine had cached.
 pub(crate) fn prompt(tokens: u64, cached: u64) {
     let cached = cached.min(tokens);
--- a/tests/routed_store.rs
+++ b/tests/routed_store.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::cell::RefCell;
+
 use serde_json::json;
 use support::routed::{Routed, Size};
 use support::{sleep_ms, wait_until};
@@ -175,6 +177,45 @@
     assert!(!log.contains("in force, from 127."), "{log}");
 }
 
+/// A router that is still loading refuses its callers: all of them come back late, and some have no retry left.
+#[test_case(&[("deadline-ms", "8000")]; "with time left")]
+#[test_case(&[]; "without a deadline")]
+#[compio::test]
+async fn requests_wait_for_the_first_load(headers: &[(&str, &str)]) {
+    let mut routed = Routed::start(Size::default()).await;
+    routed.store_knobs(json!({ "delay_ms": 500 })).await;
+    routed.routers[0].kill();
+    routed.spawn_router(0);
+    let answered = RefCell::new(None);
+    wait_until("an answer", || async {
+        let (_, received) = routed.call_with(0, "/get/1", "1", headers).await;
+        answered.replace(received);
+        answered.borrow().is_some()
+    })
+    .await;
+    assert_eq!(answered.take().map(|r| r.status), Some(200));
+}
+
+/// A caller has less time than the first load takes. It must not be held until its time is up.
+#[compio::test]
+async fn short_deadlines_do_not_wait_for_a_long_load() {
+    let mut routed = Routed::start(Size::default()).await;
+    routed.store_knobs(json!({ "delay_ms": 1_500 })).await;
+    routed.routers[0].kill();
+    routed.spawn_router(0);
+    let answered = RefCell::new(None);
+    wait_until("an answer", || async {
+        let headers = [("deadline-ms", "400")];
+        let (_, received) = routed.call_with(0, "/get/1", "1", &headers).await;
+        answered.replace(received);
+        answered.borrow().is_some()
+    })
+    .await;
+    let received = answered.take().unwrap();
+    assert_eq!(received.status, 503);
+    assert!(received.not_run());
+}
+
 /// A router starts while the store is away and knows no peer either: it must not call requests
 /// unknown that it merely hasn't heard of.
 #[compio::test]
