--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -89,7 +89,12 @@
 }
 
 pub(crate) fn standin(dir: &Path, name: &str, args: &[&str], at: SocketAddr) -> Process {
-    let mut command = Command::new(standins_program());
+    let program = standins_program();
+    assert!(
+        program.exists(),
+        "the stand-ins aren't built; first run: cargo build --example standins"
+    );
+    let mut command = Command::new(program);
     command.args(args).arg(at.to_string());
     spawn(dir, name, command, at)
 }
