A router without a configuration calls no key unknown, on the own log too

What callers would see: with the log away and all routers restarted, 401 "no account has this key" to every valid key, a final answer; the keyed path says 503.

Cause: the key was looked up in an empty configuration. Evidence: router_without_a_configuration_denies_no_key failed before (401 where 503 is due), with the refusal's body. Ruled out: that an earlier configuration is kept over a restart (none is).

Until a configuration is in force, or the log was read to its end and holds none, the answer is 503, not run, with the time to come back; a keyed request's fate is still said to be in doubt. The path that the users' deployments run (src/path) changes only in where a constant stands.

--- a/src/decide/refusal.rs
+++ b/src/decide/refusal.rs
@@ -110,6 +110,9 @@
     }
 }
 
+/// When to come back to a router that has just started and knows no configuration yet.
+pub(crate) const STARTING_MS: u64 = 300;
+
 /// Spreads `base_ms` over `[base, 1.5 base]`, so that callers refused together return apart.
 ///
 /// ```
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -8,7 +8,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 
-use crate::decide::refusal::{Cause, spread_ms};
+use crate::decide::refusal::{Cause, STARTING_MS, spread_ms};
 use crate::decide::{ChatKey, Cost, Job};
 use crate::decide::{admission, quarantine};
 use crate::event::Kind;
@@ -24,8 +24,6 @@
 use crate::stats::{self, Tally};
 use crate::util::Name;
 
-/// When to come back to a router that has just started.
-const STARTING_MS: u64 = 300;
 /// When to come back to a router that stops: at once, elsewhere.
 const STOPPING_MS: u64 = 50;
 /// For a whole body: callers send theirs at once.
--- a/src/serve/callers/requests.rs
+++ b/src/serve/callers/requests.rs
@@ -12,7 +12,7 @@
 use sha2::{Digest, Sha256};
 use uuid::Uuid;
 
-use crate::decide::refusal::{Cause, RunState};
+use crate::decide::refusal::{Cause, RunState, STARTING_MS, spread_ms};
 use crate::event::Kind;
 use crate::front::body::Answer;
 use crate::front::check::{self, RequestError};
@@ -117,6 +117,12 @@
     }
 
     fn account(&self, headers: &HeaderMap) -> Result<config::Account, peer::Refusal> {
+        if !self.ctx.knows_configuration() {
+            let retry_ms = spread_ms(STARTING_MS, &mut rand::rng());
+            let detail = "no configuration is known yet";
+            let refused = refuse::not_run(Cause::NoUpstream, retry_ms, detail);
+            return Err(keys::in_doubt_if_keyed(headers, refused));
+        }
         let denied = || refuse::not_run(Cause::Unauthorized, 0, "no account has this key");
         let given = headers.get(AUTHORIZATION).and_then(|v| v.to_str().ok());
         let key = given.and_then(|v| v.strip_prefix("Bearer "));
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -26,6 +26,7 @@
 use crate::fleet::member::{MemberState, View};
 use crate::front::Drain;
 use crate::log::claimant::Claimant;
+use crate::log::follow::Standing;
 use crate::log::keeper::Keeper;
 use crate::log::view::ConfigView;
 use crate::peers::{Pulse, refuse};
@@ -60,6 +61,12 @@
         self.config.borrow().clone()
     }
 
+    /// Whether what the configuration doesn't hold doesn't exist. A router that starts may not have heard of it.
+    pub(crate) fn knows_configuration(&self) -> bool {
+        let has_version = self.config.borrow().state.version > 0;
+        has_version || self.keeper.standing() == Standing::Current
+    }
+
     /// Whether this router may admit work as a home; a forwarded request never hops again.
     pub(crate) fn may_admit(&self) -> Result<(), Refusal> {
         if self.pulse.may_admit(self.clock.now_ms()) {
--- a/tests/config_outage.rs
+++ b/tests/config_outage.rs
@@ -76,6 +76,24 @@
     }
 }
 
+/// A router that knows no configuration must not call a valid key unknown: its caller would give up for good.
+#[compio::test]
+async fn router_without_a_configuration_denies_no_key() {
+    let mut fleet = Fleet::start(SHAPE).await;
+    set_knobs(fleet.platform.addr, &json!({ "outage": true })).await;
+    for i in 0..3 {
+        fleet.restart_router(i);
+    }
+    for i in 0..3 {
+        fleet.wait_healthy(i).await;
+        let refused = call(fleet.caller(i), "POST", "/records/tickets", &[], "x").await;
+        let refused = refused.unwrap();
+        assert_eq!(refused.status, 503, "{}", refused.body);
+        assert!(refused.not_run());
+        assert!(!refused.header("retry-after").is_empty());
+    }
+}
+
 /// Two operators change the same version at two routers at once. One is accepted; the other is told
 /// whose change won.
 #[compio::test]
