The wait for the first load ends when the log fails, and isn't counted when it is none

Two faults of, found by reading it again: a request that waited when the first read failed waited on, up to 2 s, while those that came after it were refused at once; and a router that stays without a load for longer than 2 s wrote an event and a count for each request that it refused without a wait.

A failed read now ends the wait as a load does: failing_log_ends_the_wait_for_the_first_load fails without it. A wait of no length is none.

--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -62,7 +62,7 @@
     is_bulk: Cell<bool>,
     log_fails: Cell<bool>,
     suspend: SuspendGuard,
-    loaded: Rc<Notify>,
+    load_settled: Rc<Notify>,
     records: PhantomData<D>,
 }
 
@@ -84,7 +84,7 @@
             is_bulk: Cell::default(),
             log_fails: Cell::default(),
             suspend: SuspendGuard::new(clock),
-            loaded: Rc::default(),
+            load_settled: Rc::default(),
             records: PhantomData,
         }
     }
@@ -145,9 +145,9 @@
         has_config && self.upstreams_fresh.get().confirmed_ms() > 0
     }
 
-    /// Notified once both are.
-    pub(crate) fn loaded(&self) -> Rc<Notify> {
-        self.loaded.clone()
+    /// Notified once both are, and when a read of the log fails.
+    pub(crate) fn load_settled(&self) -> Rc<Notify> {
+        self.load_settled.clone()
     }
 
     /// The configuration is the newest there was at `at_ms`.
@@ -170,7 +170,7 @@
 
     fn notify_loaded(&self, was_loaded: bool) {
         if !was_loaded && self.is_loaded() {
-            self.loaded.notify_waiters();
+            self.load_settled.notify_waiters();
         }
     }
 
@@ -202,6 +202,9 @@
 
     pub(crate) fn set_log_fails(&self, fails: bool) {
         self.log_fails.set(fails);
+        if fails {
+            self.load_settled.notify_waiters();
+        }
     }
 
     /// When to read what.
--- a/src/path/news_tests.rs
+++ b/src/path/news_tests.rs
@@ -11,6 +11,8 @@
 use crate::schema::peer::NewsAsk;
 use crate::util::Clock;
 use bytes::Bytes;
+use futures_util::FutureExt;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -148,6 +150,17 @@
     assert_eq!(early.news.upstreams_confirmed_ms(), 0);
 }
 
+/// Requests that wait for a router's first load must not wait on once the log is known to fail.
+#[test]
+fn failing_log_ends_the_wait_for_the_first_load() {
+    let router = Router::new();
+    let settled = router.news.load_settled();
+    let mut wait = pin!(settled.notified());
+    assert!(!wait.as_mut().enable());
+    router.news.set_log_fails(true);
+    assert!(wait.now_or_never().is_some());
+}
+
 /// Two routers tell each other in turn; the one that knows an older version must not bring it back.
 #[test]
 fn older_version_is_not_taken_from_a_peer() {
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -166,12 +166,15 @@
         return;
     }
     let came_ms = path.clock.now_ms();
-    let left_ms = LOAD_LIMIT_MS.saturating_sub(came_ms);
-    let wait_ms = left_ms.min((caller_ms as f64 * LOAD_WAIT_SHARE) as u64);
-    let loaded = path.news.loaded();
-    let wait = Duration::from_millis(wait_ms);
-    // A request whose time is up is refused by what is missing then.
-    let _ = compio::time::timeout(wait, loaded.notified()).await;
+    let wait_ms = LOAD_LIMIT_MS
+        .saturating_sub(came_ms)
+        .min((caller_ms as f64 * LOAD_WAIT_SHARE) as u64);
+    if wait_ms == 0 {
+        return;
+    }
+    let settled = path.news.load_settled();
+    // A request whose wait is over is refused by what is missing then.
+    let _ = compio::time::timeout(Duration::from_millis(wait_ms), settled.notified()).await;
     stats::held_for_load();
     let waited_ms = path.clock.now_ms().saturating_sub(came_ms);
     path.events.emit(Kind::RequestQueued, |e| {
