What a peer gave counts as loaded, however old it is

Found by reading again: a router that starts while the log is away, and is given everything by a peer whose last confirmation is older than the new router's clock, had all that it needs but held its callers' requests until its own read failed or 2 s had passed since its start. Cause: is_loaded asked for a confirmation alone, and one from before the start can't be told on this router's clock.

It asks now for what is there, or for a confirmation that there is nothing. what_a_peer_confirmed_before_this_start_counts_as_loaded failed before.

--- a/src/path/news.rs
+++ b/src/path/news.rs
@@ -116,6 +116,7 @@
                 if self.beliefs.configure(deployment) {
                     self.pack_config(&record);
                     log::info!("configuration {version} in force, from {source}");
+                    self.notify_loaded();
                 }
             }
             Err(e) => log::error!("configuration from {source} refused: {e}"),
@@ -139,10 +140,13 @@
         }
     }
 
-    /// Whether both configuration and upstreams were loaded since the start of this router.
+    /// Whether both configuration and upstreams were loaded since the start of this router, or there are none.
     pub(crate) fn is_loaded(&self) -> bool {
-        let has_config = self.config_fresh.get().confirmed_ms() > 0;
-        has_config && self.upstreams_fresh.get().confirmed_ms() > 0
+        let has_config =
+            self.beliefs.deployment().version > 0 || self.config_fresh.get().confirmed_ms() > 0;
+        let has_upstreams =
+            self.beliefs.upstreams_known() > 0 || self.upstreams_fresh.get().confirmed_ms() > 0;
+        has_config && has_upstreams
     }
 
     /// Notified once both are, and when a read of the log fails.
@@ -152,24 +156,22 @@
 
     /// The configuration is the newest there was at `at_ms`.
     pub(crate) fn confirm_config(&self, at_ms: u64) {
-        let was_loaded = self.is_loaded();
         let mut fresh = self.config_fresh.get();
         fresh.confirm(at_ms, &mut rand::rng());
         self.config_fresh.set(fresh);
-        self.notify_loaded(was_loaded);
+        self.notify_loaded();
     }
 
     /// The upstreams are all there were at `at_ms`.
     pub(crate) fn confirm_upstreams(&self, at_ms: u64) {
-        let was_loaded = self.is_loaded();
         let mut fresh = self.upstreams_fresh.get();
         fresh.confirm(at_ms, &mut rand::rng());
         self.upstreams_fresh.set(fresh);
-        self.notify_loaded(was_loaded);
+        self.notify_loaded();
     }
 
-    fn notify_loaded(&self, was_loaded: bool) {
-        if !was_loaded && self.is_loaded() {
+    fn notify_loaded(&self) {
+        if self.is_loaded() {
             self.load_settled.notify_waiters();
         }
     }
@@ -366,6 +368,7 @@
         let missing = self.missing.borrow().len();
         let offset = self.upstreams_at.get();
         log::info!(upstreams = known, missing, offset, source; "all upstreams taken");
+        self.notify_loaded();
     }
 
     /// All upstreams were read as of offset `at`: changes before it are known by nobody here.
--- a/src/path/news_tests.rs
+++ b/src/path/news_tests.rs
@@ -150,6 +150,26 @@
     assert_eq!(early.news.upstreams_confirmed_ms(), 0);
 }
 
+/// A router that starts while the log is away must not hold requests once a peer has given it everything, however old that is.
+#[test]
+fn what_a_peer_confirmed_before_this_start_counts_as_loaded() {
+    let clock_at = |ms| Clock::set_by(Box::leak(Box::new(AtomicU64::new(ms))));
+    let (old, new) = (
+        Router::with_clock(clock_at(40_000)),
+        Router::with_clock(clock_at(500)),
+    );
+    old.news.configure(Bytes::from_static(b"3"), "a test");
+    put(&old, 1, "i-1");
+    old.news.confirm_config(10_000);
+    old.news.confirm_upstreams(10_000);
+    let settled = new.news.load_settled();
+    let mut wait = pin!(settled.notified());
+    assert!(!wait.as_mut().enable());
+    new.learn_from(&old);
+    assert!(new.news.is_loaded());
+    assert!(wait.now_or_never().is_some());
+}
+
 /// Requests that wait for a router's first load must not wait on once the log is known to fail.
 #[test]
 fn failing_log_ends_the_wait_for_the_first_load() {
