--- a/src/decide/cold_start.rs
+++ b/src/decide/cold_start.rs
@@ -66,19 +66,39 @@
     ) {
         self.cold
             .retain(|_, cold| cold.until_ms > now_ms && per_s(&cold.service).is_some());
+        if self.cold.is_empty() {
+            return;
+        }
+        let hashes: Vec<u64> = hosts
+            .iter()
+            .map(|h| util::hash_bytes(h.as_bytes()))
+            .collect();
+        let own = util::hash_bytes(host.as_bytes());
         for (upstream, cold) in &mut self.cold {
             let budget_per_s = per_s(&cold.service).unwrap_or(0.0) * FLEET_SHARE;
             let senders = (budget_per_s as usize).clamp(1, hosts.len().max(1));
             let pause_ms = senders as f64 * 1_000.0 / budget_per_s;
-            let is_sender = rank(upstream, host, hosts) < senders;
+            let is_sender = rank(upstream, own, &hashes) < senders;
             cold.pause_ms = is_sender.then_some(pause_ms.ceil() as u64);
         }
     }
 
-    /// Whether `upstream` is cold.
-    pub fn is_cold(&self, upstream: &str, now_ms: u64) -> bool {
-        let cold = self.cold.get(upstream);
-        cold.is_some_and(|cold| cold.until_ms > now_ms)
+    /// Whether no upstream is cold.
+    pub fn is_empty(&self) -> bool {
+        self.cold.is_empty()
+    }
+
+    /// The upstreams that are cold.
+    pub fn cold(&self, now_ms: u64) -> impl Iterator<Item = &Name> {
+        let cold = self.cold.iter();
+        cold.filter(move |(_, cold)| cold.until_ms > now_ms)
+            .map(|(upstream, _)| upstream)
+    }
+
+    /// The cold upstreams to which this router may not send now.
+    pub fn refusing(&self, now_ms: u64) -> impl Iterator<Item = &Name> {
+        self.cold(now_ms)
+            .filter(move |upstream| !self.admits(upstream, now_ms))
     }
 
     /// Whether this router may send a request to `upstream` now.
@@ -112,11 +132,11 @@
     }
 }
 
-/// Returns how many of `hosts` precede `host` in the order of `upstream`.
-fn rank(upstream: &str, host: &str, hosts: &[Name]) -> usize {
+/// Returns how many of the hosts with these `hashes` precede the one with hash `own` in the order
+/// of `upstream`.
+fn rank(upstream: &str, own: u64, hashes: &[u64]) -> usize {
     let seed = util::hash_bytes(upstream.as_bytes());
-    let weight = |host: &str| util::mix(seed, util::hash_bytes(host.as_bytes()));
-    let own = weight(host);
-    let others = hosts.iter().filter(|other| ***other != *host);
-    others.filter(|other| weight(other) > own).count()
+    let own = util::mix(seed, own);
+    let weights = hashes.iter().map(|hash| util::mix(seed, *hash));
+    weights.filter(|weight| *weight > own).count()
 }
--- a/src/decide/cold_start_tests.rs
+++ b/src/decide/cold_start_tests.rs
@@ -138,7 +138,7 @@
     cold.reported(&"up".into(), &"s".into(), COLD_MS, 2);
     assert!(!cold.admits("up", 2), "no sender is assigned yet");
     cold.reported(&"up".into(), &"s".into(), 0, 3);
-    assert!(cold.admits("up", 3) && !cold.is_cold("up", 3));
+    assert!(cold.admits("up", 3) && cold.cold(3).next().is_none());
 }
 
 /// Whatever the size of the fleet and its load, no upstream gets more than it can handle; prints
--- a/src/decide/ejection.rs
+++ b/src/decide/ejection.rs
@@ -7,8 +7,8 @@
 //! So an upstream is compared with its pool: it must fail several times in a row, or be slower than
 //! [`SLOW_FACTOR`] times the pool's median, and at most a share of the pool is ejected at once. One
 //! request probes it after an ejection time that doubles with each consecutive ejection, so that a
-//! flapping engine stays ejected for longer each time. Recording costs one table access; an
-//! ejection costs a sort of the pool's times.
+//! flapping engine stays ejected for longer each time. Recording costs one table access, and an
+//! ejection a sort of the times of the upstreams that this router called, however large the pool.
 
 use std::collections::HashMap;
 
@@ -48,12 +48,38 @@
     restored_ms: u64,
 }
 
+impl Stats {
+    fn is_ejected(&self, now_ms: u64) -> bool {
+        self.ejection.is_some_and(|e| {
+            now_ms < e.until_ms || e.probed_ms.is_some_and(|at| now_ms < at + PROBE_MS)
+        })
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Ejection {
     until_ms: u64,
     probed_ms: Option<u64>,
 }
 
+/// Pool that an upstream is compared with.
+pub trait Pool {
+    /// Number of upstreams in the pool.
+    fn size(&self) -> usize;
+    /// Whether `upstream` is in the pool.
+    fn contains(&self, upstream: &str) -> bool;
+}
+
+impl Pool for Vec<Name> {
+    fn size(&self) -> usize {
+        self.len()
+    }
+
+    fn contains(&self, upstream: &str) -> bool {
+        self.iter().any(|name| **name == *upstream)
+    }
+}
+
 /// Health of a pool's upstreams as observed by one router.
 #[derive(Clone, Debug, Default)]
 pub struct Ejector {
@@ -93,10 +119,8 @@
 
     /// Whether `upstream` is ejected, without claiming a probe.
     pub fn is_ejected(&self, upstream: &str, now_ms: u64) -> bool {
-        let ejection = self.stats.get(upstream).and_then(|s| s.ejection);
-        ejection.is_some_and(|e| {
-            now_ms < e.until_ms || e.probed_ms.is_some_and(|at| now_ms < at + PROBE_MS)
-        })
+        let stats = self.stats.get(upstream);
+        stats.is_some_and(|s| s.is_ejected(now_ms))
     }
 
     /// Whether a probe of `upstream` is in flight.
@@ -125,7 +149,7 @@
         &mut self,
         upstream: &Name,
         took_ms: u64,
-        pool: &[Name],
+        pool: &impl Pool,
         share: f64,
         now_ms: u64,
     ) -> Change {
@@ -157,7 +181,7 @@
     }
 
     /// Records that `upstream` failed before its first frame.
-    pub fn failed(&mut self, upstream: &Name, pool: &[Name], share: f64, now_ms: u64) -> Change {
+    pub fn failed(&mut self, upstream: &Name, pool: &impl Pool, share: f64, now_ms: u64) -> Change {
         let stats = self.stats.entry(upstream.clone()).or_default();
         stats.failures += 1;
         if stats.ejection.is_some() || stats.failures >= FAILURES {
@@ -170,7 +194,7 @@
     pub fn eject_grey(
         &mut self,
         upstream: &Name,
-        pool: &[Name],
+        pool: &impl Pool,
         share: f64,
         now_ms: u64,
     ) -> Change {
@@ -193,15 +217,21 @@
         self.stats.retain(|name, _| keep(name));
     }
 
-    fn is_slow(&self, upstream: &Name, pool: &[Name]) -> bool {
-        let sampled = |name: &Name| {
-            let stats = self.stats.get(name)?;
-            (stats.samples >= SLOW_SAMPLES).then_some(stats.mean_ms)
-        };
-        let Some(own_ms) = sampled(upstream) else {
+    /// Ids of the ejected upstreams, without claiming a probe.
+    pub fn ejected(&self, now_ms: u64) -> impl Iterator<Item = &Name> {
+        let ejected = self.stats.iter().filter(move |(_, s)| s.is_ejected(now_ms));
+        ejected.map(|(name, _)| name)
+    }
+
+    fn is_slow(&self, upstream: &Name, pool: &impl Pool) -> bool {
+        let is_sampled = |stats: &Stats| stats.samples >= SLOW_SAMPLES;
+        let own = self.stats.get(upstream).filter(|s| is_sampled(s));
+        let Some(own_ms) = own.map(|s| s.mean_ms) else {
             return false;
         };
-        let mut means: Vec<f64> = pool.iter().filter_map(sampled).collect();
+        let sampled = self.stats.iter().filter(|(_, s)| is_sampled(s));
+        let in_pool = sampled.filter(|(name, _)| pool.contains(name));
+        let mut means: Vec<f64> = in_pool.map(|(_, s)| s.mean_ms).collect();
         if means.len() < MIN_COMPARED {
             return false;
         }
@@ -210,15 +240,13 @@
         own_ms > (SLOW_FACTOR * typical_ms).max(SLOW_FLOOR_MS)
     }
 
-    fn eject(&mut self, upstream: &Name, pool: &[Name], share: f64, now_ms: u64) -> Change {
-        let is_ejected = |name: &&Name| {
-            let stats = self.stats.get(*name);
-            *name != upstream && stats.is_some_and(|s| s.ejection.is_some())
-        };
-        let ejected = pool.iter().filter(is_ejected).count();
-        let most = ((pool.len() as f64 * share) as usize).max(1);
+    fn eject(&mut self, upstream: &Name, pool: &impl Pool, share: f64, now_ms: u64) -> Change {
+        let others = self.stats.iter().filter(|(name, _)| *name != upstream);
+        let ejected = others.filter(|(name, s)| s.ejection.is_some() && pool.contains(name));
+        let ejected = ejected.count();
+        let most = ((pool.size() as f64 * share) as usize).max(1);
         // The last upstream that takes work always stays.
-        if ejected >= most || ejected + 1 >= pool.len().max(1) {
+        if ejected >= most || ejected + 1 >= pool.size().max(1) {
             return Change::None;
         }
         let Some(stats) = self.stats.get_mut(upstream) else {
--- a/src/decide/grey.rs
+++ b/src/decide/grey.rs
@@ -87,13 +87,27 @@
     }
 }
 
-/// Returns the indices of a pool's grey upstreams.
-pub fn grey(pool: &[Outcomes]) -> Vec<usize> {
-    let mut shares: Vec<f64> = pool.iter().map(|o| o.share()).collect();
+/// Returns the indices of the grey ones of the upstreams with `observed` outcomes, in a pool with
+/// `unobserved` more that had no calls.
+///
+/// ```
+/// use cassiagrade::decide::grey::{Outcomes, grey};
+/// let mut failing = Outcomes::default();
+/// failing.add(10, 5, 0);
+/// assert!(grey(&[failing], 0).is_empty(), "there is nothing to compare it with");
+/// assert_eq!(grey(&[failing], 9_999), [0]);
+/// ```
+pub fn grey(observed: &[Outcomes], unobserved: usize) -> Vec<usize> {
+    let mut shares: Vec<f64> = observed.iter().map(|o| o.share()).collect();
     shares.sort_by(f64::total_cmp);
     // The lower median of an even number: with half of a small pool grey, the other half counts.
-    let middle = shares.len().saturating_sub(1) / 2;
-    let median = shares.get(middle).copied().unwrap_or(0.0);
-    let grey = pool.iter().enumerate().filter(|(_, o)| o.is_grey(median));
+    let middle = (shares.len() + unobserved).saturating_sub(1) / 2;
+    let observed_below = middle.checked_sub(unobserved);
+    let median = observed_below.and_then(|at| shares.get(at)).copied();
+    let median = median.unwrap_or(0.0);
+    let grey = observed
+        .iter()
+        .enumerate()
+        .filter(|(_, o)| o.is_grey(median));
     grey.map(|(at, _)| at).collect()
 }
--- a/src/decide/grey_tests.rs
+++ b/src/decide/grey_tests.rs
@@ -43,7 +43,7 @@
         if ejects && now_ms >= checked_ms + REPORT_INTERVAL_MS {
             checked_ms = now_ms;
             let now = counts.map(|c| c.at(now_ms));
-            for at in grey(&now) {
+            for at in grey(&now, 0) {
                 for ejector in &mut ejectors {
                     ejector.eject_grey(&pool[at], &pool, DEFAULT_SHARE, now_ms);
                 }
@@ -74,7 +74,7 @@
             count.add(1, rng.random_bool(0.14).into(), now_ms);
         }
         let now = counts.map(|c| c.at(now_ms));
-        assert!(grey(&now).is_empty(), "{now:?}");
+        assert!(grey(&now, 0).is_empty(), "{now:?}");
     }
 }
 
@@ -83,9 +83,9 @@
 fn two_failures_are_not_grey() {
     let mut counts = [Outcomes::default(); 4];
     counts[0].add(2, 2, 0);
-    assert!(grey(&counts).is_empty());
+    assert!(grey(&counts, 0).is_empty());
     counts[0].add(1, 1, 0);
-    assert_eq!(grey(&counts), [0]);
+    assert_eq!(grey(&counts, 0), [0]);
 }
 
 /// After its ejection time an upstream is rated by its new calls.
@@ -93,7 +93,7 @@
 fn old_failures_decay() {
     let mut counts = [Outcomes::default(); 4];
     counts[0].add(12, 5, 0);
-    assert_eq!(grey(&counts), [0]);
+    assert_eq!(grey(&counts, 0), [0]);
     let later = counts.map(|c| c.at(crate::decide::ejection::EJECTION_MS));
-    assert!(grey(&later).is_empty());
+    assert!(grey(&later, 0).is_empty());
 }
--- a/src/decide/placement.rs
+++ b/src/decide/placement.rs
@@ -15,6 +15,9 @@
 //! See `docs/MEASUREMENTS.md`, "Decisions under load", for the constants. A plan costs one
 //! multiply-mix per upstream and allocates only the list of tries: linear in the pool.
 
+use std::collections::HashMap;
+
+use crate::decide::ejection::Pool;
 use crate::decide::{ChatKey, Name, Rates};
 use crate::util;
 
@@ -59,6 +62,7 @@
 pub struct PoolIndex {
     names: Vec<Name>,
     hashes: Vec<u64>,
+    positions: HashMap<Name, usize>,
 }
 
 /// Upstreams to try in order, as indices into the pool's names.
@@ -71,6 +75,16 @@
     pub last: Option<usize>,
 }
 
+impl Pool for PoolIndex {
+    fn size(&self) -> usize {
+        self.names.len()
+    }
+
+    fn contains(&self, upstream: &str) -> bool {
+        self.position(upstream).is_some()
+    }
+}
+
 impl PoolIndex {
     /// Builds the index of `names`.
     ///
@@ -87,7 +101,12 @@
     /// ```
     pub fn new(names: Vec<Name>) -> Self {
         let hashes = names.iter().map(|n| util::hash_parts(&[n])).collect();
-        Self { names, hashes }
+        let positions = names.iter().cloned().zip(0..).collect();
+        Self {
+            names,
+            hashes,
+            positions,
+        }
     }
 
     /// Returns the names it was built from.
@@ -97,7 +116,7 @@
 
     /// Returns the index of `name`.
     pub fn position(&self, name: &str) -> Option<usize> {
-        self.names.iter().position(|n| **n == *name)
+        self.positions.get(name).copied()
     }
 
     /// Returns the first `width` upstreams of the order of `chat`.
--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -51,8 +51,8 @@
     pub has_parts: bool,
 }
 
-/// Shrinks the other routers' request counts, estimated from the `share` of routers whose reports
-/// arrived, towards the pool's mean.
+/// Estimates the request counts of the other routers at each upstream of a pool from reports of a
+/// share of these routers, shrunk towards the pool's mean.
 ///
 /// Failure guarded against: with reports of half of the routers, an upstream with three requests
 /// often looks like one with six. Its parts then spread to other upstreams, which prefill them
@@ -60,16 +60,30 @@
 /// part's upstream could have more than twice the mean, so the factor is the square root.
 ///
 /// ```
-/// use cassiagrade::decide::spread::shrink_to_mean;
-/// let mut counts = [9.0, 3.0, 0.0];
-/// shrink_to_mean(&mut counts, 0.25);
-/// assert_eq!(counts, [6.5, 3.5, 2.0]);
+/// use cassiagrade::decide::spread::CountEstimate;
+/// let reported = [9.0, 3.0, 0.0];
+/// let estimate = CountEstimate::new(reported.iter().sum(), reported.len(), 0.25);
+/// assert_eq!(reported.map(|count| estimate.of(count)), [6.5, 3.5, 2.0]);
 /// ```
-pub fn shrink_to_mean(counts: &mut [f64], share: f64) {
-    let mean = counts.iter().sum::<f64>() / counts.len().max(1) as f64;
-    let weight = share.clamp(0.0, 1.0).sqrt();
-    for count in counts {
-        *count = mean + (*count - mean) * weight;
+#[derive(Clone, Copy, Debug)]
+pub struct CountEstimate {
+    mean: f64,
+    weight: f64,
+}
+
+impl CountEstimate {
+    /// Creates the estimate for a pool of `upstreams` with `total` reported requests, scaled up from
+    /// the `share` of the routers whose reports arrived.
+    pub fn new(total: f64, upstreams: usize, share: f64) -> Self {
+        Self {
+            mean: total / upstreams.max(1) as f64,
+            weight: share.clamp(0.0, 1.0).sqrt(),
+        }
+    }
+
+    /// Estimates the count of an upstream with this `reported` count.
+    pub fn of(self, reported: f64) -> f64 {
+        self.mean + (reported - self.mean) * self.weight
     }
 }
 
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -315,11 +315,11 @@
             }
         };
         Some(Choice {
-            upstream: pool[selection.at].clone(),
+            upstream: pool.upstreams()[selection.at].clone(),
             fetch_from: selection
                 .source
                 .filter(|_| decisions.fetch)
-                .map(|at| pool[at].addr),
+                .map(|at| pool.upstreams()[at].addr),
         })
     }
 
--- a/src/path/health.rs
+++ b/src/path/health.rs
@@ -1,13 +1,10 @@
 //! Health of upstreams as observed by calls: which of them get no work. No I/O and no clock.
 
 use std::collections::{HashMap, HashSet};
-use std::rc::Rc;
 
-use crate::decide::ejection::{Change, DEFAULT_SHARE, Ejector};
+use crate::decide::ejection::{self, Change, DEFAULT_SHARE, Ejector};
 use crate::decide::grey::{Outcomes, grey};
-use crate::fleet::in_flight::UpstreamTotals;
-use crate::fleet::loads::digest;
-use crate::path::upstreams::Upstream;
+use crate::path::upstreams::{Pool, Upstream};
 use crate::util::Name;
 
 /// Time for which an upstream gets no work after it refused a connection or did not accept it in
@@ -46,8 +43,8 @@
     }
 
     /// Whether `upstream` is ejected for its failure share.
-    pub(crate) fn is_grey(&self, upstream: &Upstream) -> bool {
-        self.grey.contains(&upstream.id)
+    pub(crate) fn is_grey(&self, upstream: &str) -> bool {
+        self.grey.contains(upstream)
     }
 
     pub(crate) fn is_replaced(&self, upstream: &Upstream) -> bool {
@@ -71,6 +68,24 @@
             .insert(upstream.clone(), now_ms + UNREACHABLE_MS);
     }
 
+    /// Ids of the upstreams of `service` that are ejected.
+    pub(crate) fn ejected(&self, service: &str, now_ms: u64) -> impl Iterator<Item = &Name> {
+        let ejector = self.ejectors.get(service).into_iter();
+        ejector.flat_map(move |e| e.ejected(now_ms))
+    }
+
+    /// Ids of the upstreams whose address was taken over by another incarnation.
+    pub(crate) fn replaced(&self) -> impl Iterator<Item = &Name> {
+        self.replaced.iter()
+    }
+
+    /// Ids of the upstreams that refused a connection recently.
+    pub(crate) fn unreachable(&self, now_ms: u64) -> impl Iterator<Item = &Name> {
+        let unreachable = self.unreachable.iter();
+        let unreachable = unreachable.filter(move |(_, until_ms)| now_ms < **until_ms);
+        unreachable.map(|(id, _)| id)
+    }
+
     /// Whether other upstreams can fetch cached prompt parts from `upstream`. An upstream ejected
     /// for its failure share still serves these, which saves the pool from processing them again.
     pub(crate) fn is_cache_source(&self, upstream: &Upstream, now_ms: u64) -> bool {
@@ -101,7 +116,7 @@
         &mut self,
         upstream: &Upstream,
         took_ms: u64,
-        pool: &[Name],
+        pool: &impl ejection::Pool,
         now_ms: u64,
     ) -> Change {
         self.count_outcome(&upstream.id, false, now_ms);
@@ -116,7 +131,12 @@
     /// Failure guarded against: a lookup service fails one request in seven at every upstream. Each
     /// upstream fails three in a row every few seconds and would be ejected for seconds; at five
     /// times the load callers are refused for lack of the capacity of a quarter of the pool.
-    pub(crate) fn record_error_answer(&mut self, upstream: &Upstream, pool: &[Name], now_ms: u64) {
+    pub(crate) fn record_error_answer(
+        &mut self,
+        upstream: &Upstream,
+        pool: &impl ejection::Pool,
+        now_ms: u64,
+    ) {
         let ejector = self.ejectors.get(&upstream.service);
         if ejector.is_some_and(|e| e.is_probed(&upstream.id)) {
             self.record_failure(upstream, pool, now_ms);
@@ -129,7 +149,7 @@
     pub(crate) fn record_failure(
         &mut self,
         upstream: &Upstream,
-        pool: &[Name],
+        pool: &impl ejection::Pool,
         now_ms: u64,
     ) -> Change {
         self.count_outcome(&upstream.id, true, now_ms);
@@ -150,27 +170,31 @@
     }
 
     /// Ejects the upstreams of one service's `pool` whose failure share is too high, by the
-    /// outcomes that all routers observed. Returns them with their failure shares.
+    /// outcomes that this router observed and those that the others `reported`. Returns them with
+    /// their failure shares.
     pub(crate) fn eject_failing(
         &mut self,
-        pool: &[Rc<Upstream>],
-        reported: &HashMap<u32, UpstreamTotals>,
+        service: &Name,
+        pool: &Pool,
+        reported: &HashMap<Name, Outcomes>,
         now_ms: u64,
     ) -> Vec<(Name, f64)> {
-        let Some(first) = pool.first() else {
-            return Vec::new();
+        let observed: HashSet<&Name> = self.outcomes.keys().chain(reported.keys()).collect();
+        let in_pool = observed
+            .into_iter()
+            .filter(|id| pool.position(id).is_some());
+        let names: Vec<Name> = in_pool.cloned().collect();
+        let combined = |id: &Name| {
+            let own = self.outcomes.get(id).copied().unwrap_or_default();
+            let reported = reported.get(id).copied().unwrap_or_default();
+            own.plus(reported, now_ms)
         };
-        let combined = |u: &Rc<Upstream>| {
-            let own = self.outcomes.get(&u.id).copied().unwrap_or_default();
-            let reported = reported.get(&digest(&u.id)).copied().unwrap_or_default();
-            own.plus(reported.outcomes, now_ms)
-        };
-        let outcomes: Vec<Outcomes> = pool.iter().map(combined).collect();
-        let names: Vec<Name> = pool.iter().map(|u| u.id.clone()).collect();
-        let ejector = self.ejectors.entry(first.service.clone()).or_default();
+        let outcomes: Vec<Outcomes> = names.iter().map(combined).collect();
+        let unobserved = pool.upstreams().len() - names.len();
         let mut ejected = Vec::new();
-        for at in grey(&outcomes) {
-            let change = ejector.eject_grey(&names[at], &names, DEFAULT_SHARE, now_ms);
+        for at in grey(&outcomes, unobserved) {
+            let ejector = self.ejectors.entry(service.clone()).or_default();
+            let change = ejector.eject_grey(&names[at], pool, DEFAULT_SHARE, now_ms);
             if change == Change::Ejected {
                 self.grey.insert(names[at].clone());
                 ejected.push((names[at].clone(), outcomes[at].share()));
@@ -189,8 +213,15 @@
         self.retain(|known| *known != **id);
     }
 
-    /// Drops the observations of upstreams for which `is_known` is false.
-    pub(crate) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+    /// Drops what has expired, and the observations of upstreams for which `is_known` is false.
+    pub(crate) fn sweep(&mut self, is_known: impl Fn(&str) -> bool, now_ms: u64) {
+        self.unreachable.retain(|_, until_ms| now_ms < *until_ms);
+        self.outcomes
+            .retain(|_, outcomes| outcomes.at(now_ms).is_significant());
+        self.retain(is_known);
+    }
+
+    fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.replaced.retain(|id| is_known(id));
         self.grey.retain(|id| is_known(id));
         self.unreachable.retain(|id, _| is_known(id));
--- a/src/path/health_tests.rs
+++ b/src/path/health_tests.rs
@@ -2,11 +2,9 @@
 use std::rc::Rc;
 
 use super::health::Health;
-use super::upstreams::Upstream;
+use super::upstreams::{Pool, Upstream, Upstreams};
 use crate::decide::ejection::{Change, EJECTION_MS, FAILURES};
 use crate::decide::grey::Outcomes;
-use crate::fleet::in_flight::UpstreamTotals;
-use crate::fleet::loads::digest;
 use crate::util::Name;
 
 fn pool() -> Vec<Rc<Upstream>> {
@@ -23,6 +21,14 @@
     (0..6).map(|i| Rc::new(upstream(i))).collect()
 }
 
+fn shared(pool: &[Rc<Upstream>]) -> Rc<Pool> {
+    let mut upstreams = Upstreams::default();
+    for upstream in pool {
+        upstreams.put((**upstream).clone());
+    }
+    upstreams.shared_pool("s")
+}
+
 fn names(pool: &[Rc<Upstream>]) -> Vec<Name> {
     pool.iter().map(|u| u.id.clone()).collect()
 }
@@ -64,15 +70,13 @@
         health.record_answer(upstream, 20, &names, 0);
     }
     health.record_failure(&pool[2], &names, 0);
-    assert!(health.eject_failing(&pool, &HashMap::new(), 0).is_empty());
+    let (service, shared) = ("s".into(), shared(&pool));
+    let own = health.eject_failing(&service, &shared, &HashMap::new(), 0);
+    assert!(own.is_empty());
     let mut outcomes = Outcomes::default();
     outcomes.add(6, 3, 0);
-    let reported = UpstreamTotals {
-        running: 0.0,
-        outcomes,
-    };
-    let reported = HashMap::from([(digest(&pool[2].id), reported)]);
-    let ejected = health.eject_failing(&pool, &reported, 0);
+    let reported = HashMap::from([(names[2].clone(), outcomes)]);
+    let ejected = health.eject_failing(&service, &shared, &reported, 0);
     assert_eq!(ejected, [(names[2].clone(), 0.5)]);
     assert!(health.is_ejected(&pool[2], 1));
     assert!(
@@ -111,7 +115,9 @@
     }
     assert!(!health.is_ejected(&pool[0], 1));
     assert_eq!(
-        health.eject_failing(&pool, &HashMap::new(), 0).len(),
+        health
+            .eject_failing(&"s".into(), &shared(&pool), &HashMap::new(), 0)
+            .len(),
         1,
         "the other upstreams have no failures"
     );
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -127,7 +127,7 @@
     /// knows too few of the members for the assignment and skips it.
     fn assign_cold(&self) {
         let now_ms = self.clock.now_ms();
-        if now_ms < SETTLE_MS {
+        if now_ms < SETTLE_MS || !self.state.has_cold() {
             return;
         }
         let fleet = self.fleet.borrow();
@@ -188,7 +188,7 @@
         path.assign_cold();
         if publishes.is_multiple_of(PUBLISHES_PER_SWEEP) {
             path.connections.sweep(|id| path.state.has_upstream(id));
-            path.state.sweep();
+            path.state.sweep(path.clock.now_ms());
             stats::upstreams_known(path.state.upstream_count());
         }
     }
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -13,13 +13,16 @@
 use crate::decide::cold_start::ColdStarts;
 use crate::decide::connections::{self, ConnectionQuota};
 use crate::decide::ejection::Change;
+use crate::decide::grey::Outcomes;
 use crate::decide::retry::RetryBudget;
 use crate::fleet::gossip::{Gossip, Publish};
+use crate::fleet::in_flight::FleetInFlight;
 use crate::fleet::loads::digest;
 use crate::mutation::{Mutation, mutated};
 use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
 use crate::path::regions::Regions;
+use crate::path::router_state::pool::CACHE_WARMUP_MS;
 use crate::path::routes::Deployment;
 use crate::path::suspects::Suspects;
 use crate::path::upstreams::{Upstream, Upstreams};
@@ -59,14 +62,13 @@
     joined_ms: RefCell<HashMap<Name, u64>>,
     retry_limit: Cell<RetryLimit>,
     decisions: Cell<Decisions>,
-    data_center: Name,
     regions: Regions,
     gossip: Gossip,
 }
 
 impl Decisions {
     /// Whether the mechanism that ejected `upstream` is enabled.
-    fn is_enabled_for(self, health: &Health, upstream: &Upstream) -> bool {
+    fn is_enabled_for(self, health: &Health, upstream: &str) -> bool {
         if health.is_grey(upstream) {
             self.grey
         } else {
@@ -83,12 +85,6 @@
     pub(crate) may_repeat: bool,
 }
 
-impl Tried<'_> {
-    fn contains(&self, id: &Name) -> bool {
-        self.upstreams.contains(id)
-    }
-}
-
 /// Counts one request at one upstream while it exists.
 pub(crate) struct RunningGuard {
     state: Rc<RouterState>,
@@ -116,7 +112,7 @@
     ) -> Self {
         Self {
             deployment: RefCell::default(),
-            upstreams: RefCell::default(),
+            upstreams: RefCell::new(Upstreams::local_to(data_center)),
             evacuations: RefCell::default(),
             cold_starts: RefCell::default(),
             health: RefCell::default(),
@@ -127,7 +123,6 @@
             joined_ms: RefCell::default(),
             retry_limit: Cell::new(retry_limit),
             decisions: Cell::new(ALL_ON),
-            data_center,
             regions,
             gossip,
         }
@@ -197,6 +192,11 @@
         cold_starts.assign(host, hosts, per_s, now_ms);
     }
 
+    /// Whether some upstream is cold.
+    pub(crate) fn has_cold(&self) -> bool {
+        !self.cold_starts.borrow().is_empty()
+    }
+
     /// Mapping of data centres to regions.
     pub(crate) fn regions(&self) -> &Regions {
         &self.regions
@@ -255,9 +255,10 @@
 
     /// Whether this router has reached its connection limit at some upstream of `service`.
     pub(crate) fn has_full_upstream(&self, service: &str, max_open: u32) -> bool {
-        let upstreams = self.upstreams.borrow();
-        let mut pool = upstreams.pool(service).iter();
-        pool.any(|u| self.running(&u.id) >= max_open)
+        let pool = self.upstreams.borrow().shared_pool(service);
+        let running = self.running.borrow();
+        let mut full = running.iter().filter(|(_, own)| **own >= max_open);
+        full.any(|(id, _)| pool.position(id).is_some())
     }
 
     /// Counts a request that starts at `upstream`.
@@ -299,11 +300,11 @@
 
     /// Ejects upstreams whose failure share is too high, by the outcomes that all routers observed.
     pub(crate) fn eject_failing(&self, now_ms: u64) {
-        let reported = &self.gossip.in_flight().upstreams;
         let upstreams = self.upstreams.borrow();
+        let reported = reported_outcomes(&upstreams, &self.gossip.in_flight());
         let mut health = self.health.borrow_mut();
-        for pool in upstreams.pools() {
-            for (id, share) in health.eject_failing(pool, reported, now_ms) {
+        for (service, pool) in upstreams.pools() {
+            for (id, share) in health.eject_failing(service, pool, &reported, now_ms) {
                 log::info!("upstream {id} Ejected: fails {share:.2} of its calls");
             }
         }
@@ -311,9 +312,9 @@
 
     /// Records that an upstream sent the head of an answer after `took_ms`.
     pub(crate) fn record_answer(&self, upstream: &Upstream, took_ms: u64, now_ms: u64) {
-        let pool = self.pool_names(&upstream.service);
+        let pool = self.upstreams.borrow().shared_pool(&upstream.service);
         let mut health = self.health.borrow_mut();
-        let change = health.record_answer(upstream, took_ms, &pool, now_ms);
+        let change = health.record_answer(upstream, took_ms, &*pool, now_ms);
         if change != Change::None {
             log::info!(
                 "upstream {} {change:?}: answer head received after {took_ms} ms",
@@ -401,33 +402,31 @@
 
     /// Whether the load of `service` explains late answers and rejections by its upstreams.
     fn is_under_load(&self, service: &str) -> bool {
+        let pool = self.upstreams.borrow().shared_pool(service);
         let load = self.gossip.in_flight();
-        let own = self.running.borrow();
-        let upstreams = self.upstreams.borrow();
-        let (mut running, mut slots) = (0.0, 0);
-        for upstream in upstreams.pool(service) {
-            let peer_load = load.upstreams.get(&digest(&upstream.id));
-            running += f64::from(own.get(&upstream.id).copied().unwrap_or(0));
-            running += peer_load.map_or(0.0, |t| t.running);
-            slots += upstream.slots;
-        }
-        slots > 0 && running >= f64::from(slots) * LOADED_SHARE
+        let reported = self.reported_counts(&pool, &load);
+        let reported: f64 = reported.iter().map(|(_, count)| count).sum();
+        let running = self.running.borrow();
+        let own = running.iter().filter(|(id, _)| pool.position(id).is_some());
+        let own: u32 = own.map(|(_, count)| count).sum();
+        let slots: u32 = pool.candidates().iter().map(|c| c.slots).sum();
+        slots > 0 && f64::from(own) + reported >= f64::from(slots) * LOADED_SHARE
     }
 
     /// Records that an upstream answered with a server error.
     pub(crate) fn record_error_answer(&self, upstream: &Upstream, now_ms: u64) {
-        let pool = self.pool_names(&upstream.service);
+        let pool = self.upstreams.borrow().shared_pool(&upstream.service);
         let mut health = self.health.borrow_mut();
-        health.record_error_answer(upstream, &pool, now_ms);
+        health.record_error_answer(upstream, &*pool, now_ms);
     }
 
     /// Records the failure of a call to an upstream.
     pub(crate) fn record_failure(&self, upstream: &Upstream, reason: &str, now_ms: u64) {
-        let pool = self.pool_names(&upstream.service);
+        let pool = self.upstreams.borrow().shared_pool(&upstream.service);
         let change = self
             .health
             .borrow_mut()
-            .record_failure(upstream, &pool, now_ms);
+            .record_failure(upstream, &*pool, now_ms);
         if change != Change::None {
             log::info!("upstream {} {change:?}: {reason}", upstream.id);
         }
@@ -453,19 +452,24 @@
         budgets.get_mut(service).is_some_and(RetryBudget::take)
     }
 
-    /// Drops the state of upstreams that no longer exist.
-    pub(crate) fn sweep(&self) {
+    /// Drops what has expired, and the state of upstreams that no longer exist.
+    pub(crate) fn sweep(&self, now_ms: u64) {
         let upstreams = self.upstreams.borrow();
+        let is_known = |id: &str| upstreams.get(id).is_some();
         self.joined_ms
             .borrow_mut()
-            .retain(|id, _| upstreams.get(id).is_some());
-        let is_known = |id: &str| upstreams.get(id).is_some();
-        self.health.borrow_mut().retain(is_known);
+            .retain(|id, at| *at + CACHE_WARMUP_MS >= now_ms && is_known(id));
+        self.health.borrow_mut().sweep(is_known, now_ms);
     }
+}
 
-    fn pool_names(&self, service: &str) -> Vec<Name> {
-        let upstreams = self.upstreams.borrow();
-        let pool = upstreams.pool(service).iter();
-        pool.map(|u| u.id.clone()).collect()
-    }
+/// Outcomes of the other routers' calls to those upstreams where they reported any.
+fn reported_outcomes(upstreams: &Upstreams, load: &FleetInFlight) -> HashMap<Name, Outcomes> {
+    let called = load.upstreams.iter();
+    let called = called.filter(|(_, t)| t.outcomes.is_significant());
+    let by_id = called.filter_map(|(digest, t)| {
+        let upstream = upstreams.by_digest(*digest)?;
+        Some((upstream.id.clone(), t.outcomes))
+    });
+    by_id.collect()
 }
--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -1,17 +1,19 @@
 //! Current state of the upstreams of one service: which accept work, and how much.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 
-use crate::decide::spread::{self, Candidate};
-use crate::fleet::loads::digest;
+use crate::decide::spread::{Candidate, CountEstimate};
+use crate::fleet::in_flight::FleetInFlight;
+use crate::path::health::Health;
 use crate::path::regions::AllowedRegions;
 use crate::path::router_state::{RouterState, Tried};
-use crate::path::upstreams::Upstream;
-use crate::util;
+use crate::path::upstreams::{Pool, Upstream};
+use crate::util::Name;
 
 /// Time after its appearance during which an upstream is assumed to have hardly any shared prompt
 /// parts cached: most parts are requested every few seconds.
-const CACHE_WARMUP_MS: u64 = 8_000;
+pub(super) const CACHE_WARMUP_MS: u64 = 8_000;
 
 /// What is ignored if no upstream would be left: an attempt is better than a refusal based on a
 /// state that may have changed.
@@ -27,12 +29,63 @@
 }
 
 /// In increasing order.
-const RELAXATIONS: [Relaxation; 3] = [
+const RELAXATIONS: [Relaxation; 4] = [
+    Relaxation::None,
     Relaxation::Ejected,
     Relaxation::Unreachable,
     Relaxation::Tried,
 ];
 
+/// Candidates of one pool, to which the observed state is applied step by step. A step costs a
+/// search for each upstream that it concerns.
+#[derive(Clone)]
+struct Candidates<'a> {
+    pool: &'a Pool,
+    all: Vec<Candidate>,
+}
+
+impl<'a> Candidates<'a> {
+    fn idle(pool: &'a Pool) -> Self {
+        Self {
+            pool,
+            all: pool.candidates().to_vec(),
+        }
+    }
+
+    /// Changes the candidates of those `ids` that are in the pool.
+    fn change<'b>(
+        &mut self,
+        ids: impl Iterator<Item = &'b Name>,
+        change: impl Fn(&mut Candidate, &Upstream),
+    ) {
+        for at in ids.filter_map(|id| self.pool.position(id)) {
+            change(&mut self.all[at], &self.pool.upstreams()[at]);
+        }
+    }
+
+    /// Changes the candidates in the data centres for which `is_concerned` is true.
+    fn change_data_centers(
+        &mut self,
+        is_concerned: impl Fn(&str) -> bool,
+        change: impl Fn(&mut Candidate, &Upstream),
+    ) {
+        let data_centers = self.pool.slots().keys();
+        let concerned: Vec<&Name> = data_centers.filter(|name| is_concerned(name)).collect();
+        if concerned.is_empty() {
+            return;
+        }
+        for (candidate, upstream) in self.all.iter_mut().zip(self.pool.upstreams()) {
+            if concerned.contains(&&upstream.data_center) {
+                change(candidate, upstream);
+            }
+        }
+    }
+
+    fn has_open(&self) -> bool {
+        self.all.iter().any(|c| !c.excluded)
+    }
+}
+
 impl RouterState {
     /// Returns the upstreams of `service` and the state of each; this router may open `max_open`
     /// connections to each.
@@ -43,95 +96,158 @@
         allowed_regions: &[&AllowedRegions],
         max_open: u32,
         now_ms: u64,
-    ) -> (Vec<Rc<Upstream>>, Vec<Candidate>) {
-        let pool = self.upstreams.borrow().pool(service).to_vec();
-        let load = self.gossip.in_flight();
-        let others = &load.upstreams;
-        let running = self.running.borrow();
-        let health = self.health.borrow();
-        let decisions = self.decisions();
-        let is_ejected =
-            |u: &Upstream| health.is_ejected(u, now_ms) && decisions.is_enabled_for(&health, u);
-        let own = |u: &Upstream| running.get(&u.id).copied().unwrap_or(0);
-        let evacuations = self.evacuations.borrow();
-        let cold_starts = self.cold_starts.borrow();
-        let is_withheld = |u: &Upstream| {
-            evacuations.contains(&u.data_center) || !cold_starts.admits(&u.id, now_ms)
-        };
-        // Evacuations, allowed regions and the limits of cold upstreams apply even if no other
-        // upstream is left. The request is then refused at once.
-        let is_closed = |u: &Upstream| {
-            u.draining
-                || health.is_replaced(u)
-                || own(u) >= max_open
-                || is_withheld(u)
-                || !self.regions.allow(allowed_regions, &u.data_center)
-        };
-        let is_unreachable =
-            |u: &Upstream| decisions.unreachable && health.is_unreachable(u, now_ms);
-        let is_excluded = |u: &Upstream, relaxation: Relaxation| {
-            is_closed(u)
-                || (relaxation < Relaxation::Tried || !tried.may_repeat) && tried.contains(&u.id)
-                || relaxation < Relaxation::Unreachable && is_unreachable(u)
-                || relaxation < Relaxation::Ejected && is_ejected(u)
-        };
-        let joined = self.joined_ms.borrow();
-        let reported = |u: &Rc<Upstream>| {
-            let reported = others.get(&digest(&u.id));
-            reported
-                .filter(|_| decisions.told_counts)
-                .map_or(0.0, |t| t.running)
-        };
-        let mut peer_load: Vec<f64> = pool.iter().map(reported).collect();
-        spread::shrink_to_mean(&mut peer_load, load.share);
-        let candidate = |(u, peer_load): (&Rc<Upstream>, &f64)| Candidate {
-            id_hash: util::hash_bytes(u.id.as_bytes()),
-            running: own(u) + peer_load.round() as u32,
-            own: own(u),
-            slots: u.slots,
-            is_local: u.data_center == self.data_center,
-            excluded: is_excluded(u, Relaxation::None),
-            withheld: is_withheld(u) && !u.draining,
-            has_parts: health.is_cache_source(u, now_ms)
-                && !evacuations.contains(&u.data_center)
-                && joined
-                    .get(&u.id)
-                    .is_none_or(|at| at + CACHE_WARMUP_MS < now_ms),
-        };
-        let mut candidates: Vec<Candidate> = pool.iter().zip(&peer_load).map(candidate).collect();
+    ) -> (Rc<Pool>, Vec<Candidate>) {
+        let pool = self.upstreams.borrow().shared_pool(service);
+        let mut open = Candidates::idle(&pool);
+        self.count_requests(&mut open);
+        self.close(&mut open, allowed_regions, max_open, now_ms);
+        self.mark_cache_sources(&mut open, service, now_ms);
+        let mut candidates = open.clone();
         for relaxation in RELAXATIONS {
-            if candidates.iter().any(|c| !c.excluded) {
+            candidates.all.clone_from(&open.all);
+            self.exclude(&mut candidates, service, tried, relaxation, now_ms);
+            if candidates.has_open() {
                 break;
             }
-            for (candidate, upstream) in candidates.iter_mut().zip(&pool) {
-                candidate.excluded = is_excluded(upstream, relaxation);
+        }
+        let all = candidates.all;
+        (pool, all)
+    }
+
+    /// Sets the requests that run at each candidate, by this router's own counts and the reports of
+    /// the others.
+    fn count_requests(&self, candidates: &mut Candidates<'_>) {
+        let pool = candidates.pool;
+        if self.decisions().told_counts {
+            let load = self.gossip.in_flight();
+            let reported = self.reported_counts(pool, &load);
+            let total = reported.iter().map(|(_, count)| count).sum();
+            let estimate = CountEstimate::new(total, pool.upstreams().len(), load.share);
+            let unreported = estimate.of(0.0).round() as u32;
+            for candidate in &mut candidates.all {
+                candidate.running = unreported;
+            }
+            for (at, count) in reported {
+                candidates.all[at].running = estimate.of(count).round() as u32;
+            }
+        }
+        for (id, own) in self.running.borrow().iter() {
+            if let Some(at) = pool.position(id) {
+                candidates.all[at].own = *own;
+                candidates.all[at].running += own;
             }
         }
-        (pool, candidates)
     }
 
-    /// Returns the number of requests that the upstreams of `service` run at once, without excluded
-    /// upstreams, or `None` if they don't report their slots.
-    pub(crate) fn slots_open(&self, service: &str, now_ms: u64) -> Option<u32> {
+    /// Requests of the other routers at those upstreams of `pool` where they reported any.
+    pub(super) fn reported_counts(&self, pool: &Pool, load: &FleetInFlight) -> Vec<(usize, f64)> {
         let upstreams = self.upstreams.borrow();
+        let busy = load.upstreams.iter().filter(|(_, t)| t.running > 0.0);
+        let position = |digest: u32| pool.position(&upstreams.by_digest(digest)?.id);
+        busy.filter_map(|(digest, t)| Some((position(*digest)?, t.running)))
+            .collect()
+    }
+
+    /// Excludes the upstreams that must not get the request even if no other is left; it is then
+    /// refused at once.
+    fn close(
+        &self,
+        candidates: &mut Candidates<'_>,
+        allowed_regions: &[&AllowedRegions],
+        max_open: u32,
+        now_ms: u64,
+    ) {
+        let withhold = |candidate: &mut Candidate, upstream: &Upstream| {
+            candidate.excluded = true;
+            candidate.withheld = !upstream.draining;
+        };
+        let exclude = |candidate: &mut Candidate, _: &Upstream| candidate.excluded = true;
+        let running = self.running.borrow();
+        let full = running.iter().filter(|(_, own)| **own >= max_open);
+        candidates.change(full.map(|(id, _)| id), exclude);
+        candidates.change(self.health.borrow().replaced(), exclude);
+        candidates.change(self.cold_starts.borrow().refusing(now_ms), withhold);
+        let evacuations = self.evacuations.borrow();
+        candidates.change_data_centers(|name| evacuations.contains(name), withhold);
+        let is_forbidden = |name: &str| !self.regions.allow(allowed_regions, name);
+        candidates.change_data_centers(is_forbidden, exclude);
+    }
+
+    /// Marks the upstreams from which others can't fetch cached prompt parts.
+    fn mark_cache_sources(&self, candidates: &mut Candidates<'_>, service: &str, now_ms: u64) {
         let health = self.health.borrow();
+        let suspected = health.ejected(service, now_ms);
+        let suspected = suspected.chain(health.unreachable(now_ms));
+        candidates.change(suspected.chain(health.replaced()), |candidate, upstream| {
+            candidate.has_parts &= health.is_cache_source(upstream, now_ms);
+        });
+        let joined = self.joined_ms.borrow();
+        let young = joined
+            .iter()
+            .filter(|(_, at)| **at + CACHE_WARMUP_MS >= now_ms);
+        candidates.change(young.map(|(id, _)| id), |c, _| c.has_parts = false);
+        let evacuations = self.evacuations.borrow();
+        let is_evacuated = |name: &str| evacuations.contains(name);
+        candidates.change_data_centers(is_evacuated, |c, _| c.has_parts = false);
+    }
+
+    /// Excludes the upstreams that get the request only if no other is left.
+    fn exclude(
+        &self,
+        candidates: &mut Candidates<'_>,
+        service: &str,
+        tried: &Tried<'_>,
+        relaxation: Relaxation,
+        now_ms: u64,
+    ) {
+        let exclude = |candidate: &mut Candidate, _: &Upstream| candidate.excluded = true;
+        let health = self.health.borrow();
+        if relaxation < Relaxation::Tried || !tried.may_repeat {
+            candidates.change(tried.upstreams.iter(), exclude);
+        }
+        if relaxation < Relaxation::Unreachable && self.decisions().unreachable {
+            candidates.change(health.unreachable(now_ms), exclude);
+        }
+        if relaxation < Relaxation::Ejected {
+            candidates.change(self.ejected(&health, service, now_ms), exclude);
+        }
+    }
+
+    /// Upstreams of `service` that are ejected by a mechanism that is enabled.
+    fn ejected<'a>(
+        &self,
+        health: &'a Health,
+        service: &str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a Name> {
         let decisions = self.decisions();
-        if !decisions.admission {
+        let ejected = health.ejected(service, now_ms);
+        ejected.filter(move |id| decisions.is_enabled_for(health, id))
+    }
+
+    /// Returns the number of requests that the upstreams of `service` run at once, without excluded
+    /// upstreams, or `None` if they don't report their slots.
+    pub(crate) fn slots_open(&self, service: &str, now_ms: u64) -> Option<u32> {
+        if !self.decisions().admission {
             return None;
         }
-        let is_unavailable = |u: &Upstream| {
-            let is_ejected = health.is_ejected(u, now_ms) && decisions.is_enabled_for(&health, u);
-            is_ejected || (decisions.unreachable && health.is_unreachable(u, now_ms))
-        };
+        let pool = self.upstreams.borrow().shared_pool(service);
         let evacuations = self.evacuations.borrow();
-        let cold_starts = self.cold_starts.borrow();
-        let takes_work = |u: &&Rc<Upstream>| {
-            let is_cold = cold_starts.is_cold(&u.id, now_ms);
-            let is_closed = u.draining || is_cold || evacuations.contains(&u.data_center);
-            !(is_closed || health.is_replaced(u) || is_unavailable(u))
-        };
-        let open = upstreams.pool(service).iter().filter(takes_work);
-        let slots: u32 = open.map(|u| u.slots).sum();
-        (slots > 0).then_some(slots)
+        let takes_work = |data_center: &str| !evacuations.contains(data_center);
+        let open = pool.slots().iter().filter(|(name, _)| takes_work(name));
+        let slots: u32 = open.map(|(_, slots)| slots).sum();
+        let (health, cold_starts) = (self.health.borrow(), self.cold_starts.borrow());
+        let mut closed: HashSet<&Name> =
+            cold_starts.cold(now_ms).chain(health.replaced()).collect();
+        closed.extend(self.ejected(&health, service, now_ms));
+        if self.decisions().unreachable {
+            closed.extend(health.unreachable(now_ms));
+        }
+        let closed = closed.into_iter().filter_map(|id| pool.position(id));
+        let closed = closed.map(|at| &pool.upstreams()[at]);
+        let counted = closed.filter(|u| !u.draining && takes_work(&u.data_center));
+        let closed_slots: u32 = counted.map(|u| u.slots).sum();
+        let open_slots = slots.saturating_sub(closed_slots);
+        (open_slots > 0).then_some(open_slots)
     }
 }
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use crate::util::Name;
+use crate::decide::ejection;
+use crate::decide::spread::Candidate;
+use crate::fleet::loads::digest;
+use crate::util::{self, Name};
 
 /// Upstream as it last reported itself.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,14 +48,105 @@
     }
 }
 
+/// Upstreams of one service, in the order of their ids, with what selecting one of them needs.
+///
+/// Load pattern: a pool of thousands of upstreams on each of a thousand routers, which handle a
+/// request or two a second each. Whatever is computed for each upstream of the pool several times a
+/// second costs more than the requests. So the pool keeps what depends on the records alone, and
+/// the state that a router observes is applied to the few upstreams that it concerns.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    upstreams: Vec<Rc<Upstream>>,
+    candidates: Vec<Candidate>,
+    slots: HashMap<Name, u32>,
+}
+
+impl Pool {
+    /// The upstreams, including draining ones.
+    pub fn upstreams(&self) -> &[Rc<Upstream>] {
+        &self.upstreams
+    }
+
+    /// A candidate for each upstream, as if all were idle and healthy.
+    pub fn candidates(&self) -> &[Candidate] {
+        &self.candidates
+    }
+
+    /// Slots of the upstreams of each data centre that don't drain.
+    pub fn slots(&self) -> &HashMap<Name, u32> {
+        &self.slots
+    }
+
+    /// Position of upstream `id` in the pool, by binary search.
+    pub fn position(&self, id: &str) -> Option<usize> {
+        self.search(id).ok()
+    }
+
+    fn search(&self, id: &str) -> Result<usize, usize> {
+        self.upstreams.binary_search_by(|u| (*u.id).cmp(id))
+    }
+
+    fn insert(&mut self, upstream: Rc<Upstream>, is_local: bool) {
+        let (Ok(at) | Err(at)) = self.search(&upstream.id);
+        let slots = self.slots.entry(upstream.data_center.clone());
+        let slots = slots.or_default();
+        if !upstream.draining {
+            *slots = slots.saturating_add(upstream.slots);
+        }
+        let candidate = Candidate {
+            id_hash: util::hash_bytes(upstream.id.as_bytes()),
+            slots: upstream.slots,
+            is_local,
+            excluded: upstream.draining,
+            has_parts: true,
+            ..Candidate::default()
+        };
+        self.candidates.insert(at, candidate);
+        self.upstreams.insert(at, upstream);
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Ok(at) = self.search(id) else {
+            return;
+        };
+        self.candidates.remove(at);
+        let removed = self.upstreams.remove(at);
+        if let Some(slots) = self.slots.get_mut(&removed.data_center)
+            && !removed.draining
+        {
+            *slots = slots.saturating_sub(removed.slots);
+        }
+    }
+}
+
+impl ejection::Pool for Pool {
+    fn size(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    fn contains(&self, upstream: &str) -> bool {
+        self.position(upstream).is_some()
+    }
+}
+
 /// All known upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
+    data_center: Option<Name>,
     by_id: HashMap<Name, Rc<Upstream>>,
-    pools: HashMap<Name, Vec<Rc<Upstream>>>,
+    by_digest: HashMap<u32, Rc<Upstream>>,
+    pools: HashMap<Name, Rc<Pool>>,
 }
 
 impl Upstreams {
+    /// Creates the empty table of a router in `data_center`.
+    pub fn local_to(data_center: Name) -> Self {
+        Self {
+            data_center: Some(data_center),
+            ..Self::default()
+        }
+    }
+
     /// Adds or updates an upstream, and returns whether anything relevant to routing changed.
     ///
     /// ```
@@ -91,9 +185,11 @@
         self.remove(&upstream.id.clone());
         let upstream = Rc::new(upstream);
         self.by_id.insert(upstream.id.clone(), upstream.clone());
+        self.by_digest
+            .insert(digest(&upstream.id), upstream.clone());
+        let is_local = self.data_center.as_ref() == Some(&upstream.data_center);
         let pool = self.pools.entry(upstream.service.clone()).or_default();
-        let (Ok(at) | Err(at)) = position(pool, &upstream.id);
-        pool.insert(at, upstream);
+        Rc::make_mut(pool).insert(upstream, is_local);
         true
     }
 
@@ -102,22 +198,39 @@
         let Some(removed) = self.by_id.remove(id) else {
             return false;
         };
-        if let Some(pool) = self.pools.get_mut(&removed.service)
-            && let Ok(at) = position(pool, id)
+        let digest = digest(id);
+        if self
+            .by_digest
+            .get(&digest)
+            .is_some_and(|u| u.id == removed.id)
         {
-            pool.remove(at);
+            self.by_digest.remove(&digest);
+        }
+        if let Some(pool) = self.pools.get_mut(&removed.service) {
+            Rc::make_mut(pool).remove(id);
         }
         true
     }
 
     /// Upstreams of `service`, including draining ones, in the order of their ids.
     pub fn pool(&self, service: &str) -> &[Rc<Upstream>] {
-        self.pools.get(service).map_or(&[], Vec::as_slice)
+        self.pools.get(service).map_or(&[], |p| p.upstreams())
+    }
+
+    /// Pool of `service`; empty if none of its upstreams is known.
+    pub fn shared_pool(&self, service: &str) -> Rc<Pool> {
+        self.pools.get(service).cloned().unwrap_or_default()
     }
 
     /// Pools of all services.
-    pub fn pools(&self) -> impl Iterator<Item = &[Rc<Upstream>]> {
-        self.pools.values().map(Vec::as_slice)
+    pub fn pools(&self) -> impl Iterator<Item = (&Name, &Pool)> {
+        self.pools.iter().map(|(service, pool)| (service, &**pool))
+    }
+
+    /// Upstream by the digest that stands for its id between routers. Of two with the same digest
+    /// it is the one added last.
+    pub fn by_digest(&self, digest: u32) -> Option<&Rc<Upstream>> {
+        self.by_digest.get(&digest)
     }
 
     /// Upstream `id`, also while it drains.
@@ -140,9 +253,3 @@
         self.by_id.is_empty()
     }
 }
-
-/// Returns the position of `id` in a pool, or its insertion point. Pools are sorted: adding each of
-/// 3,000 upstreams that start together costs a search instead of a sort of the whole pool.
-fn position(pool: &[Rc<Upstream>], id: &str) -> Result<usize, usize> {
-    pool.binary_search_by(|u| (*u.id).cmp(id))
-}
--- a/src/serve/route/placer.rs
+++ b/src/serve/route/placer.rs
@@ -131,10 +131,9 @@
     pub(crate) fn record_answer(&self, forward: &Forward, upstream: &Name, took_ms: u64) {
         let (pool, share) = (self.pool(&forward.service), self.eject_share(forward));
         let now_ms = self.ctx.clock.now_ms();
-        let names = pool.index.names();
         let change = {
             let ejector = &mut self.state.borrow_mut().ejector;
-            ejector.answered(upstream, took_ms, names, share, now_ms)
+            ejector.answered(upstream, took_ms, &pool.index, share, now_ms)
         };
         self.emit_change(change, upstream);
     }
@@ -143,10 +142,9 @@
     pub(crate) fn record_failure(&self, forward: &Forward, upstream: &Name) {
         let (pool, share) = (self.pool(&forward.service), self.eject_share(forward));
         let now_ms = self.ctx.clock.now_ms();
-        let names = pool.index.names();
         let change = {
             let ejector = &mut self.state.borrow_mut().ejector;
-            ejector.failed(upstream, names, share, now_ms)
+            ejector.failed(upstream, &pool.index, share, now_ms)
         };
         self.emit_change(change, upstream);
     }
