Membership: the cost of a start, a tick and a datagram no longer grows with the fleet

Each first answer changes the view, and a change cost a comparison of each member with all (linear search in View::get), at every tick. Besides, each datagram walked all members twice and drew from them with a random number each, each publication parsed the address of every member, and whether a router is a reader was hashed over all members ten times a second and stream.

Now 64 listed hosts are probed at once, and load reports count as contact; a listed host that is down is passed on by those that found it, and one that isn't announces itself. The table of members keeps what is to be sent, what may end and how many live; the view is changed member by member, and what follows from all members is computed once a view.

Ruled out: probing at a lower constant rate only (a dead host of 985 would be known after 50 s).

--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -82,6 +82,8 @@
     pub members: Vec<Member>,
     /// Digests of the upstreams that are leaving.
     pub leaving: HashSet<u32>,
+    /// Number of changes of the members that it reflects.
+    pub version: u64,
 }
 
 impl View {
@@ -90,8 +92,45 @@
         self.leaving.contains(&loads::digest(upstream))
     }
 
-    /// Returns the member named `host`.
+    /// Returns the member named `host`, by binary search.
     pub fn get(&self, host: &str) -> Option<&Member> {
-        self.members.iter().find(|m| &*m.host == host)
+        self.search(host).ok().map(|at| &self.members[at])
+    }
+
+    /// Replaces the member named `host`, or removes it.
+    ///
+    /// ```
+    /// use cassiagrade::fleet::member::{Member, MemberState, View};
+    /// let member = |host: &str, state| Member {
+    ///     host: host.into(),
+    ///     data_center: "north".into(),
+    ///     incarnation: 1,
+    ///     state,
+    ///     peer_addr: "10.0.0.1:80".into(),
+    ///     caller_addr: "10.0.0.1:81".into(),
+    /// };
+    /// let mut view = View::default();
+    /// for host in ["b", "a"] {
+    ///     view.set(host, Some(member(host, MemberState::Alive)));
+    /// }
+    /// view.set("a", Some(member("a", MemberState::Dead)));
+    /// assert_eq!(view.get("a").unwrap().state, MemberState::Dead);
+    /// view.set("a", None);
+    /// assert_eq!(view.members.len(), 1);
+    /// ```
+    pub fn set(&mut self, host: &str, member: Option<Member>) {
+        self.version += 1;
+        match (self.search(host), member) {
+            (Ok(at), Some(member)) => self.members[at] = member,
+            (Ok(at), None) => {
+                self.members.remove(at);
+            }
+            (Err(at), Some(member)) => self.members.insert(at, member),
+            (Err(_), None) => {}
+        }
+    }
+
+    fn search(&self, host: &str) -> Result<usize, usize> {
+        self.members.binary_search_by(|m| (*m.host).cmp(host))
     }
 }
--- a/src/fleet/swim/entry.rs
+++ b/src/fleet/swim/entry.rs
@@ -39,6 +39,17 @@
         self.member.state != MemberState::Dead
     }
 
+    /// Whether it is known only from the platform's list.
+    pub(super) fn is_listed_only(&self) -> bool {
+        self.member.incarnation == 0 && self.member.state == MemberState::Alive
+    }
+
+    /// Whether its state means something to other routers. That a host is listed doesn't: they read
+    /// the same list.
+    pub(super) fn is_sendable(&self) -> bool {
+        self.member.incarnation > 0 || self.member.state == MemberState::Dead
+    }
+
     /// Returns the member as the rest of the router sees it. The list's "leaving" applies to the
     /// incarnation that was listed, not to one that started later.
     pub(super) fn effective(&self) -> Member {
--- a/src/fleet/swim/mod.rs
+++ b/src/fleet/swim/mod.rs
@@ -10,16 +10,17 @@
 mod entry;
 mod merge;
 mod probing;
+mod table;
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use rand::Rng;
-use rand::seq::IteratorRandom;
 
 use crate::fleet::member::{Member, MemberState, View};
 use crate::fleet::swim::entry::Entry;
+use crate::fleet::swim::probing::LISTED_PROBES;
+use crate::fleet::swim::table::Table;
 use crate::util::Name;
 
 /// Timing of probes and suspicions.
@@ -111,7 +112,7 @@
 pub struct Swim {
     policy: SwimPolicy,
     me: Name,
-    members: BTreeMap<Name, Entry>,
+    members: Table,
     round: Vec<Name>,
     probes: HashMap<u32, Probe>,
     relays: HashMap<u32, Relay>,
@@ -123,15 +124,16 @@
     /// Set when this process was paused: until another router answers, or until this time.
     doubt_until_ms: Option<u64>,
     replaced: bool,
-    changed: bool,
+    /// Number of further probes to hosts that are known only from the list.
+    listed_probes: usize,
 }
 
 impl Swim {
     /// Creates the state of a router that knows only itself.
     pub fn new(me: Member, policy: SwimPolicy, now_ms: u64) -> Self {
         let name = me.host.clone();
-        let mut members = BTreeMap::new();
-        members.insert(name.clone(), Entry::new(me, now_ms));
+        let mut members = Table::default();
+        members.insert(Entry::new(me, now_ms));
         Self {
             policy,
             me: name,
@@ -146,13 +148,18 @@
             last_tick_ms: now_ms,
             doubt_until_ms: None,
             replaced: false,
-            changed: true,
+            listed_probes: 0,
         }
     }
 
     /// Returns this router's own member entry, as it is sent to others.
     pub fn me(&self) -> &Member {
-        &self.members[&self.me].member
+        &self.own().member
+    }
+
+    fn own(&self) -> &Entry {
+        let own = self.members.get(&self.me);
+        own.expect("the own entry is never dropped")
     }
 
     /// Whether another process has this router's name; this one must not take work again.
@@ -170,25 +177,33 @@
         self.doubt_until_ms.is_some()
     }
 
-    /// Returns whether the view has changed since the last call.
-    pub fn take_changed(&mut self) -> bool {
-        std::mem::take(&mut self.changed)
+    /// Returns the hosts whose state in the view has changed since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<Name> {
+        self.members.take_changed()
     }
 
     /// Returns all members. While in doubt or replaced, this router is `Leaving` in it.
     pub fn view(&self) -> View {
-        let mut members: Vec<Member> = self.members.values().map(Entry::effective).collect();
-        if self.in_doubt() || self.replaced {
-            for member in members.iter_mut().filter(|m| m.host == self.me) {
-                member.state = MemberState::Leaving;
-            }
-        }
+        let members = self.members.values().map(|e| self.effective(e)).collect();
         View {
             members,
             ..View::default()
         }
     }
 
+    /// Returns the member `host` as it is in the view.
+    pub fn member(&self, host: &str) -> Option<Member> {
+        self.members.get(host).map(|e| self.effective(e))
+    }
+
+    fn effective(&self, entry: &Entry) -> Member {
+        let mut member = entry.effective();
+        if (self.in_doubt() || self.replaced) && member.host == self.me {
+            member.state = MemberState::Leaving;
+        }
+        member
+    }
+
     /// Returns all members whose incarnation is known, as they are sent to others.
     pub fn all(&self) -> Vec<Member> {
         let known = self.members.values().filter(|e| e.member.incarnation > 0);
@@ -197,34 +212,31 @@
 
     /// Returns the number of members that are not dead, this router included.
     pub fn live(&self) -> usize {
-        let live = self.members.values();
-        live.filter(|e| e.member.state != MemberState::Dead).count()
+        self.members.live()
     }
 
     /// Merges the platform's host list. A host that is new here starts as alive: a wrong entry
     /// costs a few probes, and all routers that read the same list agree at once.
     pub fn merge_listed(&mut self, hosts: Vec<Listed>, now_ms: u64) {
-        for entry in self.members.values_mut() {
-            entry.listed = false;
-        }
+        self.members.for_each(|entry| entry.listed = false);
         for Listed { member, leaving } in hosts {
-            let entry = self.members.entry(member.host.clone()).or_insert_with(|| {
-                self.changed = true;
-                Entry::new(member, now_ms)
-            });
-            entry.listed = true;
-            let up_to = leaving.then_some(entry.member.incarnation);
-            let before = entry.effective().state;
-            if !leaving || entry.leaving_up_to.is_none() {
-                entry.leaving_up_to = up_to;
+            let host = member.host.clone();
+            if !self.members.contains(&host) {
+                self.members.insert(Entry::new(member, now_ms));
+                self.listed_probes = LISTED_PROBES;
             }
-            self.changed |= entry.effective().state != before;
+            self.members.update(&host, |entry| {
+                entry.listed = true;
+                if !leaving || entry.leaving_up_to.is_none() {
+                    entry.leaving_up_to = leaving.then_some(entry.member.incarnation);
+                }
+            });
         }
         let forget_ms = self.policy.forget_ms;
         let me = self.me.clone();
-        self.members.retain(|host, e| {
+        self.members.retain(|e| {
             let dead = e.member.state == MemberState::Dead;
-            *host == me || !dead || now_ms.saturating_sub(e.since_ms) < forget_ms
+            e.member.host == me || !dead || now_ms.saturating_sub(e.since_ms) < forget_ms
         });
     }
 
@@ -244,13 +256,11 @@
 
     fn set_own_state(&mut self, state: MemberState, now_ms: u64) {
         let me = self.me.clone();
-        let Some(entry) = self.members.get_mut(&me) else {
-            return;
-        };
-        entry.member.state = state;
-        entry.since_ms = now_ms;
-        entry.sends = 0;
-        self.changed = true;
+        self.members.update(&me, |entry| {
+            entry.member.state = state;
+            entry.since_ms = now_ms;
+            entry.sends = 0;
+        });
     }
 
     /// Returns at most `max` members to send to `to`: first the state of `to` if it must be refuted
@@ -269,19 +279,11 @@
         {
             updates.push(entry.member.clone());
         }
-        let mut fresh: Vec<&mut Entry> = self
-            .members
-            .values_mut()
-            .filter(|e| e.sends < limit && e.member.incarnation > 0)
-            .collect();
-        fresh.sort_by_key(|e| (e.sends, Reverse(e.since_ms)));
-        for entry in fresh.into_iter().take(max.saturating_sub(updates.len())) {
-            entry.sends += 1;
-            updates.push(entry.member.clone());
-        }
+        let room = max.saturating_sub(updates.len());
+        updates.extend(self.members.take_updates(room, limit));
         if updates.is_empty() {
-            let known = self.members.values().filter(|e| e.member.incarnation > 0);
-            updates.extend(known.map(|e| e.member.clone()).choose(rng));
+            let known = self.members.choose(1, Entry::is_sendable, rng);
+            updates.extend(known.into_iter().map(|e| e.member.clone()));
         }
         updates
     }
--- a/src/fleet/swim/probing.rs
+++ b/src/fleet/swim/probing.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use rand::seq::{IteratorRandom, SliceRandom};
 
-use crate::fleet::member::MemberState;
+use crate::fleet::member::{Member, MemberState};
 use crate::fleet::swim::entry::Entry;
 use crate::fleet::swim::{Message, Outgoing, Probe, Relay, Swim, SwimPolicy};
 use crate::util::Name;
@@ -14,6 +14,13 @@
 const DEAD_PROBE_INTERVAL: u32 = 8;
 /// Number of probes per tick to members that are known only from the platform's list.
 const LISTED_PROBES_PER_TICK: usize = 4;
+/// Number of these probes after a read of the list.
+///
+/// Failure guarded against: when a fleet of a thousand routers starts, each probes all others, and a
+/// million probes and answers take the processor time of the hosts for many seconds. With this
+/// number each listed host is still probed by dozens of routers within the first two seconds, and
+/// the others learn from them if it is dead.
+pub(super) const LISTED_PROBES: usize = 64;
 
 impl Swim {
     /// Handles late probes and expired suspicions, and starts the next probe.
@@ -42,18 +49,18 @@
         self.last_tick_ms = now_ms;
         if paused_ms > self.policy.probe_timeout_ms {
             self.probes.clear();
-            for entry in self.members.values_mut() {
+            self.members.for_each(|entry| {
                 entry.silent_since_ms = entry.silent_since_ms.map(|since| since + paused_ms);
-            }
+            });
         }
         if paused_ms > self.policy.suspicion_ms && self.live() > 1 {
             self.doubt_until_ms = Some(now_ms + self.policy.suspicion_ms);
             self.next_probe_ms = now_ms;
-            self.changed = true;
+            self.members.mark_changed(&self.me);
         }
         if self.doubt_until_ms.is_some_and(|until| now_ms >= until) {
             self.doubt_until_ms = None;
-            self.changed = true;
+            self.members.mark_changed(&self.me);
         }
     }
 
@@ -106,20 +113,24 @@
     /// from the host since the probe was sent proves that it is alive.
     fn probe_failed(&mut self, probe: &Probe, now_ms: u64, out: &mut Vec<Outgoing>) {
         let host = &probe.target;
-        let Some(entry) = self.members.get_mut(host) else {
+        let Some(entry) = self.members.get(host) else {
             return;
         };
         if entry.last_received_ms >= probe.sent_ms {
             return;
         }
-        entry.silent_since_ms.get_or_insert(now_ms);
-        match entry.member.state {
+        let Member {
+            state, incarnation, ..
+        } = entry.member;
+        self.members.update(host, |entry| {
+            entry.silent_since_ms.get_or_insert(now_ms);
+        });
+        match state {
             // Known only from the list, it needs no time to refute.
-            MemberState::Alive if entry.member.incarnation == 0 => {
+            MemberState::Alive if incarnation == 0 => {
                 self.set_state(host, 0, MemberState::Dead, now_ms);
             }
             MemberState::Alive => {
-                let incarnation = entry.member.incarnation;
                 self.set_state(host, incarnation, MemberState::Suspect, now_ms);
                 // Notifies the suspect, so that it can refute at once.
                 out.extend(self.ping(host, now_ms));
@@ -138,7 +149,7 @@
         };
         let expired: Vec<(Name, u64)> = self
             .members
-            .values()
+            .ending()
             .filter(|e| e.member.host != self.me && is_expired(e))
             .map(|e| (e.member.host.clone(), e.member.incarnation))
             .collect();
@@ -154,15 +165,25 @@
         self.policy.suspicion_ms * rounds.max(4) / 4
     }
 
-    fn unconfirmed<R: Rng>(&self, rng: &mut R) -> Vec<Name> {
+    fn unconfirmed<R: Rng>(&mut self, rng: &mut R) -> Vec<Name> {
+        let max = self.listed_probes.min(LISTED_PROBES_PER_TICK);
+        if max == 0 {
+            return Vec::new();
+        }
         let probed = |host: &Name| self.probes.values().any(|p| p.target == *host);
-        self.members
-            .values()
-            .filter(|e| e.member.incarnation == 0 && e.member.state == MemberState::Alive)
-            .map(|e| &e.member.host)
-            .filter(|host| **host != self.me && !probed(host))
+        let is_unconfirmed = |e: &&Entry| {
+            let host = &e.member.host;
+            e.is_listed_only() && *host != self.me && !probed(host)
+        };
+        let unconfirmed = self.members.values().filter(is_unconfirmed);
+        let hosts = unconfirmed.map(|e| &e.member.host);
+        let hosts: Vec<Name> = hosts
+            .choose_multiple(rng, max)
+            .into_iter()
             .cloned()
-            .choose_multiple(rng, LISTED_PROBES_PER_TICK)
+            .collect();
+        self.listed_probes -= hosts.len();
+        hosts
     }
 
     /// Returns each member once in random order before any is repeated: some router probes a
@@ -190,8 +211,11 @@
     }
 
     fn random_dead<R: Rng>(&self, rng: &mut R) -> Option<Name> {
+        if self.members.live() == self.members.len() {
+            return None;
+        }
         let dead = self.members.values().filter(|e| !e.is_live() && e.listed);
-        dead.map(|e| e.member.host.clone()).choose(rng)
+        dead.map(|e| &e.member.host).choose(rng).cloned()
     }
 
     pub(super) fn random_members<R: Rng>(
@@ -200,13 +224,12 @@
         except: Option<&Name>,
         rng: &mut R,
     ) -> Vec<Name> {
-        self.members
-            .values()
-            .filter(|e| e.is_live() && e.member.incarnation > 0)
-            .map(|e| &e.member.host)
-            .filter(|h| **h != self.me && Some(*h) != except)
-            .cloned()
-            .choose_multiple(rng, n)
+        let is_eligible = |e: &Entry| {
+            let host = &e.member.host;
+            e.is_live() && e.member.incarnation > 0 && *host != self.me && Some(host) != except
+        };
+        let chosen = self.members.choose(n, is_eligible, rng);
+        chosen.into_iter().map(|e| e.member.host.clone()).collect()
     }
 
     fn probe(&mut self, host: &Name, now_ms: u64) -> Option<Outgoing> {
@@ -277,7 +300,7 @@
             self.answered(&host);
             if self.doubt_until_ms.take().is_some() {
                 self.next_probe_ms = now_ms;
-                self.changed = true;
+                self.members.mark_changed(&self.me);
             }
         }
         match self.relays.remove(&seq) {
@@ -294,8 +317,7 @@
     }
 
     fn answered(&mut self, host: &Name) {
-        if let Some(entry) = self.members.get_mut(host) {
-            entry.silent_since_ms = None;
-        }
+        self.members
+            .update(host, |entry| entry.silent_since_ms = None);
     }
 }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -51,6 +51,7 @@
 #[cfg(test)]
 mod suspects_tests;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +62,7 @@
 use crate::event::Events;
 use crate::fleet::gossip::Gossip;
 use crate::fleet::in_flight::{self, REPORT_INTERVAL_MS};
+use crate::fleet::log_reads;
 use crate::fleet::member::{Member, MemberState, View};
 use crate::front::Drain;
 use crate::path::admission_queue::AdmissionQueues;
@@ -87,6 +89,14 @@
     pub(crate) region: Option<&'a str>,
 }
 
+/// Members as of one view, counted once for all that ask.
+#[derive(Clone, Copy)]
+struct FleetSummary {
+    version: u64,
+    live: usize,
+    is_reader: bool,
+}
+
 /// State shared by the tasks of the request path.
 pub(crate) struct RequestPath<D> {
     pub(crate) state: Rc<RouterState>,
@@ -98,18 +108,39 @@
     pub(crate) events: Events,
     pub(crate) gossip: Gossip,
     pub(crate) fleet: watch::Receiver<Arc<View>>,
+    pub(crate) fleet_summary: FleetCounts,
     pub(crate) host: Name,
 }
 
+/// Cache of the [`FleetSummary`] of the newest view.
+#[derive(Default)]
+pub(crate) struct FleetCounts(Cell<Option<FleetSummary>>);
+
 impl<D> RequestPath<D> {
     /// Number of live routers, which share the limits of the fleet.
     pub(crate) fn routers(&self) -> usize {
+        self.fleet_summary().live.max(1)
+    }
+
+    /// Whether this router reads the platform's log for the others.
+    pub(crate) fn is_reader(&self) -> bool {
+        self.fleet_summary().is_reader
+    }
+
+    fn fleet_summary(&self) -> FleetSummary {
         let fleet = self.fleet.borrow();
-        let live = fleet
-            .members
-            .iter()
-            .filter(|m| m.state != MemberState::Dead);
-        live.count().max(1)
+        let known = self.fleet_summary.0.get();
+        if let Some(summary) = known.filter(|s| s.version == fleet.version) {
+            return summary;
+        }
+        let live = fleet.members.iter();
+        let summary = FleetSummary {
+            version: fleet.version,
+            live: live.filter(|m| m.state != MemberState::Dead).count(),
+            is_reader: log_reads::is_reader(&fleet, &self.host),
+        };
+        self.fleet_summary.0.set(Some(summary));
+        summary
     }
 
     /// Number of routers that this router can reach, itself included.
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -1,6 +1,6 @@
 //! The membership task's handling of time, datagrams and inputs from other tasks.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use compio::BufResult;
 use compio::net::UdpSocket;
 use rand::rngs::SmallRng;
-use rand::seq::IteratorRandom;
+use rand::seq::index;
 use tokio::sync::{mpsc, watch};
 
 use crate::event::{Events, Kind};
@@ -47,6 +47,9 @@
 /// among 195 would write 390 lines, which took a host with an eighth of a core 60 ms before its
 /// first request.
 const MAX_LISTED_CHANGES: usize = 4;
+/// Number of members from which the receivers of a report are drawn: enough for
+/// [`MAX_REPORTED`] live ones while three quarters of the fleet are down.
+const MAX_SAMPLED: usize = 4 * MAX_REPORTED;
 /// Number of times that each router sends a suspicion it received.
 const SUSPICION_SENDS: u32 = 12;
 
@@ -100,11 +103,12 @@
         if leaving != self.view_tx.borrow().leaving {
             self.leaving_changed(leaving);
         }
-        if self.swim.take_changed() {
+        let changed = self.swim.take_changed();
+        if !changed.is_empty() {
             self.liveness
                 .in_doubt
                 .set(self.swim.in_doubt() || self.swim.replaced());
-            self.view_changed();
+            self.members_changed(changed);
         }
         if std::mem::take(&mut self.loads_changed) {
             let by_upstream = self.loads.known(&self.names, now_ms);
@@ -184,10 +188,7 @@
             return;
         };
         let datagram = self.auth.sign(&payload);
-        let others = view.members.iter().filter(|m| m.host != me.host);
-        let live = others.filter(is_live);
-        let addrs = live.filter_map(|m| m.peer_addr.parse::<SocketAddr>().ok());
-        for addr in addrs.choose_multiple(&mut self.rng, MAX_REPORTED) {
+        for addr in self.report_addrs(&view) {
             count("sent", &body, datagram.len());
             let BufResult(sent, _) = self.socket.send_to(datagram.clone(), addr).await;
             if let Err(e) = sent {
@@ -197,6 +198,18 @@
         }
     }
 
+    /// Returns the addresses of random live routers that this router's counts are sent to.
+    fn report_addrs(&mut self, view: &View) -> Vec<SocketAddr> {
+        let me = &self.swim.me().host;
+        let is_receiver = |m: &&Member| m.state != MemberState::Dead && m.host != *me;
+        let members = view.members.len();
+        // A sample of a large fleet, so that the cost doesn't grow with it.
+        let sampled = index::sample(&mut self.rng, members, members.min(MAX_SAMPLED));
+        let sampled = sampled.iter().map(|at| &view.members[at]);
+        let receivers = sampled.filter(is_receiver).take(MAX_REPORTED);
+        receivers.filter_map(|m| m.peer_addr.parse().ok()).collect()
+    }
+
     async fn receive(&mut self, from: SocketAddr, body: Body, now_ms: u64) {
         let (gossip, message) = match body {
             Body::Ping(Ping {
@@ -214,6 +227,8 @@
             Body::Flights(mut counts) => {
                 let position = counts.mark.take().unwrap_or_default();
                 let host = counts.from_host.clone();
+                self.swim
+                    .record_contact(&host, counts.from_incarnation, now_ms);
                 self.senders
                     .peer_positions
                     .send_replace(Arc::new(PeerPosition { host, position }));
@@ -272,22 +287,40 @@
         self.view_changed();
     }
 
-    /// Publishes the view, and recomputes which upstreams this router is home to.
+    /// Publishes a new view of all members.
     fn view_changed(&mut self) {
+        let members = self.swim.view().members;
+        let hosts = members.into_iter().map(|m| m.host);
+        self.members_changed(hosts.collect());
+    }
+
+    /// Publishes the members that changed, and recomputes which upstreams this router is home to.
+    /// Costs a search for each change, as a large fleet has some at almost every tick.
+    fn members_changed(&mut self, hosts: BTreeSet<Name>) {
         let config = self.config.borrow().clone();
-        let mut view = self.swim.view();
-        let drained = |host: &str| {
-            let peer_positions = config.state.hosts.iter();
-            peer_positions
-                .into_iter()
-                .any(|m| m.draining && m.host == host)
+        let is_drained = |host: &str| {
+            let mut drained = config.state.hosts.iter();
+            drained.any(|m| m.draining && m.host == host)
         };
-        for member in &mut view.members {
-            if member.takes_work() && drained(&member.host) {
+        let effective = |host: &Name| {
+            let mut member = self.swim.member(host)?;
+            if member.takes_work() && is_drained(host) {
                 member.state = MemberState::Leaving;
             }
-        }
-        self.report_changes(&view);
+            Some(member)
+        };
+        let changed: Vec<(Name, Option<Member>)> = hosts
+            .into_iter()
+            .map(|h| (h.clone(), effective(&h)))
+            .collect();
+        self.report_changes(&changed);
+        self.view_tx.send_modify(|view| {
+            let view = Arc::make_mut(view);
+            for (host, member) in changed {
+                view.set(&host, member);
+            }
+        });
+        let view = self.view_tx.borrow().clone();
         let me = &self.swim.me().host;
         let upstreams = config.state.upstreams.iter();
         let own = upstreams
@@ -296,9 +329,7 @@
         self.loads.set_own(own);
         self.leaving
             .retain_signals(|digest| self.loads.is_own(digest));
-        view.leaving.clone_from(&self.view_tx.borrow().leaving);
         self.loads_changed = true;
-        self.view_tx.send_replace(Arc::new(view));
     }
 
     fn leaving_changed(&self, leaving: HashSet<u32>) {
@@ -316,13 +347,14 @@
             .send_modify(|view| Arc::make_mut(view).leaving = leaving);
     }
 
-    fn report_changes(&self, view: &View) {
+    fn report_changes(&self, changed: &[(Name, Option<Member>)]) {
         let before = self.view_tx.borrow();
         let is_changed = |member: &&Member| {
             let known = before.get(&member.host).map(|m| (m.incarnation, m.state));
             known != Some((member.incarnation, member.state))
         };
-        let changed: Vec<&Member> = view.members.iter().filter(is_changed).collect();
+        let present = changed.iter().filter_map(|(_, member)| member.as_ref());
+        let changed: Vec<&Member> = present.filter(is_changed).collect();
         for member in &changed {
             stats::member_changed(member.state.into());
         }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -195,3 +195,30 @@
     assert!(!net.nodes[4].swim.replaced());
     assert!(net.nodes[4].swim.me().incarnation > BEFORE);
 }
+
+/// A whole fleet starts at once. If each router probed all others, the probes would take the hosts
+/// of a large fleet many seconds.
+#[test_case(50)]
+#[test_case(400)]
+fn probes_of_a_starting_fleet_do_not_grow_with_it(routers: usize) {
+    const START_MS: u64 = 5_000;
+    /// A probe and an answer for each listed host that is probed at once, and for each round.
+    const MAX_DATAGRAMS: u64 = 2 * 64 + 2 * 2 * START_MS / 500;
+    let net = Net::start(routers, START_MS);
+    let sent = net.sent / routers as u64;
+    assert!(sent <= MAX_DATAGRAMS, "{sent} datagrams a router");
+}
+
+/// The list of a large fleet that starts names hosts that are down. Every router learns it, though
+/// each probes only some of the hosts itself.
+#[test]
+fn listed_hosts_that_are_down_become_known() {
+    let mut net = Net::start(300, 0);
+    for down in 0..10 {
+        net.nodes[down].up = false;
+    }
+    net.run_until(20_000, |net| {
+        (0..10).all(|down| net.all_see(down, MemberState::Dead))
+    });
+    assert!((10..300).all(|up| net.all_see(up, MemberState::Alive)));
+}
--- a/tests/support/net.rs
+++ b/tests/support/net.rs
@@ -188,8 +188,8 @@
     }
 
     pub(crate) fn state(&self, at: usize, of: usize) -> MemberState {
-        let view = self.nodes[at].swim.view();
-        view.get(&host(of)).map_or(MemberState::Dead, |m| m.state)
+        let member = self.nodes[at].swim.member(&host(of));
+        member.map_or(MemberState::Dead, |m| m.state)
     }
 
     /// Whether all running nodes list node `of` in `state`.
