A record that can't be decoded names no upstream, whatever the key named before

Now such a record removes the upstream of its key, on peers too, until its own next record; it is counted (invalid_records_total) and logged once for each upstream that it removes.

--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -20,6 +20,7 @@
 use crate::path::suspend::SuspendGuard;
 use crate::peers::compression;
 use crate::schema::peer::UpstreamChange;
+use crate::stats;
 use crate::util::{Clock, Name};
 
 /// Silence of the log after which entries of upstreams expire: three of their write intervals.
@@ -296,7 +297,7 @@
     pub(crate) fn put(&self, at: u64, id: &str, record: Bytes) {
         let upstream = match D::upstream(id, &record) {
             Ok(upstream) => upstream,
-            Err(e) => return log::warn!("record of upstream {id} is invalid and is ignored: {e}"),
+            Err(e) => return self.reject(at, id, &e),
         };
         let draining = upstream.draining;
         let started_ms = upstream.started_ms;
@@ -331,6 +332,18 @@
         self.push_change(at, id, record);
     }
 
+    /// Handles a record that can't be decoded: it names no upstream to use, also if a valid record
+    /// had the same key.
+    fn reject(&self, at: u64, id: &str, error: &D::Error) {
+        stats::invalid_record();
+        if self.state.has_upstream(id) {
+            log::warn!("upstream {id} is removed, its record is invalid: {error}");
+        } else {
+            log::debug!("record {id} is invalid and is ignored: {error}");
+        }
+        self.remove(at, id);
+    }
+
     /// Handles the arrival of records. After a long silence, upstreams whose entries were removed
     /// stay in use for a while.
     ///
--- a/src/path/log_replica_tests.rs
+++ b/src/path/log_replica_tests.rs
@@ -285,3 +285,21 @@
     assert!(starter.state.evacuations().contains("north"));
     assert_eq!(starter.replica.orders_at(), 9);
 }
+
+/// Another writer overwrites the record of an upstream. It must not get requests by its former
+/// record, the other upstreams stay, and its own next record brings it back.
+#[test]
+fn invalid_record_names_no_upstream() {
+    let router = Router::new();
+    put(&router, 1, "i-1");
+    put(&router, 2, "i-2");
+    let invalid = Bytes::from_static(b"ready@soon");
+    router.replica.put(3, "i-1", invalid.clone());
+    router.replica.put(4, "stranger", invalid);
+    let listed = |router: &Router| router.replica.listed().into_keys().collect::<Vec<_>>();
+    assert_eq!(listed(&router), ["i-2"]);
+    assert!(!router.state.has_upstream("i-1"));
+    put(&router, 5, "i-1");
+    assert_eq!(listed(&router), ["i-1", "i-2"]);
+    assert!(router.state.has_upstream("i-1"));
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -108,13 +108,13 @@
     pub(crate) events: Events,
     pub(crate) gossip: Gossip,
     pub(crate) fleet: watch::Receiver<Arc<View>>,
-    pub(crate) fleet_summary: FleetCounts,
+    pub(crate) summary: SummaryCache,
     pub(crate) host: Name,
 }
 
 /// Cache of the [`FleetSummary`] of the newest view.
 #[derive(Default)]
-pub(crate) struct FleetCounts(Cell<Option<FleetSummary>>);
+pub(crate) struct SummaryCache(Cell<Option<FleetSummary>>);
 
 impl<D> RequestPath<D> {
     /// Number of live routers, which share the limits of the fleet.
@@ -129,7 +129,7 @@
 
     fn fleet_summary(&self) -> FleetSummary {
         let fleet = self.fleet.borrow();
-        let known = self.fleet_summary.0.get();
+        let known = self.summary.0.get();
         if let Some(summary) = known.filter(|s| s.version == fleet.version) {
             return summary;
         }
@@ -139,7 +139,7 @@
             live: live.filter(|m| m.state != MemberState::Dead).count(),
             is_reader: log_reads::is_reader(&fleet, &self.host),
         };
-        self.fleet_summary.0.set(Some(summary));
+        self.summary.0.set(Some(summary));
         summary
     }
 
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -23,7 +23,7 @@
 use crate::path::log_replica::{LogReplica, ReadSchedules};
 use crate::path::regions::Regions;
 use crate::path::router_state::{RetryLimit, RouterState};
-use crate::path::{FleetCounts, RequestPath, callers, peers, run_maintenance, stop};
+use crate::path::{RequestPath, SummaryCache, callers, peers, run_maintenance, stop};
 use crate::peers::{PeerClient, Probes, probes};
 use crate::platform::{Headers, Pages, RouterRegistry, Store, follow_orders, follow_upstreams};
 use crate::router::{AddrSnafu, BindSnafu, Outputs, RouterError};
@@ -87,7 +87,7 @@
             events: events.clone(),
             gossip: probes.gossip.clone(),
             fleet: probes.view,
-            fleet_summary: FleetCounts::default(),
+            summary: SummaryCache::default(),
             host: me.host.clone(),
         });
         let platform = settings.platform.clone().unwrap_or_default();
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -23,6 +23,7 @@
 const CONTROL_BYTES: &str = "cassiagrade_control_bytes_total";
 const CONTROL_MESSAGES: &str = "cassiagrade_control_messages_total";
 const UNAUTHENTICATED_DATAGRAMS: &str = "cassiagrade_strange_datagrams_total";
+const INVALID_RECORDS: &str = "cassiagrade_invalid_records_total";
 const MEMBER_CHANGES: &str = "cassiagrade_member_changes_total";
 const SECOND_HOPS_AVOIDED: &str = "cassiagrade_second_hops_avoided_total";
 const HOME_REFUSED: &str = "cassiagrade_home_refused_total";
@@ -92,6 +93,10 @@
         UNAUTHENTICATED_DATAGRAMS,
         "Datagrams refused: not made with the fleet's key"
     );
+    describe_counter!(
+        INVALID_RECORDS,
+        "Records in the stream of upstreams that name none"
+    );
     describe_counter!(MEMBER_CHANGES, "Changes of what is believed of a router");
     describe_counter!(
         SECOND_HOPS_AVOIDED,
@@ -195,6 +200,11 @@
     counter!(UNAUTHENTICATED_DATAGRAMS).increment(1);
 }
 
+/// Counts a record in the stream of upstreams that can't be decoded.
+pub(crate) fn invalid_record() {
+    counter!(INVALID_RECORDS).increment(1);
+}
+
 /// Counts a change of a router's membership state.
 pub(crate) fn member_changed(state: &'static str) {
     counter!(MEMBER_CHANGES, "state" => state).increment(1);
