Reports of running requests: the fleet's datagrams are bounded, not those of each router

Above 250 routers the fleet sends 4,000 reports a round together, at least 8 of each router (at 985: 8 instead of 16).

--- a/src/fleet/in_flight.rs
+++ b/src/fleet/in_flight.rs
@@ -15,17 +15,36 @@
 /// publishing interval, so that lost datagrams have no effect.
 pub const COUNTS_TTL_MS: u64 = 1_500;
 
-/// Number of routers that each publication is sent to.
+/// Largest number of routers that each publication is sent to.
 pub const MAX_REPORTED: usize = 16;
+/// Smallest number in a fleet of more than that: what is published still reaches thousands of
+/// routers in four or five rounds.
+const MIN_REPORTED: usize = 8;
+/// Datagrams of all routers together in one round of publications, above [`MIN_REPORTED`] of each.
+/// In a fleet of more than 250, whose routers handle a request or two a second each, the reports
+/// would otherwise cost them more than their requests.
+const MAX_DATAGRAMS_A_ROUND: usize = 4_000;
 /// Interval between two publications of a router. The counts that others see are at most this old,
 /// plus the travel time of a datagram.
 pub const REPORT_INTERVAL_MS: u64 = 200;
 
+/// Number of routers to which a publication is sent by each of `live` routers.
+///
+/// ```
+/// use cassiagrade::fleet::in_flight::receivers;
+/// assert_eq!([2, 9, 195, 390, 985, 2_000].map(receivers), [1, 8, 16, 10, 8, 8]);
+/// ```
+pub fn receivers(live: usize) -> usize {
+    let most = MAX_DATAGRAMS_A_ROUND / live.max(1);
+    let most = most.clamp(MIN_REPORTED, MAX_REPORTED);
+    most.min(live.saturating_sub(1))
+}
+
 /// Estimates how many of `live` routers can reach this one, given that counts of `reporting` others
 /// arrived within [`COUNTS_TTL_MS`].
 ///
-/// In a small fleet the counts of all others arrive; in a large one each publication goes to
-/// [`MAX_REPORTED`] random routers, so only a part arrives in time.
+/// In a small fleet the counts of all others arrive; in a large one each publication goes to a few
+/// random [`receivers`], so only a part arrives in time.
 ///
 /// ```
 /// use cassiagrade::fleet::in_flight::reachable;
@@ -43,7 +62,7 @@
 
 /// Number of `others` whose counts arrive within [`COUNTS_TTL_MS`] if all are alive.
 fn expected_received(others: usize) -> f64 {
-    let reached = MAX_REPORTED.min(others) as f64 / others.max(1) as f64;
+    let reached = receivers(others + 1) as f64 / others.max(1) as f64;
     let publications = COUNTS_TTL_MS as f64 / REPORT_INTERVAL_MS as f64;
     others as f64 * (1.0 - (1.0 - reached).powf(publications))
 }
--- a/src/fleet/in_flight_tests.rs
+++ b/src/fleet/in_flight_tests.rs
@@ -3,7 +3,7 @@
 use rand::seq::index::sample;
 use test_case::test_case;
 
-use super::in_flight::{COUNTS_TTL_MS, InFlightTable, MAX_REPORTED, REPORT_INTERVAL_MS};
+use super::in_flight::{COUNTS_TTL_MS, InFlightTable, REPORT_INTERVAL_MS, receivers};
 use crate::schema::peer::{InFlightCount, InFlightReport, ServiceDemand};
 
 fn counts(host: &str, seq: u64, running: u32) -> InFlightReport {
@@ -99,6 +99,8 @@
 #[test_case(30; "a small fleet")]
 #[test_case(195; "a large fleet")]
 #[test_case(390; "a very large fleet")]
+#[test_case(985; "a thousand routers")]
+#[test_case(2_000; "two thousand routers")]
 fn sums_are_scaled_to_the_whole_fleet(routers: usize) {
     let mut rng = SmallRng::seed_from_u64(5);
     let mut table = InFlightTable::default();
@@ -106,7 +108,7 @@
     for seq in 1..=50 {
         let now_ms = seq * REPORT_INTERVAL_MS;
         for from in 1..routers {
-            let to = sample(&mut rng, routers - 1, MAX_REPORTED.min(routers - 1));
+            let to = sample(&mut rng, routers - 1, receivers(routers));
             if to.iter().any(|to| to == 0) {
                 let wishes = vec![ServiceDemand {
                     service_digest: 3,
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -16,7 +16,7 @@
     GossipCommand, GossipSenders, Loads, NewestConfig, PeerPosition, Publish,
 };
 use crate::fleet::homes;
-use crate::fleet::in_flight::{InFlightTable, MAX_REPORTED};
+use crate::fleet::in_flight::{self, InFlightTable, MAX_REPORTED};
 use crate::fleet::leaving::LeavingTable;
 use crate::fleet::loads::{self, LoadTable};
 use crate::fleet::member::{Member, MemberState, View};
@@ -188,7 +188,7 @@
             return;
         };
         let datagram = self.auth.sign(&payload);
-        for addr in self.report_addrs(&view) {
+        for addr in self.report_addrs(&view, in_flight::receivers(live)) {
             count("sent", &body, datagram.len());
             let BufResult(sent, _) = self.socket.send_to(datagram.clone(), addr).await;
             if let Err(e) = sent {
@@ -199,15 +199,15 @@
     }
 
     /// Returns the addresses of random live routers that this router's counts are sent to.
-    fn report_addrs(&mut self, view: &View) -> Vec<SocketAddr> {
+    fn report_addrs(&mut self, view: &View, receivers: usize) -> Vec<SocketAddr> {
         let me = &self.swim.me().host;
         let is_receiver = |m: &&Member| m.state != MemberState::Dead && m.host != *me;
         let members = view.members.len();
         // A sample of a large fleet, so that the cost doesn't grow with it.
         let sampled = index::sample(&mut self.rng, members, members.min(MAX_SAMPLED));
         let sampled = sampled.iter().map(|at| &view.members[at]);
-        let receivers = sampled.filter(is_receiver).take(MAX_REPORTED);
-        receivers.filter_map(|m| m.peer_addr.parse().ok()).collect()
+        let chosen = sampled.filter(is_receiver).take(receivers);
+        chosen.filter_map(|m| m.peer_addr.parse().ok()).collect()
     }
 
     async fn receive(&mut self, from: SocketAddr, body: Body, now_ms: u64) {
