Readers of the log read at a pace, and stale routers by exponential feedback timers

Two causes of calls that grow with the deployment: - A read waits for a change, but each of thousands of upstreams writes its record every second or two, so each read is answered at once and three readers call the log as fast as its latency allows. A reader now begins a read every 0.15 of the bound (300 ms). - Stale routers drew an even delay within half a second, so of 985 routers hundreds read before the first could publish what it found: at every start (no router reads for others in its first three seconds) and each loss of the readers. The delays are now exponentially distributed, as in multicast feedback, so their number stays about the same.

Ruled out: standby readers that read only when the first is silent (with a quiet stream they read all the same).

Tests: calls_do_not_grow_with_the_records and reads_of_a_fleet_without_readers_do_not_grow_with_it failed before.

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -27,6 +27,12 @@
 /// Share of the bound that a read of the log waits for a change. A stalled connection is detected
 /// after this wait and the time for an answer; longer waits mean fewer calls.
 const WAIT_SHARE: f64 = 0.45;
+/// Share of the bound between the starts of two reads of a reader.
+///
+/// Failure guarded against: each upstream writes its record every second or two, so a stream with
+/// hundreds of them always has new records, each read is answered at once, and the readers call the
+/// log as often as its latency allows.
+const PACE_SHARE: f64 = 0.15;
 /// A router reads for itself once its state is older than this share of the bound, at the earliest:
 /// a reader's wait, and two or three publishing rounds of 200 ms, in which updates spread through a
 /// fleet of more than a hundred.
@@ -87,6 +93,11 @@
         Duration::from_millis((self.bound_ms * WAIT_SHARE) as u64)
     }
 
+    /// Returns the time between the starts of two reads of a reader.
+    fn pace_ms(self) -> u64 {
+        (self.bound_ms * PACE_SHARE) as u64
+    }
+
     /// Range of the random delay with which stale routers read.
     fn spread_ms(self) -> f64 {
         self.bound_ms * SPREAD_SHARE
@@ -97,7 +108,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
     confirmed_ms: u64,
-    /// Position in the range of the random delay, from 0 to 1; drawn anew at each confirmation.
+    /// Uniform random number that determines the delay; drawn anew at each confirmation.
     jitter: f64,
     is_invalidated: bool,
 }
@@ -135,7 +146,15 @@
         now_ms.saturating_sub(self.confirmed_ms)
     }
 
-    /// Whether the state is so old that this router must read for itself.
+    /// Whether the state is so old that this router, one of `routers` that can reach one another,
+    /// must read for itself.
+    ///
+    /// The delays are distributed exponentially, as those of multicast feedback (Nonnenmacher and
+    /// Biersack, "Scalable feedback for large groups"): whatever the size of the fleet, about as
+    /// many routers read before the first of them can publish what it found.
+    ///
+    /// Failure guarded against: with evenly distributed delays, hundreds of a thousand routers read
+    /// within the time of one publication, at each start of the fleet and each loss of its readers.
     ///
     /// ```
     /// use cassiagrade::fleet::log_reads::{Freshness, ReadSchedule};
@@ -144,18 +163,24 @@
     /// let mut freshness = Freshness::default();
     /// freshness.confirm(10_000, &mut rng);
     /// let schedule = ReadSchedule::within(2_000.0);
-    /// assert!(!freshness.is_stale(11_200, schedule));
-    /// assert!(freshness.is_stale(11_900, schedule));
+    /// assert!(!freshness.is_stale(11_200, schedule, 9));
+    /// assert!(freshness.is_stale(11_900, schedule, 9));
     /// ```
-    pub fn is_stale(&self, now_ms: u64, schedule: ReadSchedule) -> bool {
+    pub fn is_stale(&self, now_ms: u64, schedule: ReadSchedule, routers: usize) -> bool {
         if self.is_invalidated || self.confirmed_ms == 0 {
             return true;
         }
-        let stale_ms = schedule.bound_ms * STALE_SHARE + self.jitter * schedule.spread_ms();
-        self.age_ms(now_ms) as f64 > stale_ms
+        let delay_ms = delay_share(self.jitter, routers) * schedule.spread_ms();
+        self.age_ms(now_ms) as f64 > schedule.bound_ms * STALE_SHARE + delay_ms
     }
 }
 
+/// Share of the longest delay for the uniform random number `jitter`, from 0 to 1.
+fn delay_share(jitter: f64, routers: usize) -> f64 {
+    let routers = routers.max(2) as f64;
+    (1.0 + jitter.ln() / routers.ln()).max(0.0)
+}
+
 /// Retry timer of a router whose reads of the log fail.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backoff {
@@ -211,11 +236,13 @@
     pub is_reader: bool,
     /// Number of routers that can reach one another, this one included.
     pub routers: usize,
+    /// When it last began to read; 0 if it never did.
+    pub last_read_ms: u64,
 }
 
 /// Returns how long a read that must begin now waits for a change, or `None` if none is due.
 ///
-/// Readers always read, and wait for a change. The other routers read only when their state is
+/// Readers always read, at a pace, and wait for a change. The other routers read only when their state is
 /// stale, each at its own time, and without a wait: they replace readers that fail, and publish
 /// what they find. A reader whose reads fail backs off longer while other readers keep its state
 /// fresh.
@@ -224,7 +251,8 @@
 /// use cassiagrade::fleet::log_reads::{Backoff, Freshness, ReadSchedule, Role, read_due};
 /// let (fresh, backoff) = (Freshness::default(), Backoff::default());
 /// let schedule = ReadSchedule::within(2_000.0);
-/// let due = |is_reader| read_due(Role { is_reader, routers: 9 }, fresh, backoff, schedule, 1);
+/// let role = |is_reader| Role { is_reader, routers: 9, last_read_ms: 0 };
+/// let due = |is_reader| read_due(role(is_reader), fresh, backoff, schedule, 1);
 /// assert_eq!(due(true).unwrap().as_millis(), 900);
 /// assert_eq!(due(false).unwrap().as_millis(), 0, "nothing is known yet");
 /// ```
@@ -236,9 +264,11 @@
     now_ms: u64,
 ) -> Option<Duration> {
     let sharing = if role.is_reader { 1 } else { role.routers };
-    let is_stale = fresh.is_stale(now_ms, schedule);
+    let is_stale = fresh.is_stale(now_ms, schedule, role.routers);
     let is_needed = role.is_reader && is_stale;
-    if !(role.is_reader || is_stale) || !backoff.is_due(now_ms, is_needed, sharing) {
+    let has_paused = now_ms >= role.last_read_ms + schedule.pace_ms();
+    let is_turn = role.is_reader && has_paused;
+    if !(is_turn || is_stale) || !backoff.is_due(now_ms, is_needed, sharing) {
         return None;
     }
     Some(if role.is_reader {
--- a/src/fleet/log_reads_tests.rs
+++ b/src/fleet/log_reads_tests.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
 
-use super::in_flight::{MAX_REPORTED, REPORT_INTERVAL_MS};
+use super::in_flight::{REPORT_INTERVAL_MS, receivers};
 use super::log_reads::{Backoff, Freshness, READERS, ReadSchedule, Role, read_due};
 
 const READ_CHECK_MS: u64 = 100;
@@ -17,6 +17,7 @@
     backoff: Backoff,
     /// Times at which the open read is answered and as of which its answer is current.
     read: Option<(u64, u64)>,
+    last_read_ms: u64,
     is_up: bool,
 }
 
@@ -26,6 +27,8 @@
     routers: Vec<Router>,
     schedule: ReadSchedule,
     is_log_up: bool,
+    /// Time between two records of the stream.
+    quiet_ms: u64,
     now_ms: u64,
     calls: u32,
     rng: SmallRng,
@@ -37,12 +40,14 @@
             fresh: Freshness::default(),
             backoff: Backoff::default(),
             read: None,
+            last_read_ms: 0,
             is_up: true,
         };
         let mut fleet = Self {
             routers: (0..routers).map(|_| router()).collect(),
             schedule: ReadSchedule::within(bound_ms),
             is_log_up: true,
+            quiet_ms: u64::MAX,
             now_ms: 1,
             calls: 0,
             rng: SmallRng::seed_from_u64(routers as u64),
@@ -88,7 +93,7 @@
                 continue;
             }
             let confirmed_ms = self.routers[from].fresh.confirmed_ms();
-            let receivers: Vec<usize> = sample(&mut self.rng, n, MAX_REPORTED.min(n)).into_vec();
+            let receivers: Vec<usize> = sample(&mut self.rng, n, receivers(n).min(n)).into_vec();
             for to in receivers {
                 self.routers[to].fresh.confirm(confirmed_ms, &mut self.rng);
             }
@@ -101,6 +106,7 @@
             let role = Role {
                 is_reader: at < READERS,
                 routers: n,
+                last_read_ms: router.last_read_ms,
             };
             let due = read_due(
                 role,
@@ -113,8 +119,10 @@
                 continue;
             };
             // A log that is unavailable answers with a failure at once.
-            let wait_ms = u64::try_from(wait.as_millis()).unwrap() * u64::from(self.is_log_up);
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap();
+            let wait_ms = wait_ms.min(self.quiet_ms) * u64::from(self.is_log_up);
             router.read = Some((self.now_ms + wait_ms + ANSWER_MS, self.now_ms + wait_ms));
+            router.last_read_ms = self.now_ms;
             self.calls += 1;
         }
     }
@@ -130,6 +138,8 @@
 #[test_case(24; "a small fleet")]
 #[test_case(195; "a large fleet")]
 #[test_case(390; "a very large fleet")]
+#[test_case(985; "a thousand routers")]
+#[test_case(2_000; "two thousand routers")]
 fn calls_do_not_grow_with_the_fleet(routers: usize) {
     const SECONDS: u32 = 30;
     let mut fleet = Fleet::start(routers, 4_000.0);
@@ -138,6 +148,20 @@
     assert!(fleet.calls <= SECONDS * 10 / 3 + 6, "{} calls", fleet.calls);
 }
 
+/// Thousands of upstreams write their records, so each read is answered at once. The readers must
+/// not read again as soon as they have the answer.
+#[test_case(9, 72; "a hundred upstreams")]
+#[test_case(985, 5_000; "ten thousand upstreams")]
+fn calls_do_not_grow_with_the_records(routers: usize, records_per_s: u64) {
+    const SECONDS: u32 = 10;
+    let mut fleet = Fleet::start(routers, 2_000.0);
+    fleet.quiet_ms = 1_000 / records_per_s;
+    fleet.run(u64::from(SECONDS) * 1_000);
+    // Three readers that read every 300 ms.
+    assert!(fleet.calls <= SECONDS * 10 + 6, "{} calls", fleet.calls);
+    assert!(fleet.oldest_ms() < 2_000, "{} ms old", fleet.oldest_ms());
+}
+
 /// The log is unavailable for eight seconds, and hundreds of stale routers would each retry four
 /// times a second. The fleet's rate of retries must stay within its limit, and all routers must be
 /// up to date soon after the log is back.
@@ -184,6 +208,21 @@
     );
 }
 
+/// A whole fleet starts at once: all have read the log, and no readers are chosen yet. As many of a
+/// thousand routers as of a hundred read again before the first can tell the others.
+#[test_case(100)]
+#[test_case(985)]
+#[test_case(2_000)]
+fn reads_of_a_fleet_without_readers_do_not_grow_with_it(routers: usize) {
+    let mut fleet = Fleet::start(routers, 2_000.0);
+    for reader in &mut fleet.routers[..READERS] {
+        reader.is_up = false;
+    }
+    fleet.run(3_000);
+    assert!(fleet.calls <= 150, "{} calls", fleet.calls);
+    assert!(fleet.oldest_ms() < 2_000, "{} ms old", fleet.oldest_ms());
+}
+
 /// A router that receives nothing from others keeps the bound by itself, whatever the size of the
 /// fleet it has lost contact with.
 #[test]
@@ -194,6 +233,8 @@
         let mut fresh = Freshness::default();
         let confirmed_ms = rng.random_range(1..10_000);
         fresh.confirm(confirmed_ms, &mut rng);
-        assert!(fresh.is_stale(confirmed_ms + 1_900, schedule));
+        for routers in [1, 9, 2_000] {
+            assert!(fresh.is_stale(confirmed_ms + 1_900, schedule, routers));
+        }
     }
 }
--- a/src/path/log_replica_world_tests.rs
+++ b/src/path/log_replica_world_tests.rs
@@ -177,9 +177,12 @@
             host.router.replica.remove_missing();
             let replica = &host.router.replica;
             let (schedules, now_ms) = (replica.schedules(), replica.now_ms());
-            let config_is_stale = replica.config_fresh().is_stale(now_ms, schedules.config);
+            let routers = received.len() + 1;
+            let config_fresh = replica.config_fresh();
+            let config_is_stale = config_fresh.is_stale(now_ms, schedules.config, routers);
             let upstreams_fresh = replica.upstreams_fresh();
-            let is_stale = config_is_stale || upstreams_fresh.is_stale(now_ms, schedules.upstreams);
+            let is_stale =
+                config_is_stale || upstreams_fresh.is_stale(now_ms, schedules.upstreams, routers);
             let ahead = received
                 .iter()
                 .find(|(_, m)| host.router.replica.is_behind(m));
