Connections to an upstream end with its start

What callers would see: an upstream's host loses power and it restarts under its id; requests that reuse a connection to its former start wait for their time limit, as nothing resets it.

--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -158,7 +158,7 @@
             let idle = if call.new_connection {
                 None
             } else {
-                self.connections.take_idle(&upstream.id)
+                self.connections.take_idle(upstream)
             };
             let Some(connection) = idle else {
                 return self.send_on_new(upstream, call).await;
@@ -206,7 +206,7 @@
         let read = compio::time::timeout(CONNECT_TIMEOUT, body.collect()).await;
         if matches!(read, Ok(Ok(_))) {
             self.connections
-                .put_back(&upstream.id, connection, &parts.headers, self.quota);
+                .put_back(upstream, connection, &parts.headers, self.quota);
         }
     }
 }
@@ -318,7 +318,7 @@
         });
         let body = read.await.ok()??;
         drop(running);
-        connections.put_back(&upstream.id, connection, &parts.headers, quota);
+        connections.put_back(&upstream, connection, &parts.headers, quota);
         Some(BufferedReply {
             upstream: upstream.id.clone(),
             parts,
@@ -342,7 +342,7 @@
     /// Returns the connection to the pool after the whole body was read.
     pub(crate) fn finish(self) {
         self.connections.put_back(
-            &self.upstream.id,
+            &self.upstream,
             self.connection,
             &self.parts.headers,
             self.quota,
--- a/src/path/connection.rs
+++ b/src/path/connection.rs
@@ -16,6 +16,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::decide::connections::ConnectionQuota;
+use crate::path::upstreams::Upstream;
 use crate::socket::set_keepalive;
 use crate::util::Name;
 
@@ -49,6 +50,8 @@
 struct IdleConnection {
     sender: Sender,
     until: Instant,
+    /// Start of the upstream that the connection leads to.
+    started_ms: u64,
 }
 
 /// Pool of idle connections.
@@ -59,12 +62,17 @@
 
 impl ConnectionPool {
     /// Takes an idle connection to `upstream` that can still be used.
-    pub(crate) fn take_idle(&self, upstream: &str) -> Option<Connection> {
+    ///
+    /// Failure guarded against: the host of an upstream loses power, and it restarts under its id
+    /// elsewhere. Connections to the former address stay open without an answer, and each request
+    /// on one of them waits for its time limit.
+    pub(crate) fn take_idle(&self, upstream: &Upstream) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(upstream)?;
+        let connections = idle.get_mut(&upstream.id)?;
         let now = Instant::now();
         while let Some(idle_connection) = connections.pop() {
-            if idle_connection.until > now && idle_connection.sender.is_ready() {
+            let is_same = idle_connection.started_ms == upstream.started_ms;
+            if is_same && idle_connection.until > now && idle_connection.sender.is_ready() {
                 return Some(Connection {
                     sender: idle_connection.sender,
                 });
@@ -76,7 +84,7 @@
     /// Returns a connection to the pool after its answer was read to the end.
     pub(crate) fn put_back(
         &self,
-        upstream: &Name,
+        upstream: &Upstream,
         connection: Connection,
         answer: &HeaderMap,
         quota: ConnectionQuota,
@@ -86,7 +94,7 @@
             return;
         };
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(upstream.clone()).or_default();
+        let connections = idle.entry(upstream.id.clone()).or_default();
         connections.retain(|idle_connection| {
             idle_connection.until > now && !idle_connection.sender.is_closed()
         });
@@ -95,6 +103,7 @@
             connections.push(IdleConnection {
                 sender: connection.sender,
                 until,
+                started_ms: upstream.started_ms,
             });
         }
     }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -32,6 +32,8 @@
 pub(crate) mod suspend;
 pub mod upstreams;
 
+#[cfg(test)]
+mod connection_tests;
 #[cfg(test)]
 mod health_tests;
 #[cfg(test)]
