--- a/src/path/connection_tests.rs
+++ b/src/path/connection_tests.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
+use compio::io::AsyncWriteExt;
 use compio::net::TcpListener;
-use http::HeaderMap;
+use http::{HeaderMap, Request};
+use http_body_util::Full;
 use test_case::test_case;
 
 use super::connection::{self, ConnectionPool};
@@ -29,9 +31,10 @@
         draining: false,
         cold_ms: 0,
     };
-    let opened = connection::open(addr, Duration::from_secs(1))
+    let mut opened = connection::open(addr, Duration::from_secs(1))
         .await
         .unwrap();
+    opened.sender.ready().await.unwrap();
     let _accepted = listener.accept().await.unwrap();
     let pool = ConnectionPool::default();
     pool.put_back(&upstream(7), opened, &HeaderMap::new(), QUOTA);
