--- a/src/path/connection_tests.rs
+++ b/src/path/connection_tests.rs
@@ -1,9 +1,7 @@
 use std::time::Duration;
 
-use compio::io::AsyncWriteExt;
 use compio::net::TcpListener;
-use http::{HeaderMap, Request};
-use http_body_util::Full;
+use http::HeaderMap;
 use test_case::test_case;
 
 use super::connection::{self, ConnectionPool};
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -13,6 +13,7 @@
 
 use crate::fleet::log_reads::{Freshness, ReadSchedule};
 use crate::mutation::{Mutation, mutated};
+use crate::path::change_log::{Change, ChangeLog};
 use crate::path::changes::Changes;
 use crate::path::cursor::Record;
 use crate::path::dialect::Records;
@@ -62,6 +63,7 @@
     missing: RefCell<HashSet<Name>>,
     /// Whether all upstreams are being replaced at once, which is logged as counts.
     is_bulk: Cell<bool>,
+    change_log: ChangeLog,
     log_fails: Cell<bool>,
     suspend: SuspendGuard,
     load_settled: Rc<Notify>,
@@ -84,6 +86,7 @@
             removals_delayed_until_ms: Cell::default(),
             missing: RefCell::default(),
             is_bulk: Cell::default(),
+            change_log: ChangeLog::default(),
             log_fails: Cell::default(),
             suspend: SuspendGuard::new(clock),
             load_settled: Rc::default(),
@@ -323,9 +326,12 @@
         if is_new || is_restart {
             self.state.record_join(id, now_ms);
         }
-        if !self.is_bulk.get() {
-            log::info!("upstream {id} is there, draining: {draining}, offset {at}");
-        }
+        let change = if draining {
+            Change::Draining
+        } else {
+            Change::Ready
+        };
+        self.log_change(id, change, at);
         self.upstreams
             .borrow_mut()
             .insert(id.into(), record.clone());
@@ -394,13 +400,22 @@
 
     fn drop_upstream(&self, at: u64, id: &str) {
         if self.state.change_upstreams(|u| u.remove(id)) {
-            if !self.is_bulk.get() {
-                log::info!("upstream {id} is gone, offset {at}");
-            }
+            self.log_change(id, Change::Gone, at);
             self.state.record_death(id, self.clock.now_ms());
         }
     }
 
+    fn log_change(&self, id: &str, change: Change, offset: u64) {
+        if !self.is_bulk.get() {
+            self.change_log.record(id, change, offset);
+        }
+    }
+
+    /// Logs the changes of upstreams since the last call that have no line of their own.
+    pub(crate) fn flush_change_log(&self) {
+        self.change_log.flush(self.upstreams_at.get());
+    }
+
     /// Completes the replacement of all upstreams, received from `source`.
     ///
     /// Failure guarded against: a router that starts logs a line for each upstream and meanwhile
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod attempts;
 pub(crate) mod call;
 pub(crate) mod callers;
+mod change_log;
 mod changes;
 pub(crate) mod connection;
 pub(crate) mod cursor;
@@ -32,6 +33,8 @@
 pub(crate) mod suspend;
 pub mod upstreams;
 
+#[cfg(test)]
+mod change_log_tests;
 #[cfg(test)]
 mod connection_tests;
 #[cfg(test)]
@@ -216,6 +219,7 @@
         publishes = publishes.wrapping_add(1);
         path.replica.check_clock();
         path.replica.remove_missing();
+        path.replica.flush_change_log();
         path.state.merge_suspicions(path.clock.now_ms());
         path.state.eject_failing(path.clock.now_ms());
         path.assign_cold();
