Starting routers load the log once and wait for the first readers

At a first start the log is nearly empty when it is loaded; no router is a reader in its first three seconds, so each becomes stale after 1.3 s and reads what 10,000 upstreams write, up to a megabyte each, while the log gives 80 MB a second to all.

What was loaded at the start now counts as fresh until routers have settled and readers are chosen. No bound holds in that time: a host counts as in touch only later. A router that has loaded nothing reads on as before.

Ruled out by the model: feedback timers alone (they need the size of the fleet, which a starting router doesn't know yet).

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -123,6 +123,16 @@
         }
     }
 
+    /// Returns the same times, but for a router whose state is kept fresh from `settled_ms` on.
+    fn settled_from(self, settled_ms: u64) -> Self {
+        let is_loaded = self.confirmed_ms > 0;
+        let confirmed_ms = self.confirmed_ms.max(settled_ms);
+        Self {
+            confirmed_ms: if is_loaded { confirmed_ms } else { 0 },
+            ..self
+        }
+    }
+
     /// Returns the same times, but marked stale, so that this router reads for itself.
     pub fn invalidated(self) -> Self {
         Self {
@@ -238,6 +248,13 @@
     pub routers: usize,
     /// When it last began to read; 0 if it never did.
     pub last_read_ms: u64,
+    /// Time from which its state is kept fresh, some seconds after its start; what it loaded at the
+    /// start counts as fresh until then.
+    ///
+    /// Failure guarded against: a whole fleet starts while thousands of upstreams register. No
+    /// reader is known yet, so each router would read for itself what all of them write, and the
+    /// log, which sends them all of it a thousand times, answers nobody in time.
+    pub settled_ms: u64,
 }
 
 /// Returns how long a read that must begin now waits for a change, or `None` if none is due.
@@ -251,7 +268,7 @@
 /// use cassiagrade::fleet::log_reads::{Backoff, Freshness, ReadSchedule, Role, read_due};
 /// let (fresh, backoff) = (Freshness::default(), Backoff::default());
 /// let schedule = ReadSchedule::within(2_000.0);
-/// let role = |is_reader| Role { is_reader, routers: 9, last_read_ms: 0 };
+/// let role = |is_reader| Role { is_reader, routers: 9, last_read_ms: 0, settled_ms: 3_000 };
 /// let due = |is_reader| read_due(role(is_reader), fresh, backoff, schedule, 1);
 /// assert_eq!(due(true).unwrap().as_millis(), 900);
 /// assert_eq!(due(false).unwrap().as_millis(), 0, "nothing is known yet");
@@ -264,6 +281,7 @@
     now_ms: u64,
 ) -> Option<Duration> {
     let sharing = if role.is_reader { 1 } else { role.routers };
+    let fresh = fresh.settled_from(role.settled_ms);
     let is_stale = fresh.is_stale(now_ms, schedule, role.routers);
     let is_needed = role.is_reader && is_stale;
     let has_paused = now_ms >= role.last_read_ms + schedule.pace_ms();
