Starting routers read again from 3.2 s after their start, not from 4.3 s

Cause: counted the staleness of a starting router from the moment at which readers are chosen, so a restarted router that hears of no other would go without the log for 4.3 to 4.8 s, longer than the time after which it counts as in touch. What it loaded is now fresh until one round of reports after that moment.

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -98,6 +98,11 @@
         (self.bound_ms * PACE_SHARE) as u64
     }
 
+    /// Age from which state is stale, without the random delay.
+    fn stale_ms(self) -> u64 {
+        (self.bound_ms * STALE_SHARE) as u64
+    }
+
     /// Range of the random delay with which stale routers read.
     fn spread_ms(self) -> f64 {
         self.bound_ms * SPREAD_SHARE
@@ -123,10 +128,12 @@
         }
     }
 
-    /// Returns the same times, but for a router whose state is kept fresh from `settled_ms` on.
-    fn settled_from(self, settled_ms: u64) -> Self {
+    /// Returns the same times, but for a router whose first state counts as fresh until
+    /// `settled_ms`.
+    fn settled(self, settled_ms: u64, schedule: ReadSchedule) -> Self {
         let is_loaded = self.confirmed_ms > 0;
-        let confirmed_ms = self.confirmed_ms.max(settled_ms);
+        let fresh_ms = settled_ms.saturating_sub(schedule.stale_ms());
+        let confirmed_ms = self.confirmed_ms.max(fresh_ms);
         Self {
             confirmed_ms: if is_loaded { confirmed_ms } else { 0 },
             ..self
@@ -181,7 +188,7 @@
             return true;
         }
         let delay_ms = delay_share(self.jitter, routers) * schedule.spread_ms();
-        self.age_ms(now_ms) as f64 > schedule.bound_ms * STALE_SHARE + delay_ms
+        self.age_ms(now_ms) as f64 > schedule.stale_ms() as f64 + delay_ms
     }
 }
 
@@ -248,8 +255,7 @@
     pub routers: usize,
     /// When it last began to read; 0 if it never did.
     pub last_read_ms: u64,
-    /// Time from which its state is kept fresh, some seconds after its start; what it loaded at the
-    /// start counts as fresh until then.
+    /// Time until which what it loaded at its start counts as fresh.
     ///
     /// Failure guarded against: a whole fleet starts while thousands of upstreams register. No
     /// reader is known yet, so each router would read for itself what all of them write, and the
@@ -281,7 +287,7 @@
     now_ms: u64,
 ) -> Option<Duration> {
     let sharing = if role.is_reader { 1 } else { role.routers };
-    let fresh = fresh.settled_from(role.settled_ms);
+    let fresh = fresh.settled(role.settled_ms, schedule);
     let is_stale = fresh.is_stale(now_ms, schedule, role.routers);
     let is_needed = role.is_reader && is_stale;
     let has_paused = now_ms >= role.last_read_ms + schedule.pace_ms();
