Tests of a large pool: state by upstream, cost of a call by the upstreams observed

observed_state_concerns_single_upstreams_of_a_large_pool compares 2,000 candidates one by one with what was observed (cold, draining, replaced, unreachable, ejected, evacuated, running, tried). one_call_costs_by_the_upstreams_observed counts the searches of a pool of 20,000; the interface before took the names of the whole pool.

--- a/src/decide/ejection_tests.rs
+++ b/src/decide/ejection_tests.rs
@@ -1,5 +1,7 @@
+use std::cell::Cell;
+
 use crate::decide::Name;
-use crate::decide::ejection::{Change, EJECTION_MS, Ejector};
+use crate::decide::ejection::{Change, EJECTION_MS, Ejector, Pool};
 
 const MAX_SHARE: f64 = 0.34;
 
@@ -98,3 +100,39 @@
         }
     }
 }
+
+/// A pool that counts how often it is searched.
+struct CountedPool {
+    searches: Cell<usize>,
+}
+
+impl Pool for CountedPool {
+    fn size(&self) -> usize {
+        20_000
+    }
+
+    fn contains(&self, _: &str) -> bool {
+        self.searches.set(self.searches.get() + 1);
+        true
+    }
+}
+
+/// A router calls a few of thousands of upstreams. An answer or a failure must cost by these few:
+/// by the whole pool it would cost more than the request.
+#[test]
+fn one_call_costs_by_the_upstreams_observed() {
+    const OBSERVED: usize = 6;
+    const ROUNDS: u64 = 20;
+    let (names, mut ejector) = (pool(), Ejector::default());
+    let large = CountedPool {
+        searches: Cell::new(0),
+    };
+    for round in 0..ROUNDS {
+        for name in &names {
+            ejector.answered(name, 100, &large, MAX_SHARE, round);
+            ejector.failed(name, &large, MAX_SHARE, round);
+        }
+    }
+    let calls = 2 * OBSERVED * ROUNDS as usize;
+    assert!(large.searches.get() <= calls * OBSERVED);
+}
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -5,6 +5,7 @@
 use super::upstreams::Upstream;
 use crate::decide::ejection::FAILURES;
 use crate::fleet::gossip::Gossip;
+use crate::util::Name;
 
 const SLOTS: u32 = 8;
 
@@ -142,3 +143,52 @@
     });
     assert_eq!(open(&[&abroad, &None]), 1);
 }
+
+/// In a pool of thousands, the state that a router observed is applied to single upstreams. Each
+/// must be excluded, withheld or kept as if the state of every upstream were looked up.
+#[test]
+fn observed_state_concerns_single_upstreams_of_a_large_pool() {
+    const UPSTREAMS: u32 = 2_000;
+    let state = state();
+    let id = |i: u32| Name::from(format!("u-{i:04}"));
+    let of = |i: u32| Upstream {
+        id: id(i),
+        cold_ms: if i == 5 { 4_000 } else { 0 },
+        draining: i == 6,
+        data_center: if i >= 1_990 { "south" } else { "north" }.into(),
+        service: "large".into(),
+        ..upstream(0)
+    };
+    for i in 0..UPSTREAMS {
+        state.change_upstreams(|upstreams| upstreams.put(of(i)));
+    }
+    state.report_cold(&of(5), 1);
+    state.record_replaced(&id(7), 1);
+    state.record_unreachable(&id(8), 1);
+    for _ in 0..FAILURES {
+        state.record_failure(&of(9), "connection reset", 1);
+    }
+    state.change_evacuations(|e| e.set(1, "south", true));
+    let _running: Vec<_> = (0..3).map(|_| state.start_request(&of(10), 1)).collect();
+    let tried = Tried {
+        upstreams: &[id(11)],
+        may_repeat: false,
+    };
+    let (pool, candidates) = state.pool("large", &tried, &[], 3, 2);
+    assert_eq!(candidates.len(), UPSTREAMS as usize);
+    for (upstream, candidate) in pool.upstreams().iter().zip(&candidates) {
+        let i: u32 = upstream.id[2..].parse().unwrap();
+        let is_away = i >= 1_990;
+        assert_eq!(candidate.excluded, (5..=11).contains(&i) || is_away, "{i}");
+        assert_eq!(candidate.withheld, i == 5 || is_away, "{i}");
+        assert_eq!(
+            candidate.has_parts,
+            !((7..=9).contains(&i) || is_away),
+            "{i}"
+        );
+        assert_eq!(candidate.running, if i == 10 { 3 } else { 0 }, "{i}");
+        assert_eq!(candidate.is_local, !is_away, "{i}");
+    }
+    // Of 1,990 in the north without the cold, draining, replaced, unreachable and ejected ones.
+    assert_eq!(state.slots_open("large", 2), Some(1_985 * SLOTS));
+}
