A restarting fleet receives a long list from peers; a few routers load it from the log

After the first page of a list with more pages, a router that knows nothing waits its turn, by the same exponential delays as stale routers, and asks peers meanwhile.

Ruled out: a load by one reader a data centre (no router knows at its start who that is).

--- a/src/fleet/log_reads_tests.rs
+++ b/src/fleet/log_reads_tests.rs
@@ -7,7 +7,7 @@
 use test_case::test_case;
 
 use super::in_flight::{REPORT_INTERVAL_MS, receivers};
-use super::log_reads::{Backoff, Freshness, READERS, ReadSchedule, Role, read_due};
+use super::log_reads::{Backoff, Freshness, READERS, ReadSchedule, Role, load_delay_ms, read_due};
 
 const READ_CHECK_MS: u64 = 100;
 const ANSWER_MS: u64 = 5;
@@ -260,3 +260,59 @@
         }
     }
 }
+
+/// Times after the start of a fleet at which its routers have a list of ten thousand records: from the
+/// log, which divides its bandwidth among those that load, or from a peer that has it.
+fn list_times_ms(routers: usize, delay_ms: impl Fn(f64) -> u64) -> Vec<u64> {
+    const LIST_BYTES: f64 = 3.4e6;
+    const LOG_BYTES_PER_MS: f64 = 80e3;
+    const LINK_BYTES_PER_MS: f64 = 2.5e3;
+    /// Time in which a router sends the compressed list to one peer.
+    const SEND_MS: u64 = 125;
+    let mut rng = SmallRng::seed_from_u64(routers as u64);
+    let turns_ms: Vec<u64> = (0..routers).map(|_| delay_ms(rng.random())).collect();
+    let mut has_ms: Vec<Option<u64>> = vec![None; routers];
+    let mut unread_bytes: Vec<Option<f64>> = vec![None; routers];
+    for now_ms in (0..60_000).step_by(SEND_MS as usize) {
+        for at in 0..routers {
+            if has_ms[at].is_none() && now_ms >= turns_ms[at] {
+                unread_bytes[at].get_or_insert(LIST_BYTES);
+            }
+        }
+        let loading = unread_bytes.iter().flatten().filter(|bytes| **bytes > 0.0);
+        let share = LOG_BYTES_PER_MS / loading.count().max(1) as f64;
+        let read_bytes = share.min(LINK_BYTES_PER_MS) * SEND_MS as f64;
+        for (unread, has_ms) in unread_bytes.iter_mut().zip(&mut has_ms) {
+            if let Some(bytes) = unread.as_mut().filter(|bytes| **bytes > 0.0) {
+                *bytes -= read_bytes;
+                if *bytes <= 0.0 {
+                    has_ms.get_or_insert(now_ms + SEND_MS);
+                }
+            }
+        }
+        let senders = has_ms.iter().flatten().filter(|ms| **ms <= now_ms).count();
+        for _ in 0..senders {
+            has_ms[rng.random_range(0..routers)].get_or_insert(now_ms + SEND_MS);
+        }
+    }
+    let mut times_ms: Vec<u64> = has_ms.into_iter().flatten().collect();
+    times_ms.sort_unstable();
+    times_ms
+}
+
+/// All routers are killed and start again before ten thousand upstreams. Nine in ten have the list
+/// soon enough to serve again; if each loaded it from the log, that would take most of a minute.
+#[test_case(300)]
+#[test_case(985)]
+#[test_case(2_000)]
+fn restarted_fleet_has_a_long_list_in_time(routers: usize) {
+    const BOUND_MS: u64 = 8_000;
+    let nine_in_ten = routers * 9 / 10;
+    let times_ms = list_times_ms(routers, |jitter| load_delay_ms(jitter, routers));
+    assert_eq!(times_ms.len(), routers);
+    assert!(
+        times_ms[nine_in_ten] < BOUND_MS,
+        "{} ms",
+        times_ms[nine_in_ten]
+    );
+}
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -65,6 +65,7 @@
     is_bulk: Cell<bool>,
     change_log: ChangeLog,
     log_fails: Cell<bool>,
+    awaits_peers: Cell<bool>,
     suspend: SuspendGuard,
     load_settled: Rc<Notify>,
     records: PhantomData<D>,
@@ -88,6 +89,7 @@
             is_bulk: Cell::default(),
             change_log: ChangeLog::default(),
             log_fails: Cell::default(),
+            awaits_peers: Cell::default(),
             suspend: SuspendGuard::new(clock),
             load_settled: Rc::default(),
             records: PhantomData,
@@ -215,6 +217,15 @@
         self.upstreams_fresh.get().is_invalidated() && !self.log_fails.get()
     }
 
+    /// Whether this router waits for peers to send what it would load from the log otherwise.
+    pub(crate) fn awaits_peers(&self) -> bool {
+        self.awaits_peers.get()
+    }
+
+    pub(crate) fn set_awaits_peers(&self, awaits: bool) {
+        self.awaits_peers.set(awaits);
+    }
+
     /// Whether the last read of the log failed.
     pub(crate) fn log_fails(&self) -> bool {
         self.log_fails.get()
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -134,7 +134,7 @@
 
 /// Whether this router has just started and should wait for its read of the log.
 fn waits_for_log<D: Dialect + Records>(path: &RequestPath<D>) -> bool {
-    let has_started = path.clock.now_ms() >= LOG_ONLY_MS;
+    let has_started = path.clock.now_ms() >= LOG_ONLY_MS || path.replica.awaits_peers();
     path.unready_reason().is_some() && !has_started && !path.replica.log_fails()
 }
 
