A retry budget divided among more routers than it has retries is still used

A router with a burst below one retry now takes it with the probability of what its bucket holds.

Ruled out: at least one retry a router, which is 2,000 at 2,000 routers where 1,040 are allowed.

Fleets whose routers have a whole retry each are not concerned.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -72,13 +72,18 @@
         self.tokens = self.tokens.min(burst);
     }
 
-    /// Takes one immediate retry; `false` if none is allowed.
-    pub fn take(&mut self) -> bool {
-        if self.tokens < 1.0 {
-            return false;
+    /// Takes one immediate retry; `false` if none is allowed. A budget of less than one retry allows
+    /// it with that probability.
+    ///
+    /// Failure guarded against: the budget of a fleet is divided among more routers than it has
+    /// retries. None of them ever has a whole one, and no request is retried.
+    pub fn take<R: Rng>(&mut self, rng: &mut R) -> bool {
+        let is_divided = self.burst < 1.0 && self.tokens > 0.0;
+        let is_allowed = self.tokens >= 1.0 || is_divided && rng.random_bool(self.tokens);
+        if is_allowed {
+            self.tokens -= 1.0;
         }
-        self.tokens -= 1.0;
-        true
+        is_allowed
     }
 
     /// Changes the share.
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -449,7 +449,8 @@
     /// Takes one retry from the budget of `service`, and returns whether it was available.
     pub(crate) fn take_retry(&self, service: &str) -> bool {
         let mut budgets = self.budgets.borrow_mut();
-        budgets.get_mut(service).is_some_and(RetryBudget::take)
+        let budget = budgets.get_mut(service);
+        budget.is_some_and(|b| b.take(&mut rand::rng()))
     }
 
     /// Drops what has expired, and the state of upstreams that no longer exist.
