--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -218,6 +218,27 @@
     }
 
     /// Pool of `service`; empty if none of its upstreams is known.
+    ///
+    /// ```
+    /// use cassiagrade::path::upstreams::{Upstream, Upstreams};
+    /// let upstream = |id: &str, draining| Upstream {
+    ///     id: id.into(),
+    ///     service: "s".into(),
+    ///     addr: "10.0.0.1:80".parse().unwrap(),
+    ///     data_center: "north".into(),
+    ///     slots: 8,
+    ///     started_ms: 0,
+    ///     draining,
+    ///     cold_ms: 0,
+    /// };
+    /// let mut upstreams = Upstreams::local_to("north".into());
+    /// upstreams.put(upstream("i-2", true));
+    /// upstreams.put(upstream("i-1", false));
+    /// let pool = upstreams.shared_pool("s");
+    /// assert_eq!(pool.position("i-2"), Some(1));
+    /// assert!(pool.candidates()[0].is_local && pool.candidates()[1].excluded);
+    /// assert_eq!(pool.slots()["north"], 8);
+    /// ```
     pub fn shared_pool(&self, service: &str) -> Rc<Pool> {
         self.pools.get(service).cloned().unwrap_or_default()
     }
