Log and count what upstreams announce in their answers

No line showed what an answer said of its upstream, so the logs couldn't tell "not read" from "read and passed over" or "read and forgotten".

Change: the shutdown notice and the Retry-After of a 503 are decoded in platform/ into typed fields, kept by start of the upstream, logged when they begin, and counted (leaving_notices_total, pushbacks_total, invalid_notices_total). Each line about an attempt says which notices of its upstream hold and since when or for how long, so an answer of a request sent N ms after an announcement can be told from the first one with it. Invalid values are counted and ignored. No decision uses any of it yet: what is sent where is unchanged.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,6 +17,7 @@
 pub mod loads;
 pub mod lru;
 pub mod placement;
+pub mod pushback;
 pub mod quarantine;
 pub mod refusal;
 pub mod retry;
@@ -26,7 +27,7 @@
 mod types;
 
 pub use crate::util::Name;
-pub use types::{ChatKey, Cost, Job, JobId, PoolView, Priority, Rates};
+pub use types::{ChatKey, Cost, Incarnation, Job, JobId, PoolView, Priority, Rates};
 
 #[cfg(test)]
 mod admission_tests;
@@ -53,6 +54,8 @@
 #[cfg(test)]
 mod placement_tests;
 #[cfg(test)]
+mod pushback_tests;
+#[cfg(test)]
 mod quarantine_tests;
 #[cfg(test)]
 mod retry_tests;
--- /dev/null
+++ b/src/decide/pushback.rs
@@ -0,0 +1,44 @@
+//! Upstreams that asked this router to send them nothing for a while (server pushback).
+
+use std::collections::HashMap;
+
+use crate::decide::Incarnation;
+
+/// The times until which upstreams want no request from this router.
+#[derive(Clone, Debug, Default)]
+pub struct Pushbacks {
+    until_ms: HashMap<Incarnation, u64>,
+}
+
+impl Pushbacks {
+    /// Records that `upstream` wants no request for `pushback_ms`, and returns whether it had no
+    /// such wish before. Of several times, the latest end holds.
+    ///
+    /// ```
+    /// use cassiagrade::decide::{Incarnation, pushback::Pushbacks};
+    /// let upstream = Incarnation { id: "up-1".into(), started_ms: 7 };
+    /// let mut pushbacks = Pushbacks::default();
+    /// assert!(pushbacks.record(upstream.clone(), 3_000, 100));
+    /// assert!(!pushbacks.record(upstream.clone(), 500, 200));
+    /// assert_eq!(pushbacks.left_ms(&upstream, 2_100), Some(1_000));
+    /// assert_eq!(pushbacks.left_ms(&upstream, 3_100), None);
+    /// ```
+    pub fn record(&mut self, upstream: Incarnation, pushback_ms: u64, now_ms: u64) -> bool {
+        let until_ms = now_ms.saturating_add(pushback_ms);
+        let known_ms = self.until_ms.entry(upstream).or_insert(0);
+        let is_new = *known_ms <= now_ms;
+        *known_ms = until_ms.max(*known_ms);
+        is_new
+    }
+
+    /// Remaining time for which `upstream` wants no request.
+    pub fn left_ms(&self, upstream: &Incarnation, now_ms: u64) -> Option<u64> {
+        let until_ms = *self.until_ms.get(upstream)?;
+        (until_ms > now_ms).then(|| until_ms - now_ms)
+    }
+
+    /// Drops the times that are over.
+    pub fn sweep(&mut self, now_ms: u64) {
+        self.until_ms.retain(|_, until_ms| *until_ms > now_ms);
+    }
+}
--- a/src/decide/types.rs
+++ b/src/decide/types.rs
@@ -23,6 +23,15 @@
     }
 }
 
+/// One start of an upstream, which may keep its id when it restarts.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Incarnation {
+    /// Id of the upstream.
+    pub id: Name,
+    /// Start time in Unix milliseconds; 0 if unknown.
+    pub started_ms: u64,
+}
+
 /// Identifies a job at one home.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobId(pub u64);
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -367,7 +367,9 @@
             e.upstream = upstream.to_owned();
             e.attempt = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
             e.took_us = util::micros(context.started.elapsed());
-            e.detail = format!("{reason}; {}", self.describe_state());
+            let now_ms = context.path.clock.now_ms();
+            let notices = context.path.state.describe_notices(upstream, now_ms);
+            e.detail = format!("{reason}; {}{notices}", self.describe_state());
         });
     }
 
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -112,8 +112,12 @@
                 return Err(failed);
             }
         };
-        let head = D::answer_head(&parts.headers);
+        let head = D::answer_head(parts.status, &parts.headers);
         let checked = check(&parts, &head, call.request_id);
+        // Another incarnation than the addressed one speaks for itself.
+        if !matches!(&checked, Err(failed) if failed.kind == FailureKind::Replaced) {
+            self.state.record_notices(&upstream, &head, now_ms);
+        }
         match checked {
             Ok(()) if !parts.status.is_server_error() => {
                 let took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
--- a/src/path/dialect.rs
+++ b/src/path/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, StatusCode};
 
 use crate::path::routes::Deployment;
 use crate::path::upstreams::Upstream;
@@ -53,6 +53,10 @@
     pub has_proof: bool,
     /// Whether the upstream reports that it did not run the request.
     pub not_run: bool,
+    /// Whether the upstream announces that it is shutting down.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no further request from this router.
+    pub pushback_ms: Option<u64>,
 }
 
 /// Decodes the records that operators and upstreams write to the platform's log.
@@ -82,8 +86,8 @@
     /// this router sets.
     fn call_headers(from_caller: &HeaderMap, call: &CallHead<'_>) -> HeaderMap;
 
-    /// Parses the headers of an upstream.
-    fn answer_head(headers: &HeaderMap) -> AnswerHead;
+    /// Parses status and headers of an upstream's answer.
+    fn answer_head(status: StatusCode, headers: &HeaderMap) -> AnswerHead;
 
     /// Formats a retry delay for callers.
     fn retry_after(retry_after_ms: u64) -> HeaderValue;
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -21,6 +21,7 @@
 pub mod evacuations;
 pub mod events;
 pub(crate) mod health;
+pub(crate) mod leaving;
 pub(crate) mod log_replica;
 pub(crate) mod peers;
 pub(crate) mod refusal;
@@ -40,6 +41,8 @@
 #[cfg(test)]
 mod health_tests;
 #[cfg(test)]
+mod leaving_tests;
+#[cfg(test)]
 mod log_replica_fake_tests;
 #[cfg(test)]
 mod log_replica_fleet_tests;
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -1,5 +1,6 @@
 //! State of one router: configuration, upstreams, and what it observed of them.
 
+mod notices;
 mod pool;
 
 use std::cell::{Cell, Ref, RefCell};
@@ -14,6 +15,7 @@
 use crate::decide::connections::{self, ConnectionQuota};
 use crate::decide::ejection::Change;
 use crate::decide::grey::Outcomes;
+use crate::decide::pushback::Pushbacks;
 use crate::decide::retry::RetryBudget;
 use crate::fleet::gossip::{Gossip, Publish};
 use crate::fleet::in_flight::FleetInFlight;
@@ -21,6 +23,7 @@
 use crate::mutation::{Mutation, mutated};
 use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
+use crate::path::leaving::LeavingUpstreams;
 use crate::path::regions::Regions;
 use crate::path::router_state::pool::CACHE_WARMUP_MS;
 use crate::path::routes::Deployment;
@@ -54,6 +57,8 @@
     evacuations: RefCell<Evacuations>,
     cold_starts: RefCell<ColdStarts>,
     health: RefCell<Health>,
+    leaving: RefCell<LeavingUpstreams>,
+    pushbacks: RefCell<Pushbacks>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     running: RefCell<HashMap<Name, u32>>,
     suspects: RefCell<Suspects>,
@@ -116,6 +121,8 @@
             evacuations: RefCell::default(),
             cold_starts: RefCell::default(),
             health: RefCell::default(),
+            leaving: RefCell::default(),
+            pushbacks: RefCell::default(),
             budgets: RefCell::default(),
             running: RefCell::default(),
             suspects: RefCell::default(),
@@ -461,6 +468,8 @@
             .borrow_mut()
             .retain(|id, at| *at + CACHE_WARMUP_MS >= now_ms && is_known(id));
         self.health.borrow_mut().sweep(is_known, now_ms);
+        drop(upstreams);
+        self.sweep_notices(now_ms);
     }
 }
 
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::decide::Incarnation;
 use crate::decide::ejection;
 use crate::decide::spread::Candidate;
 use crate::fleet::loads::digest;
@@ -32,6 +33,14 @@
 }
 
 impl Upstream {
+    /// Its id and start.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            started_ms: self.started_ms,
+        }
+    }
+
     /// Whether `next` adds nothing of relevance to this record: it differs at most in a shorter
     /// remaining cold time.
     ///
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -24,6 +24,9 @@
 const CONTROL_MESSAGES: &str = "cassiagrade_control_messages_total";
 const UNAUTHENTICATED_DATAGRAMS: &str = "cassiagrade_strange_datagrams_total";
 const INVALID_RECORDS: &str = "cassiagrade_invalid_records_total";
+const INVALID_NOTICES: &str = "cassiagrade_invalid_notices_total";
+const LEAVING_NOTICES: &str = "cassiagrade_leaving_notices_total";
+const PUSHBACKS: &str = "cassiagrade_pushbacks_total";
 const MEMBER_CHANGES: &str = "cassiagrade_member_changes_total";
 const SECOND_HOPS_AVOIDED: &str = "cassiagrade_second_hops_avoided_total";
 const HOME_REFUSED: &str = "cassiagrade_home_refused_total";
@@ -97,6 +100,18 @@
         INVALID_RECORDS,
         "Records in the stream of upstreams that name none"
     );
+    describe_counter!(
+        INVALID_NOTICES,
+        "Answers of upstreams with an invalid notice, by its field"
+    );
+    describe_counter!(
+        LEAVING_NOTICES,
+        "Answers in which an upstream announced that it shuts down"
+    );
+    describe_counter!(
+        PUSHBACKS,
+        "Answers in which an upstream asked for a time without requests"
+    );
     describe_counter!(MEMBER_CHANGES, "Changes of what is believed of a router");
     describe_counter!(
         SECOND_HOPS_AVOIDED,
@@ -205,6 +220,21 @@
     counter!(INVALID_RECORDS).increment(1);
 }
 
+/// Counts an answer of an upstream whose notice can't be decoded.
+pub(crate) fn invalid_notice(field: &'static str) {
+    counter!(INVALID_NOTICES, "field" => field).increment(1);
+}
+
+/// Counts an answer in which an upstream announced that it shuts down.
+pub(crate) fn leaving_notice() {
+    counter!(LEAVING_NOTICES).increment(1);
+}
+
+/// Counts an answer in which an upstream asked for a time without requests.
+pub(crate) fn pushback() {
+    counter!(PUSHBACKS).increment(1);
+}
+
 /// Counts a change of a router's membership state.
 pub(crate) fn member_changed(state: &'static str) {
     counter!(MEMBER_CHANGES, "state" => state).increment(1);
