--- a/standins/src/backend.rs
+++ b/standins/src/backend/mod.rs
@@ -1,22 +1,22 @@
 //! An upstream that speaks the users' platform's dialect of HTTP/1.1. It writes its responses byte
 //! by byte, because an HTTP library would refuse to send the malformed ones.
 
+mod wire;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::{Buf, BufMut, BytesMut};
-use compio::BufResult;
-use compio::io::{AsyncRead, AsyncWriteExt};
+use bytes::{BufMut, BytesMut};
 use compio::net::{TcpListener, TcpStream};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
+use crate::backend::wire::{ParsedRequest, chunk, format_response, read_request, send};
 use crate::http::{post, print_run};
 
-const BUFFER_BYTES: usize = 16 << 10;
 /// Interval at which an upstream publishes its entry to the store.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -113,20 +113,6 @@
     running: Cell<u32>,
 }
 
-struct ParsedRequest {
-    method: String,
-    target: String,
-    headers: Vec<(String, String)>,
-    body: String,
-}
-
-impl ParsedRequest {
-    fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n == name);
-        found.map_or("", |(_, v)| v)
-    }
-}
-
 impl Backend {
     /// Starts an upstream on the current runtime; it publishes its entry to the store.
     ///
@@ -385,60 +371,5 @@
     }
 }
 
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-fn format_response(status: &str, head: &str, body: &str) -> String {
-    format!(
-        "HTTP/1.1 {status}\r\n{head}content-length: {}\r\nkeep-alive: timeout=5\r\n\r\n{body}",
-        body.len()
-    )
-}
-
-async fn send(stream: &mut TcpStream, text: &str) -> bool {
-    stream.write_all(text.as_bytes().to_vec()).await.0.is_ok()
-}
-
-/// Reads the next request; returns `None` when the connection ends.
-async fn read_request(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<ParsedRequest> {
-    const END: &[u8] = b"\r\n\r\n";
-    let head_bytes = loop {
-        if let Some(at) = buffer.windows(END.len()).position(|w| w == END) {
-            break at + END.len();
-        }
-        fill_buffer(stream, buffer).await?;
-    };
-    let head = String::from_utf8_lossy(&buffer[..head_bytes]).into_owned();
-    buffer.advance(head_bytes);
-    let mut lines = head.lines();
-    let mut words = lines.next()?.split(' ');
-    let (method, target) = (words.next()?.to_owned(), words.next()?.to_owned());
-    let headers: Vec<(String, String)> = lines
-        .filter_map(|l| l.split_once(':'))
-        .map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_owned()))
-        .collect();
-    let length = headers.iter().find(|(n, _)| n == "content-length");
-    let length: usize = length.map_or(Some(0), |(_, v)| v.parse().ok())?;
-    while buffer.len() < length {
-        fill_buffer(stream, buffer).await?;
-    }
-    let body = buffer.split_to(length);
-    Some(ParsedRequest {
-        method,
-        target,
-        headers,
-        body: String::from_utf8_lossy(&body).into_owned(),
-    })
-}
-
-async fn fill_buffer(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<()> {
-    let BufResult(read, bytes) = stream.read(Vec::with_capacity(BUFFER_BYTES)).await;
-    let read = read.ok().filter(|n| *n > 0)?;
-    buffer.extend_from_slice(&bytes[..read]);
-    Some(())
-}
-
 #[cfg(test)]
-#[path = "backend_tests.rs"]
 mod tests;
