Failing tests: shutdowns and pushback announced in answers aren't used

The stand-in upstream plays both headers, valid and invalid, reports its start, can start again under its id, and prints each arrival, also of requests that it rejects.

--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -36,6 +36,10 @@
     pub draining: bool,
     /// Publishes nothing to the store.
     pub mute: bool,
+    /// Value with which every response announces a shutdown; empty: no announcement.
+    pub leaving: String,
+    /// Time that rejections ask for, in seconds; empty: none.
+    pub retry_after: String,
 }
 
 /// A fault in a response. The request has run in all cases but `Reject`.
@@ -86,9 +90,27 @@
     pub had_key: bool,
 }
 
+/// A request that reached an upstream, whether it runs or is rejected, printed before the response
+/// is sent.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Arrival {
+    /// Id of the upstream.
+    pub arrived_at: String,
+    /// Start of the upstream, in Unix milliseconds.
+    pub started_ms: u64,
+    /// Id that the caller gave the request.
+    pub request_id: String,
+    /// Time of the arrival, in Unix milliseconds.
+    pub at_ms: u64,
+    /// Time without requests that the response asks for; 0 if none.
+    pub pushback_ms: u64,
+}
+
 /// Configuration of an upstream.
 #[derive(Clone, Debug)]
 pub struct BackendConfig {
+    /// Id of the upstream, which a later start may have too; if absent, each start has its own.
+    pub id: Option<String>,
     /// Service that the upstream belongs to.
     pub service: String,
     /// Data centre that it runs in.
@@ -107,6 +129,7 @@
 
 struct Server {
     id: String,
+    started_ms: u64,
     config: BackendConfig,
     addr: SocketAddr,
     knobs: RefCell<Knobs>,
@@ -121,10 +144,11 @@
     pub async fn bind(addr: SocketAddr, config: BackendConfig) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
-        let started = SystemTime::now().duration_since(UNIX_EPOCH);
-        let id = id(addr, started.unwrap_or_default());
+        let started = since_epoch();
+        let id = config.id.clone().unwrap_or_else(|| id(addr, started));
         let server = Rc::new(Server {
             id,
+            started_ms: millis(started),
             config,
             addr,
             knobs: RefCell::default(),
@@ -143,6 +167,15 @@
     }
 }
 
+fn since_epoch() -> Duration {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the unique id of an incarnation.
 ///
 /// The id contains the IP address, because the upstreams of a test share one port: without it, two
@@ -184,6 +217,7 @@
                     "slots": self.config.slots,
                     "state": if draining { "draining" } else { "ready" },
                     "cold_remaining_ms": 0,
+                    "born": self.started_ms,
                 });
                 let store = self.config.store;
                 let url = format!("http://{store}/log-append?stream_name=keyed.servers&part=0");
@@ -220,7 +254,7 @@
         }
         let target_instance = request.header("target-instance");
         if !target_instance.is_empty() && target_instance != self.id {
-            let head = format!("instance-id: {}\r\n", self.id);
+            let head = format!("instance-id: {}\r\n{}", self.id, self.leaving_header());
             return send(
                 stream,
                 &format_response("421 Misdirected Request", &head, ""),
@@ -228,16 +262,10 @@
             .await;
         }
         let fault = self.take_fault();
-        if fault == ResponseFault::Reject || self.running.get() >= self.config.slots {
-            let head = format!(
-                "not-executed: 1\r\nattempt-id: {}\r\n",
-                request.header("attempt-id")
-            );
-            return send(
-                stream,
-                &format_response("503 Service Unavailable", &head, ""),
-            )
-            .await;
+        let is_rejected = fault == ResponseFault::Reject || self.running.get() >= self.config.slots;
+        self.print_arrival(request, is_rejected);
+        if is_rejected {
+            return self.reject(stream, request).await;
         }
         self.running.set(self.running.get() + 1);
         let keep_open = self.run(stream, request, fault).await;
@@ -245,6 +273,44 @@
         keep_open
     }
 
+    async fn reject(&self, stream: &mut TcpStream, request: &ParsedRequest) -> bool {
+        let retry_after = self.knobs.borrow().retry_after.clone();
+        let mut head = format!(
+            "not-executed: 1\r\nattempt-id: {}\r\n{}",
+            request.header("attempt-id"),
+            self.leaving_header()
+        );
+        if !retry_after.is_empty() {
+            head.push_str(&format!("retry-after: {retry_after}\r\n"));
+        }
+        let response = format_response("503 Service Unavailable", &head, "");
+        send(stream, &response).await
+    }
+
+    fn print_arrival(&self, request: &ParsedRequest, is_rejected: bool) {
+        let retry_after_s: f64 = self.knobs.borrow().retry_after.parse().unwrap_or(0.0);
+        let pushback_ms = if is_rejected {
+            (retry_after_s * 1_000.0) as u64
+        } else {
+            0
+        };
+        print_run(&Arrival {
+            arrived_at: self.id.clone(),
+            started_ms: self.started_ms,
+            request_id: request.header("attempt-id").to_owned(),
+            at_ms: millis(since_epoch()),
+            pushback_ms,
+        });
+    }
+
+    fn leaving_header(&self) -> String {
+        let value = &self.knobs.borrow().leaving;
+        if value.is_empty() {
+            return String::new();
+        }
+        format!("server-leaving: {value}\r\n")
+    }
+
     fn take_fault(&self) -> ResponseFault {
         let mut knobs = self.knobs.borrow_mut();
         if knobs.spoilt == 0 {
@@ -325,10 +391,11 @@
 
     fn response_headers(&self, request_id: &str) -> String {
         format!(
-            "attempt-id: {request_id}\r\nserver-signature: {}\r\ninstance-load: {},0,{}\r\n",
+            "attempt-id: {request_id}\r\nserver-signature: {}\r\ninstance-load: {},0,{}\r\n{}",
             self.id,
             self.running.get(),
-            self.config.slots
+            self.config.slots,
+            self.leaving_header()
         )
     }
 
--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -56,6 +56,9 @@
     /// An upstream that speaks the users' platform's dialect
     #[bpaf(command)]
     Backend {
+        /// Id of the upstream; if absent, each start has its own
+        #[bpaf(long, argument("NAME"), optional)]
+        id: Option<String>,
         /// Service that the upstream belongs to
         #[bpaf(long, argument("NAME"))]
         service: String,
@@ -115,6 +118,7 @@
         } => Ok(Relay::bind(addr, target, control).await?.addr),
         Command::Keyed { addr } => Ok(Keyed::bind(addr).await?.addr),
         Command::Backend {
+            id,
             service,
             data_center,
             store,
@@ -122,6 +126,7 @@
             addr,
         } => {
             let config = BackendConfig {
+                id,
                 service,
                 data_center,
                 store,
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -8,8 +8,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use standins::backend::{Run, record};
+use standins::backend::{Arrival, Run, record};
 use tempfile::TempDir;
 
 use super::caller::{Caller, Received, get, poll_until, post, set_knobs, wait_until};
@@ -148,12 +149,21 @@
         Relay { process, control }
     }
 
-    /// Starts or restarts upstream `i`.
+    /// Starts or restarts upstream `i` with a new id.
     pub(crate) fn spawn_upstream(&mut self, i: u8) {
+        self.spawn_upstream_with(i, &[]);
+    }
+
+    /// Starts or restarts upstream `i` with the given id.
+    pub(crate) fn spawn_upstream_as(&mut self, i: u8, id: &str) {
+        self.spawn_upstream_with(i, &["--id", id]);
+    }
+
+    fn spawn_upstream_with(&mut self, i: u8, more: &[&str]) {
         let name = format!("upstream-{i}-{}", self.upstream_names.len());
         let store = self.store.addr.to_string();
         let center = format!("dc-{}", i % 3);
-        let args = [
+        let mut args = vec![
             "backend",
             "--service",
             SERVICE,
@@ -164,6 +174,7 @@
             "--slots",
             "64",
         ];
+        args.extend_from_slice(more);
         let at = addr(self.prefix, 100 + i, STANDIN_PORT);
         let process = spawn_standin(self.dir.path(), &name, &args, at);
         self.upstream_names.push(name);
@@ -403,10 +414,28 @@
 
     /// The runs that upstream process `name` recorded.
     pub(crate) fn runs_at(&self, name: &str) -> Vec<Run> {
+        self.records(name)
+    }
+
+    /// The requests that reached upstream process `name`, in order.
+    pub(crate) fn arrivals_at(&self, name: &str) -> Vec<Arrival> {
+        self.records(name)
+    }
+
+    /// The requests that reached upstream `i`, in all its starts.
+    pub(crate) fn arrivals(&self, i: u8) -> Vec<Arrival> {
+        let prefix = format!("upstream-{i}-");
+        let names = self.upstream_names.iter();
+        let names = names.filter(|name| name.starts_with(&prefix));
+        names.flat_map(|name| self.arrivals_at(name)).collect()
+    }
+
+    /// The records of one kind among the lines that process `name` printed.
+    fn records<T: DeserializeOwned>(&self, name: &str) -> Vec<T> {
         let path = self.dir.path().join(format!("{name}.out"));
         let text = std::fs::read_to_string(path).unwrap_or_default();
-        let runs = text.lines();
-        runs.filter_map(|l| serde_json::from_str(l).ok()).collect()
+        let lines = text.lines();
+        lines.filter_map(|l| serde_json::from_str(l).ok()).collect()
     }
 
     pub(crate) fn runs_of(&self, id: &str) -> usize {
