An upstream that announces its shutdown in an answer gets no new work

Cause: whether an upstream takes work came from the platform's log alone. While the log is away nothing that an upstream says of itself reached the decision.

Change: the table of upstreams keeps announcements by start of the upstream and excludes it from its pool like a draining one, so that candidates, slots and relaxations all follow. It is looked at again once the connection is open, just before the first byte: a request chosen earlier goes elsewhere, without counting as a failure. The same look covers a record, a data centre or an address that was withdrawn meanwhile.

Why it holds: an announcement belongs to one start. No record of that start, old or new, and no missing entry ends it; a later start under the same id has none.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -191,12 +191,12 @@
                     state.record_lost_answer(&upstream.id, self.context.fingerprint, now_ms)
                 }
                 FailureKind::Replaced => state.record_replaced(&upstream.id, now_ms),
-                FailureKind::Rejected => {}
+                FailureKind::Rejected | FailureKind::Withheld => {}
             }
             let kind: &'static str = failed.kind.into();
             let reason = format!("{kind}: {}", failed.reason);
             self.emit(Kind::RequestRetried, &upstream.id, &reason);
-            if failed.kind != FailureKind::NotSent {
+            if !matches!(failed.kind, FailureKind::NotSent | FailureKind::Withheld) {
                 self.deliveries += 1;
             }
             if failed.kind == FailureKind::Lost {
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -42,6 +42,8 @@
 pub(crate) enum FailureKind {
     /// No byte of the request was sent.
     NotSent,
+    /// No byte of the request was sent, as the upstream stopped taking work before.
+    Withheld,
     /// The upstream received the request and reported that it did not run it.
     Rejected,
     /// Another incarnation received the request and did not run it: the addressed one no longer
@@ -106,7 +108,7 @@
                 if failed.timed_out {
                     self.state
                         .record_overload(&upstream, &failed.reason, now_ms);
-                } else {
+                } else if failed.kind != FailureKind::Withheld {
                     self.state.record_failure(&upstream, &failed.reason, now_ms);
                 }
                 return Err(failed);
@@ -167,7 +169,7 @@
             let Some(connection) = idle else {
                 return self.send_on_new(upstream, call).await;
             };
-            match send_on(connection, call).await {
+            match self.send_on(connection, upstream, call).await {
                 // The upstream closed the idle connection; no byte was sent.
                 Err(failed) if failed.kind == FailureKind::NotSent => {
                     self.send_on_new(upstream, call).await
@@ -196,7 +198,32 @@
             .close_excess(&upstream.id, self.quota.open.saturating_sub(in_use));
         let opened = connection::open(upstream.addr, CONNECT_TIMEOUT.min(call.timeout)).await;
         let connection = opened.map_err(|e| not_sent(e.to_string()))?;
-        send_on(connection, call).await
+        self.send_on(connection, upstream, call).await
+    }
+
+    async fn send_on(
+        &self,
+        mut connection: Connection,
+        upstream: &Upstream,
+        call: &Call<'_>,
+    ) -> Result<(Parts, Incoming, Connection), CallError> {
+        if !self.state.still_takes_work(upstream) {
+            return Err(withheld());
+        }
+        let sent = connection.sender.try_send_request(build(call)).await;
+        match sent {
+            Ok(response) => {
+                let (parts, body) = response.into_parts();
+                Ok((parts, body, connection))
+            }
+            Err(mut e) => {
+                let reason = e.error().to_string();
+                match e.take_message() {
+                    Some(_) => Err(not_sent(reason)),
+                    None => Err(lost(reason)),
+                }
+            }
+        }
     }
 
     /// Reads the body of a rejection, so that its connection can be reused.
@@ -215,26 +242,6 @@
     }
 }
 
-async fn send_on(
-    mut connection: Connection,
-    call: &Call<'_>,
-) -> Result<(Parts, Incoming, Connection), CallError> {
-    let sent = connection.sender.try_send_request(build(call)).await;
-    match sent {
-        Ok(response) => {
-            let (parts, body) = response.into_parts();
-            Ok((parts, body, connection))
-        }
-        Err(mut e) => {
-            let reason = e.error().to_string();
-            match e.take_message() {
-                Some(_) => Err(not_sent(reason)),
-                None => Err(lost(reason)),
-            }
-        }
-    }
-}
-
 fn build(call: &Call<'_>) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.request.method.clone();
@@ -279,6 +286,14 @@
     Ok(())
 }
 
+fn withheld() -> CallError {
+    CallError {
+        kind: FailureKind::Withheld,
+        reason: "the upstream takes no more work".to_owned(),
+        timed_out: false,
+    }
+}
+
 fn not_sent(reason: String) -> CallError {
     CallError {
         kind: FailureKind::NotSent,
--- a/src/path/leaving.rs
+++ b/src/path/leaving.rs
@@ -19,7 +19,7 @@
 }
 
 /// Upstreams that are shutting down by their own answers.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct LeavingUpstreams {
     announced: HashMap<Incarnation, Announcement>,
 }
@@ -39,20 +39,31 @@
         is_first
     }
 
+    /// Whether `upstream` announced its shutdown.
+    pub(crate) fn contains(&self, upstream: &Incarnation) -> bool {
+        self.announced.contains_key(upstream)
+    }
+
     /// Time since the first announcement of `upstream`.
     pub(crate) fn age_ms(&self, upstream: &Incarnation, now_ms: u64) -> Option<u64> {
         let announcement = self.announced.get(upstream)?;
         Some(now_ms.saturating_sub(announcement.since_ms))
     }
 
-    /// Drops expired announcements; those of upstreams for which `is_listed` is true don't expire.
-    pub(crate) fn sweep(&mut self, is_listed: impl Fn(&Incarnation) -> bool, now_ms: u64) {
-        self.announced.retain(|upstream, announcement| {
+    /// Drops and returns expired announcements; those of upstreams for which `is_listed` is true
+    /// don't expire.
+    pub(crate) fn sweep(
+        &mut self,
+        is_listed: impl Fn(&Incarnation) -> bool,
+        now_ms: u64,
+    ) -> Vec<Incarnation> {
+        let expired = self.announced.extract_if(|upstream, announcement| {
             // Without a start time, the listed upstream may be a later one with the same id.
             if upstream.started_ms > 0 && is_listed(upstream) {
                 announcement.confirmed_ms = now_ms;
             }
-            now_ms.saturating_sub(announcement.confirmed_ms) < ANNOUNCEMENT_TTL_MS
+            now_ms.saturating_sub(announcement.confirmed_ms) >= ANNOUNCEMENT_TTL_MS
         });
+        expired.map(|(upstream, _)| upstream).collect()
     }
 }
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -23,7 +23,6 @@
 use crate::mutation::{Mutation, mutated};
 use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
-use crate::path::leaving::LeavingUpstreams;
 use crate::path::regions::Regions;
 use crate::path::router_state::pool::CACHE_WARMUP_MS;
 use crate::path::routes::Deployment;
@@ -57,7 +56,6 @@
     evacuations: RefCell<Evacuations>,
     cold_starts: RefCell<ColdStarts>,
     health: RefCell<Health>,
-    leaving: RefCell<LeavingUpstreams>,
     pushbacks: RefCell<Pushbacks>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     running: RefCell<HashMap<Name, u32>>,
@@ -121,7 +119,6 @@
             evacuations: RefCell::default(),
             cold_starts: RefCell::default(),
             health: RefCell::default(),
-            leaving: RefCell::default(),
             pushbacks: RefCell::default(),
             budgets: RefCell::default(),
             running: RefCell::default(),
--- a/src/path/router_state/notices.rs
+++ b/src/path/router_state/notices.rs
@@ -1,6 +1,5 @@
 //! What upstreams announced about themselves in their answers to this router.
 
-use crate::decide::Incarnation;
 use crate::path::dialect::AnswerHead;
 use crate::path::router_state::RouterState;
 use crate::path::upstreams::Upstream;
@@ -19,8 +18,7 @@
 
     fn record_leaving(&self, upstream: &Upstream, now_ms: u64) {
         stats::leaving_notice();
-        let mut leaving = self.leaving.borrow_mut();
-        if leaving.record(upstream.incarnation(), now_ms) {
+        if self.upstreams.borrow_mut().record_leaving(upstream, now_ms) {
             log::info!(upstream = &*upstream.id; "upstream announces that it is shutting down");
         }
     }
@@ -36,23 +34,34 @@
     /// Describes the notices of upstream `id` that hold now, for events.
     pub(crate) fn describe_notices(&self, id: &str, now_ms: u64) -> String {
         let upstreams = self.upstreams.borrow();
-        let Some(upstream) = upstreams.get(id).map(|u| u.incarnation()) else {
+        let Some(upstream) = upstreams.get(id) else {
             return String::new();
         };
-        let age_ms = self.leaving.borrow().age_ms(&upstream, now_ms);
-        let left_ms = self.pushbacks.borrow().left_ms(&upstream, now_ms);
-        let leaving = age_ms.map(|ms| format!(", announced its shutdown {ms} ms ago"));
+        let leaving_ms = upstreams.leaving_ms(upstream, now_ms);
+        let pushbacks = self.pushbacks.borrow();
+        let left_ms = pushbacks.left_ms(&upstream.incarnation(), now_ms);
+        let leaving = leaving_ms.map(|ms| format!(", announced its shutdown {ms} ms ago"));
         let pushback = left_ms.map(|ms| format!(", wants no requests for {ms} ms"));
         leaving.unwrap_or_default() + &pushback.unwrap_or_default()
     }
 
     pub(super) fn sweep_notices(&self, now_ms: u64) {
-        let upstreams = self.upstreams.borrow();
-        let is_listed = |upstream: &Incarnation| {
-            let listed = upstreams.get(&upstream.id);
-            listed.is_some_and(|u| u.started_ms == upstream.started_ms)
-        };
-        self.leaving.borrow_mut().sweep(is_listed, now_ms);
+        self.upstreams.borrow_mut().sweep(now_ms);
         self.pushbacks.borrow_mut().sweep(now_ms);
     }
+
+    /// Whether a request that was meant for `upstream` may still be sent to it.
+    ///
+    /// Failure guarded against: while a connection is opened, the upstream announces its shutdown
+    /// in another answer, or its record or its data centre is withdrawn, and a request that was
+    /// assigned before reaches it after.
+    pub(crate) fn still_takes_work(&self, upstream: &Upstream) -> bool {
+        let upstreams = self.upstreams.borrow();
+        let listed = upstreams.get(&upstream.id);
+        let is_listed =
+            listed.is_some_and(|u| u.started_ms == upstream.started_ms && upstreams.takes_work(u));
+        is_listed
+            && !self.health.borrow().is_replaced(upstream)
+            && !self.evacuations.borrow().contains(&upstream.data_center)
+    }
 }
--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -157,18 +157,19 @@
         max_open: u32,
         now_ms: u64,
     ) {
-        let withhold = |candidate: &mut Candidate, upstream: &Upstream| {
+        // Upstreams that shut down are excluded from the start and aren't withheld.
+        let withhold = |candidate: &mut Candidate, _: &Upstream| {
+            candidate.withheld |= !candidate.excluded;
             candidate.excluded = true;
-            candidate.withheld = !upstream.draining;
         };
+        candidates.change(self.cold_starts.borrow().refusing(now_ms), withhold);
+        let evacuations = self.evacuations.borrow();
+        candidates.change_data_centers(|name| evacuations.contains(name), withhold);
         let exclude = |candidate: &mut Candidate, _: &Upstream| candidate.excluded = true;
         let running = self.running.borrow();
         let full = running.iter().filter(|(_, own)| **own >= max_open);
         candidates.change(full.map(|(id, _)| id), exclude);
         candidates.change(self.health.borrow().replaced(), exclude);
-        candidates.change(self.cold_starts.borrow().refusing(now_ms), withhold);
-        let evacuations = self.evacuations.borrow();
-        candidates.change_data_centers(|name| evacuations.contains(name), withhold);
         let is_forbidden = |name: &str| !self.regions.allow(allowed_regions, name);
         candidates.change_data_centers(is_forbidden, exclude);
     }
@@ -244,8 +245,9 @@
             closed.extend(health.unreachable(now_ms));
         }
         let closed = closed.into_iter().filter_map(|id| pool.position(id));
-        let closed = closed.map(|at| &pool.upstreams()[at]);
-        let counted = closed.filter(|u| !u.draining && takes_work(&u.data_center));
+        let counted = closed.filter(|at| !pool.candidates()[*at].excluded);
+        let counted = counted.map(|at| &pool.upstreams()[at]);
+        let counted = counted.filter(|u| takes_work(&u.data_center));
         let closed_slots: u32 = counted.map(|u| u.slots).sum();
         let open_slots = slots.saturating_sub(closed_slots);
         (open_slots > 0).then_some(open_slots)
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -1,5 +1,6 @@
 use std::rc::Rc;
 
+use super::dialect::AnswerHead;
 use super::regions::{AllowedRegions, Regions};
 use super::router_state::{RetryLimit, RouterState, RunningGuard, Tried};
 use super::upstreams::Upstream;
@@ -118,6 +119,93 @@
     assert_eq!(open(&state), 5);
 }
 
+/// An upstream announced its shutdown in an answer. Nothing may be sent to it any more, not even as
+/// a last resort, whatever the log says of it while it runs.
+#[test]
+fn announced_shutdown_lasts_until_the_next_start() {
+    let state = state();
+    let started = |started_ms| Upstream {
+        started_ms,
+        ..upstream(0)
+    };
+    let put = |upstream| state.change_upstreams(|upstreams| upstreams.put(upstream));
+    put(started(7));
+    let announcement = AnswerHead {
+        is_leaving: true,
+        ..AnswerHead::default()
+    };
+    state.record_notices(&started(7), &announcement, 1);
+    assert_eq!(open(&state), 5);
+    assert_eq!(state.slots_open("s", 1), Some(5 * SLOTS));
+    for i in 1..6 {
+        state.record_replaced(&upstream(i).id, 1);
+    }
+    assert_eq!(open(&state), 0, "not even as the last one");
+    // Its record is written again, and disappears for a while.
+    put(Upstream {
+        cold_ms: 1_000,
+        ..started(7)
+    });
+    assert_eq!(open(&state), 0);
+    state.change_upstreams(|upstreams| upstreams.remove("i-0"));
+    state.sweep(2);
+    put(started(7));
+    assert_eq!(open(&state), 0);
+    // An older list of upstreams, then a later start.
+    put(started(8));
+    assert_eq!(open(&state), 1);
+    put(started(7));
+    assert_eq!(open(&state), 0);
+    assert_eq!(state.slots_open("s", 1), None);
+}
+
+/// A request waits for a connection to the upstream chosen for it, which meanwhile announces its
+/// shutdown, drains, restarts or is evacuated. The request must go elsewhere.
+#[test]
+fn request_is_not_sent_to_an_upstream_withdrawn_after_its_choice() {
+    let announcement = AnswerHead {
+        is_leaving: true,
+        ..AnswerHead::default()
+    };
+    let put = |state: &RouterState, upstream| {
+        state.change_upstreams(|upstreams| upstreams.put(upstream));
+    };
+    let withdrawals: [&dyn Fn(&RouterState); 6] = [
+        &|state| state.record_notices(&upstream(0), &announcement, 1),
+        &|state| state.record_replaced(&upstream(0).id, 1),
+        &|state| {
+            state.change_evacuations(|e| e.set(1, "north", true));
+        },
+        &|state| {
+            state.change_upstreams(|upstreams| upstreams.remove("i-0"));
+        },
+        &|state| {
+            put(
+                state,
+                Upstream {
+                    draining: true,
+                    ..upstream(0)
+                },
+            )
+        },
+        &|state| {
+            put(
+                state,
+                Upstream {
+                    started_ms: 9,
+                    ..upstream(0)
+                },
+            )
+        },
+    ];
+    for (n, withdraw) in withdrawals.iter().enumerate() {
+        let state = state();
+        assert!(state.still_takes_work(&upstream(0)));
+        withdraw(&state);
+        assert!(!state.still_takes_work(&upstream(0)), "{n}");
+    }
+}
+
 /// Requests of a route bound to a region must not leave it, even if the region has no upstream
 /// left.
 #[test]
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -8,6 +8,7 @@
 use crate::decide::ejection;
 use crate::decide::spread::Candidate;
 use crate::fleet::loads::digest;
+use crate::path::leaving::LeavingUpstreams;
 use crate::util::{self, Name};
 
 /// Upstream as it last reported itself.
@@ -81,7 +82,7 @@
         &self.candidates
     }
 
-    /// Slots of the upstreams of each data centre that don't drain.
+    /// Slots of the upstreams of each data centre that take work.
     pub fn slots(&self) -> &HashMap<Name, u32> {
         &self.slots
     }
@@ -95,36 +96,46 @@
         self.upstreams.binary_search_by(|u| (*u.id).cmp(id))
     }
 
-    fn insert(&mut self, upstream: Rc<Upstream>, is_local: bool) {
+    fn insert(&mut self, upstream: Rc<Upstream>, is_local: bool, takes_work: bool) {
         let (Ok(at) | Err(at)) = self.search(&upstream.id);
-        let slots = self.slots.entry(upstream.data_center.clone());
-        let slots = slots.or_default();
-        if !upstream.draining {
-            *slots = slots.saturating_add(upstream.slots);
-        }
         let candidate = Candidate {
             id_hash: util::hash_bytes(upstream.id.as_bytes()),
             slots: upstream.slots,
             is_local,
-            excluded: upstream.draining,
+            excluded: true,
             has_parts: true,
             ..Candidate::default()
         };
+        self.slots.entry(upstream.data_center.clone()).or_default();
         self.candidates.insert(at, candidate);
         self.upstreams.insert(at, upstream);
+        self.set_takes_work(at, takes_work);
+    }
+
+    /// Includes or excludes the upstream at position `at`.
+    fn set_takes_work(&mut self, at: usize, takes_work: bool) {
+        let candidate = &mut self.candidates[at];
+        let upstream = &self.upstreams[at];
+        if candidate.excluded != takes_work {
+            return;
+        }
+        candidate.excluded = !takes_work;
+        if let Some(slots) = self.slots.get_mut(&upstream.data_center) {
+            *slots = if takes_work {
+                slots.saturating_add(upstream.slots)
+            } else {
+                slots.saturating_sub(upstream.slots)
+            };
+        }
     }
 
     fn remove(&mut self, id: &str) {
         let Ok(at) = self.search(id) else {
             return;
         };
+        self.set_takes_work(at, false);
         self.candidates.remove(at);
-        let removed = self.upstreams.remove(at);
-        if let Some(slots) = self.slots.get_mut(&removed.data_center)
-            && !removed.draining
-        {
-            *slots = slots.saturating_sub(removed.slots);
-        }
+        self.upstreams.remove(at);
     }
 }
 
@@ -145,6 +156,7 @@
     by_id: HashMap<Name, Rc<Upstream>>,
     by_digest: HashMap<u32, Rc<Upstream>>,
     pools: HashMap<Name, Rc<Pool>>,
+    leaving: LeavingUpstreams,
 }
 
 impl Upstreams {
@@ -197,11 +209,82 @@
         self.by_digest
             .insert(digest(&upstream.id), upstream.clone());
         let is_local = self.data_center.as_ref() == Some(&upstream.data_center);
+        let takes_work = self.takes_work(&upstream);
         let pool = self.pools.entry(upstream.service.clone()).or_default();
-        Rc::make_mut(pool).insert(upstream, is_local);
+        Rc::make_mut(pool).insert(upstream, is_local, takes_work);
         true
     }
 
+    /// Whether `upstream` is not shutting down, by its record and by its answers.
+    pub fn takes_work(&self, upstream: &Upstream) -> bool {
+        !upstream.draining && !self.leaving.contains(&upstream.incarnation())
+    }
+
+    /// Records that an upstream announced its shutdown in an answer, and returns whether this is
+    /// its first announcement. Nothing that the log says later of this start restores it.
+    ///
+    /// Failure guarded against: an upstream shuts down while the log is away. Its record still says
+    /// that it takes work, and requests are sent to it until it has ended.
+    ///
+    /// ```
+    /// use cassiagrade::path::upstreams::{Upstream, Upstreams};
+    /// let one = Upstream {
+    ///     id: "i-1".into(),
+    ///     service: "s".into(),
+    ///     addr: "10.0.0.1:80".parse().unwrap(),
+    ///     data_center: "north".into(),
+    ///     slots: 8,
+    ///     started_ms: 5,
+    ///     draining: false,
+    ///     cold_ms: 0,
+    /// };
+    /// let mut upstreams = Upstreams::default();
+    /// upstreams.put(one.clone());
+    /// assert!(upstreams.record_leaving(&one, 100));
+    /// upstreams.remove("i-1");
+    /// upstreams.put(one.clone());
+    /// assert!(upstreams.shared_pool("s").candidates()[0].excluded);
+    /// upstreams.put(Upstream { started_ms: 6, ..one });
+    /// assert!(!upstreams.shared_pool("s").candidates()[0].excluded);
+    /// ```
+    pub fn record_leaving(&mut self, upstream: &Upstream, now_ms: u64) -> bool {
+        let is_first = self.leaving.record(upstream.incarnation(), now_ms);
+        if is_first {
+            self.update_takes_work(&upstream.id);
+        }
+        is_first
+    }
+
+    /// Time since `upstream` first announced its shutdown in an answer.
+    pub fn leaving_ms(&self, upstream: &Upstream, now_ms: u64) -> Option<u64> {
+        self.leaving.age_ms(&upstream.incarnation(), now_ms)
+    }
+
+    /// Drops the announcements that have expired.
+    pub fn sweep(&mut self, now_ms: u64) {
+        let by_id = &self.by_id;
+        let is_listed = |upstream: &Incarnation| {
+            let listed = by_id.get(&upstream.id);
+            listed.is_some_and(|u| u.started_ms == upstream.started_ms)
+        };
+        let expired = self.leaving.sweep(is_listed, now_ms);
+        for upstream in expired {
+            self.update_takes_work(&upstream.id);
+        }
+    }
+
+    fn update_takes_work(&mut self, id: &str) {
+        let Some(upstream) = self.by_id.get(id) else {
+            return;
+        };
+        let takes_work = self.takes_work(upstream);
+        if let Some(pool) = self.pools.get_mut(&upstream.service)
+            && let Some(at) = pool.position(id)
+        {
+            Rc::make_mut(pool).set_takes_work(at, takes_work);
+        }
+    }
+
     /// Removes an upstream, and returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(removed) = self.by_id.remove(id) else {
--- a/tests/routed_notices.rs
+++ b/tests/routed_notices.rs
@@ -53,6 +53,69 @@
     assert_eq!(routed.arrivals(0).len(), before);
 }
 
+/// One upstream has announced its shutdown and the others fail. A retry or a resumed stream must not
+/// be sent to it, even if no other upstream is left.
+#[test_case("reject", "/ticket/1"; "retry of a rejected request")]
+#[test_case("fail", "/get/1"; "retry of a failed request")]
+#[test_case("half", "/resumed/stream"; "resumed stream")]
+#[compio::test]
+async fn retries_avoid_an_announced_shutdown(fault: &str, path: &str) {
+    let size = FleetSize {
+        upstreams: 3,
+        ..FleetSize::default()
+    };
+    let routed = RoutedFleet::start(size).await;
+    set_knobs(routed.upstreams[0].addr, &json!({ "leaving": "1" })).await;
+    wait_for_announcement(&routed, 0).await;
+    let before = routed.arrivals(0).len();
+    for upstream in &routed.upstreams[1..] {
+        set_knobs(upstream.addr, &json!({ "spoil": fault, "spoilt": 1_000 })).await;
+    }
+    for _ in 0..30 {
+        routed.call(0, path, "4").await;
+    }
+    assert_eq!(routed.arrivals(0).len(), before);
+    assert!(!routed.arrivals(1).is_empty());
+}
+
+/// An upstream that announced its shutdown starts again under its id, at its address. The later
+/// start has announced nothing and must get work.
+#[compio::test]
+async fn later_start_under_the_same_id_gets_work() {
+    let mut routed = RoutedFleet::start(FleetSize::default()).await;
+    routed.upstreams[0].kill();
+    routed.spawn_upstream_as(0, "i-same");
+    wait_until("work for the upstream", || async {
+        routed.call(0, "/get/1", "1").await;
+        routed.arrivals(0).iter().any(|a| a.arrived_at == "i-same")
+    })
+    .await;
+    set_knobs(routed.upstreams[0].addr, &json!({ "leaving": "1" })).await;
+    wait_for_announcement(&routed, 0).await;
+    routed.upstreams[0].kill();
+    routed.spawn_upstream_as(0, "i-same");
+    let later = routed.upstream_names.last().cloned().unwrap();
+    wait_until("work for the later start", || async {
+        routed.call(0, "/get/1", "1").await;
+        !routed.arrivals_at(&later).is_empty()
+    })
+    .await;
+}
+
+/// An upstream sends an invalid announcement. It must keep its work.
+#[test_case("0")]
+#[test_case("yes")]
+#[compio::test]
+async fn invalid_announcement_changes_nothing(value: &str) {
+    let routed = RoutedFleet::start(FleetSize::default()).await;
+    set_knobs(routed.upstreams[0].addr, &json!({ "leaving": value })).await;
+    for n in 0..64 {
+        call(&routed, 0, n).await;
+    }
+    let reached = routed.arrivals(0).len();
+    assert!(reached > 10, "{reached} of 64 requests");
+}
+
 /// An overloaded upstream rejects a request and names a time to come back. Further requests would
 /// keep it busy with rejections and use up the fleet's retries; after that time it takes work again.
 #[test_case(&json!({}); "store reachable")]
