An upstream gets nothing from a router that it asked to stay away

Cause: the Retry-After of an upstream's 503 was not read. A rejection counted as one failure among others, and only ejection kept requests away: after three in a row or a share of failures, for its own time, and for a third of a pool at most.

Until then the upstream is closed to this router, for first attempts, retries, resumed streams, probes and last resorts, doesn't count as capacity, and is looked at again before the first byte. Others aren't told: it asked this router alone. Its rejections no longer eject it, as an ejection would outlast the time. If all that are up ask, callers are refused at once with the time of the first one's end.

Why it holds: the exclusion is applied where no relaxation reaches it, and ends by time or by a later start only.

--- a/src/decide/pushback.rs
+++ b/src/decide/pushback.rs
@@ -1,4 +1,15 @@
 //! Upstreams that asked this router to send them nothing for a while (server pushback).
+//!
+//! Load pattern: an upstream has more work than it can do and rejects what arrives, with a time after
+//! which it will take work again. Requests sent to it before cost it the work of rejecting them,
+//! their callers a round trip, and the fleet one of its retries each, until none are left and
+//! callers are refused although other upstreams are idle. Ejection doesn't prevent that: it needs
+//! several failures, spares most of a pool, and ends by its own clock.
+//!
+//! So such an upstream gets nothing until its time has passed, however many of its pool ask for it.
+//! If all do, callers are refused at once and come back when the first one takes work again. The
+//! time is this router's alone, as the upstream may still take what others send. A decision costs a
+//! search for each upstream that has asked.
 
 use std::collections::HashMap;
 
@@ -37,6 +48,13 @@
         (until_ms > now_ms).then(|| until_ms - now_ms)
     }
 
+    /// The upstreams that want no request now.
+    pub fn active(&self, now_ms: u64) -> impl Iterator<Item = &Incarnation> {
+        let active = self.until_ms.iter();
+        let active = active.filter(move |(_, until_ms)| **until_ms > now_ms);
+        active.map(|(upstream, _)| upstream)
+    }
+
     /// Drops the times that are over.
     pub fn sweep(&mut self, now_ms: u64) {
         self.until_ms.retain(|_, until_ms| *until_ms > now_ms);
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -16,6 +16,7 @@
 use crate::path::call::{BufferedReply, Call, CallError, FailureKind, Reply, UpstreamClient};
 use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
 use crate::path::refusal::Refused;
+use crate::path::regions::AllowedRegions;
 use crate::path::router_state::Tried;
 use crate::path::routes::{Account, Route};
 use crate::path::upstreams::Upstream;
@@ -27,8 +28,8 @@
 const MAX_UPSTREAMS_TRIED: usize = 4;
 /// Minimum remaining time for an attempt. With less, the answer would arrive after the deadline.
 const MIN_REMAINING: Duration = Duration::from_millis(20);
-/// Base of `Retry-After` if all upstreams of a service are full or unreachable: the duration of a
-/// few requests.
+/// Least base of `Retry-After` if all upstreams of a service are full or unreachable: the duration
+/// of a few requests.
 const RETRY_AFTER_MS: u64 = 300;
 /// An attempt of a repeatable request is abandoned after this multiple of its latency objective,
 /// well above the latency of a healthy upstream.
@@ -225,7 +226,8 @@
     /// Returns the cause of a refusal if no upstream can be chosen.
     fn no_upstream_cause(&self) -> Cause {
         let (state, quota) = (&self.context.path.state, self.connection_quota());
-        if state.has_full_upstream(&self.context.service, quota.open) {
+        let is_full = state.has_full_upstream(&self.context.service, quota.open);
+        if is_full || self.pushback_ms().is_some() {
             Cause::Full
         } else {
             Cause::NoUpstream
@@ -293,11 +295,7 @@
         };
         let max_open = self.connection_quota().open;
         let state = &context.path.state;
-        let account_regions = context
-            .account
-            .as_ref()
-            .map_or(&None, |a| &a.allowed_regions);
-        let allowed_regions = [&context.route.allowed_regions, account_regions];
+        let allowed_regions = self.allowed_regions();
         let (pool, candidates) =
             state.pool(&context.service, &tried, &allowed_regions, max_open, now_ms);
         let decisions = state.decisions();
@@ -323,6 +321,21 @@
         })
     }
 
+    /// Regions that the request may go to, by its route and by its account.
+    fn allowed_regions(&self) -> [&AllowedRegions; 2] {
+        let account = self.context.account.as_ref();
+        let account_regions = account.map_or(&None, |a| &a.allowed_regions);
+        [&self.context.route.allowed_regions, account_regions]
+    }
+
+    /// Time until an upstream takes requests again, if all of them want none for a while.
+    fn pushback_ms(&self) -> Option<u64> {
+        let context = &self.context;
+        let now_ms = context.path.clock.now_ms();
+        let state = &context.path.state;
+        state.pushback_ms(&context.service, &self.allowed_regions(), now_ms)
+    }
+
     /// Whether the request may run again after a run that may have begun.
     pub(crate) fn may_retry(&self) -> bool {
         !self.context.route.repeat.at_most_once() && self.runs < self.context.route.max_attempts
@@ -340,10 +353,8 @@
         let (run, retry_after_ms) = if self.runs > 0 {
             (RunState::Unknown, 0)
         } else {
-            (
-                RunState::NotRun,
-                jittered_ms(RETRY_AFTER_MS, &mut rand::rng()),
-            )
+            let base_ms = self.pushback_ms().unwrap_or(0).max(RETRY_AFTER_MS);
+            (RunState::NotRun, jittered_ms(base_ms, &mut rand::rng()))
         };
         Refused {
             cause,
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -135,11 +135,14 @@
                     self.drain_rejection(&upstream, body, connection, &parts)
                         .await;
                 }
-                if failed.kind == FailureKind::Rejected {
-                    self.state
-                        .record_overload(&upstream, &failed.reason, now_ms);
-                } else {
-                    self.state.record_failure(&upstream, &failed.reason, now_ms);
+                match failed.kind {
+                    // The upstream itself says how long to stay away; an ejection would outlast it.
+                    FailureKind::Rejected if head.pushback_ms.is_some() => {}
+                    FailureKind::Rejected => {
+                        self.state
+                            .record_overload(&upstream, &failed.reason, now_ms)
+                    }
+                    _ => self.state.record_failure(&upstream, &failed.reason, now_ms),
                 }
                 return Err(failed);
             }
@@ -207,7 +210,7 @@
         upstream: &Upstream,
         call: &Call<'_>,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
-        if !self.state.still_takes_work(upstream) {
+        if !self.state.still_takes_work(upstream, self.clock.now_ms()) {
             return Err(withheld());
         }
         let sent = connection.sender.try_send_request(build(call)).await;
--- a/src/path/router_state/notices.rs
+++ b/src/path/router_state/notices.rs
@@ -53,14 +53,16 @@
     /// Whether a request that was meant for `upstream` may still be sent to it.
     ///
     /// Failure guarded against: while a connection is opened, the upstream announces its shutdown
-    /// in another answer, or its record or its data centre is withdrawn, and a request that was
-    /// assigned before reaches it after.
-    pub(crate) fn still_takes_work(&self, upstream: &Upstream) -> bool {
+    /// or asks for a time without requests in another answer, or its record or its data centre is
+    /// withdrawn, and a request that was assigned before reaches it after.
+    pub(crate) fn still_takes_work(&self, upstream: &Upstream, now_ms: u64) -> bool {
         let upstreams = self.upstreams.borrow();
         let listed = upstreams.get(&upstream.id);
         let is_listed =
             listed.is_some_and(|u| u.started_ms == upstream.started_ms && upstreams.takes_work(u));
+        let pushbacks = self.pushbacks.borrow();
         is_listed
+            && pushbacks.left_ms(&upstream.incarnation(), now_ms).is_none()
             && !self.health.borrow().is_replaced(upstream)
             && !self.evacuations.borrow().contains(&upstream.data_center)
     }
--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 
+use crate::decide::Incarnation;
 use crate::decide::spread::{Candidate, CountEstimate};
 use crate::fleet::in_flight::FleetInFlight;
 use crate::path::health::Health;
@@ -63,6 +64,17 @@
         }
     }
 
+    /// Changes the candidates of those `upstreams` that are in the pool and weren't started again.
+    fn change_incarnations<'b>(
+        &mut self,
+        upstreams: impl Iterator<Item = &'b Incarnation>,
+        change: impl Fn(&mut Candidate, &Upstream),
+    ) {
+        for at in upstreams.filter_map(|upstream| self.pool.position_of(upstream)) {
+            change(&mut self.all[at], &self.pool.upstreams()[at]);
+        }
+    }
+
     /// Changes the candidates in the data centres for which `is_concerned` is true.
     fn change_data_centers(
         &mut self,
@@ -86,6 +98,17 @@
     }
 }
 
+fn exclude(candidate: &mut Candidate, _: &Upstream) {
+    candidate.excluded = true;
+}
+
+/// Excludes an upstream that is up. One that shuts down is excluded from the start and doesn't
+/// count as withheld.
+fn withhold(candidate: &mut Candidate, _: &Upstream) {
+    candidate.withheld |= !candidate.excluded;
+    candidate.excluded = true;
+}
+
 impl RouterState {
     /// Returns the upstreams of `service` and the state of each; this router may open `max_open`
     /// connections to each.
@@ -157,23 +180,41 @@
         max_open: u32,
         now_ms: u64,
     ) {
-        // Upstreams that shut down are excluded from the start and aren't withheld.
-        let withhold = |candidate: &mut Candidate, _: &Upstream| {
-            candidate.withheld |= !candidate.excluded;
-            candidate.excluded = true;
-        };
         candidates.change(self.cold_starts.borrow().refusing(now_ms), withhold);
-        let evacuations = self.evacuations.borrow();
-        candidates.change_data_centers(|name| evacuations.contains(name), withhold);
-        let exclude = |candidate: &mut Candidate, _: &Upstream| candidate.excluded = true;
+        candidates.change_incarnations(self.pushbacks.borrow().active(now_ms), withhold);
+        self.withdraw(candidates, allowed_regions);
         let running = self.running.borrow();
         let full = running.iter().filter(|(_, own)| **own >= max_open);
         candidates.change(full.map(|(id, _)| id), exclude);
+    }
+
+    /// Excludes the upstreams that must not get the request and will not take it soon either.
+    fn withdraw(&self, candidates: &mut Candidates<'_>, allowed_regions: &[&AllowedRegions]) {
+        let evacuations = self.evacuations.borrow();
+        candidates.change_data_centers(|name| evacuations.contains(name), withhold);
         candidates.change(self.health.borrow().replaced(), exclude);
         let is_forbidden = |name: &str| !self.regions.allow(allowed_regions, name);
         candidates.change_data_centers(is_forbidden, exclude);
     }
 
+    /// Returns the time until an upstream of `service` takes requests again, if all of them want
+    /// none from this router for a while.
+    pub(crate) fn pushback_ms(
+        &self,
+        service: &str,
+        allowed_regions: &[&AllowedRegions],
+        now_ms: u64,
+    ) -> Option<u64> {
+        let pool = self.upstreams.borrow().shared_pool(service);
+        let mut candidates = Candidates::idle(&pool);
+        self.withdraw(&mut candidates, allowed_regions);
+        let upstreams = candidates.all.iter().zip(pool.upstreams());
+        let available = upstreams.filter(|(candidate, _)| !candidate.excluded);
+        let pushbacks = self.pushbacks.borrow();
+        let left = available.map(|(_, u)| pushbacks.left_ms(&u.incarnation(), now_ms));
+        left.collect::<Option<Vec<u64>>>()?.into_iter().min()
+    }
+
     /// Marks the upstreams from which others can't fetch cached prompt parts.
     fn mark_cache_sources(&self, candidates: &mut Candidates<'_>, service: &str, now_ms: u64) {
         let health = self.health.borrow();
@@ -201,7 +242,6 @@
         relaxation: Relaxation,
         now_ms: u64,
     ) {
-        let exclude = |candidate: &mut Candidate, _: &Upstream| candidate.excluded = true;
         let health = self.health.borrow();
         if relaxation < Relaxation::Tried || !tried.may_repeat {
             candidates.change(tried.upstreams.iter(), exclude);
@@ -245,7 +285,13 @@
             closed.extend(health.unreachable(now_ms));
         }
         let closed = closed.into_iter().filter_map(|id| pool.position(id));
-        let counted = closed.filter(|at| !pool.candidates()[*at].excluded);
+        let pushbacks = self.pushbacks.borrow();
+        let paused = pushbacks.active(now_ms);
+        let paused = paused.filter_map(|upstream| pool.position_of(upstream));
+        let closed: HashSet<usize> = closed.chain(paused).collect();
+        let counted = closed
+            .into_iter()
+            .filter(|at| !pool.candidates()[*at].excluded);
         let counted = counted.map(|at| &pool.upstreams()[at]);
         let counted = counted.filter(|u| takes_work(&u.data_center));
         let closed_slots: u32 = counted.map(|u| u.slots).sum();
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -4,9 +4,12 @@
 use super::regions::{AllowedRegions, Regions};
 use super::router_state::{RetryLimit, RouterState, RunningGuard, Tried};
 use super::upstreams::Upstream;
-use crate::decide::ejection::FAILURES;
+use crate::decide::ejection::{EJECTION_MS, FAILURES};
+use crate::decide::spread::{Counts, by_load};
 use crate::fleet::gossip::Gossip;
 use crate::util::Name;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 const SLOTS: u32 = 8;
 
@@ -119,6 +122,125 @@
     assert_eq!(open(&state), 5);
 }
 
+/// The answer of an upstream that wants no requests for `pushback_ms`.
+fn pushback(pushback_ms: u64) -> AnswerHead {
+    AnswerHead {
+        not_run: true,
+        pushback_ms: Some(pushback_ms),
+        ..AnswerHead::default()
+    }
+}
+
+/// An upstream wants no requests for a while. It must get none until that time has passed, not even
+/// as a last resort, but a later start of it may.
+#[test]
+fn pushback_lasts_for_its_time_or_until_the_next_start() {
+    let state = state();
+    state.record_notices(&upstream(0), &pushback(3_000), 1);
+    assert_eq!(open(&state), 5);
+    assert_eq!(state.slots_open("s", 1), Some(5 * SLOTS));
+    // Its record disappears for a while and is written again.
+    state.change_upstreams(|upstreams| upstreams.remove("i-0"));
+    state.sweep(2);
+    state.change_upstreams(|upstreams| upstreams.put(upstream(0)));
+    assert_eq!(state.slots_open("s", 3_000), Some(5 * SLOTS));
+    assert_eq!(state.slots_open("s", 3_001), Some(6 * SLOTS));
+    for i in 1..6 {
+        state.record_replaced(&upstream(i).id, 1);
+    }
+    assert_eq!(open(&state), 0, "not even as the last one");
+    state.change_upstreams(|upstreams| {
+        upstreams.put(Upstream {
+            started_ms: 9,
+            ..upstream(0)
+        })
+    });
+    assert_eq!(open(&state), 1);
+}
+
+/// An ejected upstream is due for a probe, or is the only one left, and wants no requests. A probe is
+/// a request like any other.
+#[test]
+fn probe_waits_until_the_pushback_ends() {
+    const PUSHBACK_MS: u64 = 2 * EJECTION_MS;
+    let state = state();
+    for _ in 0..FAILURES {
+        state.record_failure(&upstream(0), "connection reset", 0);
+    }
+    state.record_notices(&upstream(0), &pushback(PUSHBACK_MS), 0);
+    for i in 1..6 {
+        state.record_replaced(&upstream(i).id, 0);
+    }
+    let open_at = |now_ms| {
+        let tried = Tried {
+            upstreams: &[],
+            may_repeat: false,
+        };
+        let (_, candidates) = state.pool("s", &tried, &[], u32::MAX, now_ms);
+        candidates.iter().filter(|c| !c.excluded).count()
+    };
+    assert_eq!(open_at(EJECTION_MS + 1), 0);
+    assert_eq!(open_at(PUSHBACK_MS - 1), 0);
+    assert_eq!(open_at(PUSHBACK_MS), 1);
+}
+
+/// Callers that are refused because all upstreams want no requests must come back when the first
+/// one that can serve them takes requests again, and sooner if another may take them before.
+#[test]
+fn refused_callers_come_back_when_the_first_pushback_ends() {
+    let state = state();
+    let pushback_ms = |regions: &[&AllowedRegions]| state.pushback_ms("s", regions, 100);
+    for i in 1..6 {
+        let left_ms = 1_000 * u64::from(i);
+        state.record_notices(&upstream(i), &pushback(left_ms), 0);
+    }
+    assert_eq!(pushback_ms(&[]), None, "one takes requests");
+    state.record_notices(&upstream(0), &pushback(9_000), 0);
+    assert_eq!(pushback_ms(&[]), Some(900));
+    state.record_replaced(&upstream(1).id, 1);
+    let draining = Upstream {
+        draining: true,
+        ..upstream(2)
+    };
+    state.change_upstreams(|upstreams| upstreams.put(draining));
+    assert_eq!(pushback_ms(&[]), Some(2_900), "two are gone");
+    let abroad = Some(["abroad".into()].into());
+    assert_eq!(pushback_ms(&[&abroad]), None, "no upstream is there");
+    state.change_evacuations(|e| e.set(1, "north", true));
+    assert_eq!(pushback_ms(&[]), None, "no upstream may be used");
+}
+
+/// An upstream of a pool is overloaded for a while: it rejects every request and names a time. In
+/// that time it must get no more than the one request that finds out, in each of its periods.
+#[test]
+fn shedding_upstream_gets_one_request_per_pushback() {
+    const PUSHBACK_MS: u64 = 3_000;
+    const DAY_MS: u64 = 9_000;
+    const INTERVAL_MS: usize = 20;
+    let state = state();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut rejected = 0;
+    for now_ms in (0..DAY_MS).step_by(INTERVAL_MS) {
+        let mut tried = Vec::new();
+        loop {
+            let tried_before = Tried {
+                upstreams: &tried,
+                may_repeat: false,
+            };
+            let (pool, candidates) = state.pool("s", &tried_before, &[], u32::MAX, now_ms);
+            let at = by_load(&candidates, Counts::Current, &mut rng).unwrap();
+            let chosen = pool.upstreams()[at].clone();
+            if *chosen.id != *"i-0" {
+                break;
+            }
+            rejected += 1;
+            state.record_notices(&chosen, &pushback(PUSHBACK_MS), now_ms);
+            tried.push(chosen.id.clone());
+        }
+    }
+    assert!(rejected <= DAY_MS / PUSHBACK_MS, "{rejected}");
+}
+
 /// An upstream announced its shutdown in an answer. Nothing may be sent to it any more, not even as
 /// a last resort, whatever the log says of it while it runs.
 #[test]
@@ -170,8 +292,9 @@
     let put = |state: &RouterState, upstream| {
         state.change_upstreams(|upstreams| upstreams.put(upstream));
     };
-    let withdrawals: [&dyn Fn(&RouterState); 6] = [
+    let withdrawals: [&dyn Fn(&RouterState); 7] = [
         &|state| state.record_notices(&upstream(0), &announcement, 1),
+        &|state| state.record_notices(&upstream(0), &pushback(100), 1),
         &|state| state.record_replaced(&upstream(0).id, 1),
         &|state| {
             state.change_evacuations(|e| e.set(1, "north", true));
@@ -200,9 +323,9 @@
     ];
     for (n, withdraw) in withdrawals.iter().enumerate() {
         let state = state();
-        assert!(state.still_takes_work(&upstream(0)));
+        assert!(state.still_takes_work(&upstream(0), 2));
         withdraw(&state);
-        assert!(!state.still_takes_work(&upstream(0)), "{n}");
+        assert!(!state.still_takes_work(&upstream(0), 2), "{n}");
     }
 }
 
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -92,6 +92,12 @@
         self.search(id).ok()
     }
 
+    /// Position of `upstream` in the pool, unless it was started again since.
+    pub fn position_of(&self, upstream: &Incarnation) -> Option<usize> {
+        let at = self.position(&upstream.id)?;
+        (self.upstreams[at].started_ms == upstream.started_ms).then_some(at)
+    }
+
     fn search(&self, id: &str) -> Result<usize, usize> {
         self.upstreams.binary_search_by(|u| (*u.id).cmp(id))
     }
--- a/tests/routed_notices.rs
+++ b/tests/routed_notices.rs
@@ -150,6 +150,24 @@
     assert!(routed.arrivals(0)[before].at_ms >= until_ms);
 }
 
+/// An upstream rejects one request with an invalid time to come back. It must keep its work.
+#[test_case("soon")]
+#[test_case("-3")]
+#[test_case("1e999")]
+#[test_case("Thu, 03 Dec 2099 16:00:00 GMT"; "a time of day")]
+#[compio::test]
+async fn invalid_pushback_changes_nothing(value: &str) {
+    let routed = RoutedFleet::start(FleetSize::default()).await;
+    let knobs = json!({ "spoil": "reject", "spoilt": 1, "retry_after": value });
+    set_knobs(routed.upstreams[0].addr, &knobs).await;
+    for n in 0..64 {
+        let (_, received) = call(&routed, 0, n).await;
+        assert!(received.status == 200 && received.complete, "{received:?}");
+    }
+    let reached = routed.arrivals(0).len();
+    assert!(reached > 10, "{reached} of 64 requests");
+}
+
 /// All upstreams of a service want no requests for a while. A caller must be told at once that its
 /// request did not run, and a time at which coming back can help.
 #[test_case("/ticket/1")]
