Routers tell one another of upstreams that announced their shutdown

Must hold: a leaving upstream receives no new work after a few seconds.

Change: the gossip of leaving upstreams, so far of the project's own log alone, carries announcements too, by a digest of id and start in the field that was there: the datagrams' form is unchanged. Own announcements are repeated while the upstream is listed and its record doesn't say so; what others report ends 10 s after the last. A later start has another digest, so an old report that is still on its way doesn't concern it. Pushback isn't told: it was asked of one router. Cost: a comparison an upstream five times a second, only while one is reported.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -5,7 +5,7 @@
 //! sends and receives the datagrams. Without any gossip a router still knows the loads of its own
 //! upstreams.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -57,6 +57,9 @@
     /// Requests that this router runs at each upstream, its demand for each service, and the
     /// versions of its state.
     InFlight(Vec<InFlightCount>, Vec<ServiceDemand>, LogPosition),
+    /// Digests of the upstreams that announced to this router that they are leaving, in place of
+    /// those published before.
+    AnnouncedLeaving(HashSet<u32>),
     /// An upstream reported to this router, its home, whether it is leaving.
     UpstreamLeaving {
         /// Name of the upstream.
--- a/src/fleet/leaving.rs
+++ b/src/fleet/leaving.rs
@@ -1,8 +1,8 @@
 //! Which upstreams are leaving, from any source: a table without sockets or a clock of its own.
 //!
-//! The platform's host list lags, each router reads it at its own times, and an engine notifies
-//! only its home. So each router that knows of a leaving upstream repeats it in gossip; once all
-//! have stopped, the upstream takes work again.
+//! The platform's host list lags, each router reads it at its own times, an engine notifies only its
+//! home, and other upstreams only those routers that they answer. So each router that knows of a
+//! leaving upstream repeats it in gossip; once all have stopped, the upstream takes work again.
 
 use std::collections::{HashMap, HashSet};
 
@@ -11,7 +11,7 @@
 
 use crate::fleet::loads::digest;
 use crate::schema::peer::LeavingUpdate;
-use crate::util::Name;
+use crate::util::{self, Name};
 
 /// An update that no router has repeated for this long expires.
 pub const LEAVING_TTL_MS: u64 = 10_000;
@@ -19,11 +19,18 @@
 /// it is.
 const HOP_MS: u64 = 5;
 
+/// Identifies one start of the upstream whose id has this hash. A later start under the same id has
+/// another digest, so that what is still said of the former one doesn't concern it.
+pub(crate) fn incarnation_digest(id_hash: u64, started_ms: u64) -> u32 {
+    util::mix(id_hash, started_ms) as u32
+}
+
 /// Upstreams that are leaving, by source.
 #[derive(Debug, Default)]
 pub struct LeavingTable {
     listed: HashSet<u32>,
     signalled: HashSet<u32>,
+    announced: HashSet<u32>,
     received: HashMap<u32, u64>,
 }
 
@@ -42,6 +49,12 @@
         }
     }
 
+    /// Replaces the upstreams that announced in their answers to this router that they are leaving,
+    /// by [`incarnation_digest`].
+    pub(crate) fn set_announced(&mut self, digests: HashSet<u32>) {
+        self.announced = digests;
+    }
+
     /// Drops the reports of upstreams whose home is another router now.
     pub fn retain_signals(&mut self, own: impl Fn(u32) -> bool) {
         self.signalled.retain(|digest| own(*digest));
@@ -92,6 +105,7 @@
     }
 
     fn own(&self) -> impl Iterator<Item = u32> {
-        self.listed.union(&self.signalled).copied()
+        let own = self.listed.iter().chain(&self.signalled);
+        own.chain(&self.announced).copied()
     }
 }
--- a/src/fleet/leaving_tests.rs
+++ b/src/fleet/leaving_tests.rs
@@ -1,8 +1,10 @@
+use std::collections::HashSet;
+
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use test_case::test_case;
 
-use crate::fleet::leaving::{LEAVING_TTL_MS, LeavingTable};
+use crate::fleet::leaving::{LEAVING_TTL_MS, LeavingTable, incarnation_digest};
 use crate::fleet::loads::digest;
 
 /// An engine is leaving and only one router knows. The others must stop sending it work soon after,
@@ -45,3 +47,19 @@
     table.retain_signals(|_| false);
     assert!(table.known(1_000).is_empty());
 }
+
+/// An upstream announced its shutdown to one router. The others must learn of it, and membership
+/// changes, which end what an engine reported to its home, must not end it.
+#[test]
+fn announced_shutdown_spreads() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let digest = incarnation_digest(7, 1_000);
+    let (mut first, mut other) = (LeavingTable::default(), LeavingTable::default());
+    first.set_announced([digest].into());
+    first.retain_signals(|_| false);
+    other.merge(&first.sample(4, 1_000, &mut rng), 1_001);
+    assert!(other.known(1_001).contains(&digest));
+    assert_ne!(digest, incarnation_digest(7, 1_001), "a later start");
+    first.set_announced(HashSet::new());
+    assert!(other.known(1_001 + LEAVING_TTL_MS).is_empty());
+}
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -80,7 +80,8 @@
 pub struct View {
     /// All members that have not been dropped.
     pub members: Vec<Member>,
-    /// Digests of the upstreams that are leaving.
+    /// Digests of the upstreams that are leaving: of their names, or of their starts where these are
+    /// known.
     pub leaving: HashSet<u32>,
     /// Number of changes of the members that it reflects.
     pub version: u64,
--- a/src/path/leaving.rs
+++ b/src/path/leaving.rs
@@ -1,7 +1,7 @@
-//! Upstreams that announced in an answer to this router that they are shutting down. No I/O and no
-//! clock.
+//! Upstreams that announced in an answer to this router, or to another one, that they are shutting
+//! down. No I/O and no clock.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::decide::Incarnation;
 
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LeavingUpstreams {
     announced: HashMap<Incarnation, Announcement>,
+    /// Announced to other routers, which repeat it.
+    reported: HashSet<Incarnation>,
 }
 
 impl LeavingUpstreams {
@@ -41,7 +43,30 @@
 
     /// Whether `upstream` announced its shutdown.
     pub(crate) fn contains(&self, upstream: &Incarnation) -> bool {
-        self.announced.contains_key(upstream)
+        self.announced.contains_key(upstream) || self.reported.contains(upstream)
+    }
+
+    /// The upstreams that announced it to this router.
+    pub(crate) fn announced(&self) -> impl Iterator<Item = &Incarnation> {
+        self.announced.keys()
+    }
+
+    /// Replaces the upstreams that announced it to other routers, and returns those that are new
+    /// and those that other routers no longer report.
+    pub(crate) fn set_reported(&mut self, reported: HashSet<Incarnation>) -> Vec<Incarnation> {
+        let former = std::mem::replace(&mut self.reported, reported);
+        former
+            .symmetric_difference(&self.reported)
+            .cloned()
+            .collect()
+    }
+
+    /// Number of upstreams that announced it to other routers only.
+    pub(crate) fn reported_only(&self) -> usize {
+        let reported = self.reported.iter();
+        reported
+            .filter(|upstream| !self.announced.contains_key(upstream))
+            .count()
     }
 
     /// Time since the first announcement of `upstream`.
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -226,6 +226,7 @@
         path.replica.remove_missing();
         path.replica.flush_change_log();
         path.state.merge_suspicions(path.clock.now_ms());
+        path.state.exchange_leaving(&path.fleet.borrow().leaving);
         path.state.eject_failing(path.clock.now_ms());
         path.assign_cold();
         if publishes.is_multiple_of(PUBLISHES_PER_SWEEP) {
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -4,7 +4,7 @@
 mod pool;
 
 use std::cell::{Cell, Ref, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -57,6 +57,8 @@
     cold_starts: RefCell<ColdStarts>,
     health: RefCell<Health>,
     pushbacks: RefCell<Pushbacks>,
+    /// Digests of the leaving upstreams that were last published to the other routers.
+    published_leaving: RefCell<HashSet<u32>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     running: RefCell<HashMap<Name, u32>>,
     suspects: RefCell<Suspects>,
@@ -120,6 +122,7 @@
             cold_starts: RefCell::default(),
             health: RefCell::default(),
             pushbacks: RefCell::default(),
+            published_leaving: RefCell::default(),
             budgets: RefCell::default(),
             running: RefCell::default(),
             suspects: RefCell::default(),
--- a/src/path/router_state/notices.rs
+++ b/src/path/router_state/notices.rs
@@ -1,5 +1,8 @@
 //! What upstreams announced about themselves in their answers to this router.
 
+use std::collections::HashSet;
+
+use crate::fleet::gossip::Publish;
 use crate::path::dialect::AnswerHead;
 use crate::path::router_state::RouterState;
 use crate::path::upstreams::Upstream;
@@ -31,6 +34,24 @@
         }
     }
 
+    /// Exchanges leaving upstreams with the other routers, which report those with the digests
+    /// `reported`.
+    ///
+    /// Failure guarded against: the log is away, and an upstream that shuts down has answered some
+    /// routers. Each of the others sends it requests until one is answered.
+    pub(crate) fn exchange_leaving(&self, reported: &HashSet<u32>) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        if let Some(upstreams) = upstreams.set_reported_leaving(reported) {
+            log::info!(upstreams; "upstreams are shutting down by the reports of other routers");
+        }
+        let announced = upstreams.announced_digests();
+        let mut published = self.published_leaving.borrow_mut();
+        if announced != *published {
+            published.clone_from(&announced);
+            self.gossip.publish(Publish::AnnouncedLeaving(announced));
+        }
+    }
+
     /// Describes the notices of upstream `id` that hold now, for events.
     pub(crate) fn describe_notices(&self, id: &str, now_ms: u64) -> String {
         let upstreams = self.upstreams.borrow();
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -281,6 +281,56 @@
     assert_eq!(state.slots_open("s", 1), None);
 }
 
+/// One router heard in an answer that an upstream shuts down, and the log is away. The other routers
+/// must stop sending to it too, until its next start, which they may learn of later or sooner than
+/// the first router.
+#[test]
+fn shutdown_announced_to_another_router_counts() {
+    let (first, other) = (state(), state());
+    let put = |state: &RouterState, started_ms| {
+        let upstream = Upstream {
+            started_ms,
+            ..upstream(0)
+        };
+        state.change_upstreams(|upstreams| upstreams.put(upstream.clone()));
+        upstream
+    };
+    let upstream = put(&first, 7);
+    put(&other, 7);
+    first.change_upstreams(|upstreams| upstreams.record_leaving(&upstream, 1));
+    let reported = first.change_upstreams(|upstreams| upstreams.announced_digests());
+    other.exchange_leaving(&reported);
+    assert_eq!(open(&other), 5);
+    put(&other, 8);
+    assert_eq!(open(&other), 6);
+    other.exchange_leaving(&reported);
+    assert_eq!(open(&other), 6, "the report is of the former start");
+    put(&other, 7);
+    other.exchange_leaving(&reported);
+    assert_eq!(open(&other), 5);
+    put(&first, 8);
+    let reported = first.change_upstreams(|upstreams| upstreams.announced_digests());
+    assert!(reported.is_empty());
+    other.exchange_leaving(&reported);
+    assert_eq!(open(&other), 6);
+}
+
+/// The record of an upstream that announced its shutdown says so too: all routers read that, and it
+/// must not take up space in every datagram.
+#[test]
+fn shutdown_in_the_record_is_not_repeated_to_other_routers() {
+    let state = state();
+    state.change_upstreams(|upstreams| upstreams.record_leaving(&upstream(0), 1));
+    let announced = || state.change_upstreams(|upstreams| upstreams.announced_digests().len());
+    assert_eq!(announced(), 1);
+    let draining = Upstream {
+        draining: true,
+        ..upstream(0)
+    };
+    state.change_upstreams(|upstreams| upstreams.put(draining));
+    assert_eq!(announced(), 0);
+}
+
 /// A request waits for a connection to the upstream chosen for it, which meanwhile announces its
 /// shutdown, drains, restarts or is evacuated. The request must go elsewhere.
 #[test]
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -1,12 +1,13 @@
 //! Table of the upstreams as they last reported to the platform. No I/O.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use crate::decide::Incarnation;
 use crate::decide::ejection;
 use crate::decide::spread::Candidate;
+use crate::fleet::leaving::incarnation_digest;
 use crate::fleet::loads::digest;
 use crate::path::leaving::LeavingUpstreams;
 use crate::util::{self, Name};
@@ -261,6 +262,46 @@
         is_first
     }
 
+    /// Applies what other routers report of leaving upstreams, by the digests of their starts, and
+    /// returns how many of them this router didn't know of itself if that changed. Costs a
+    /// comparison for each upstream while any is reported.
+    pub(crate) fn set_reported_leaving(&mut self, digests: &HashSet<u32>) -> Option<usize> {
+        let reported = if digests.is_empty() {
+            HashSet::new()
+        } else {
+            self.find_incarnations(digests)
+        };
+        let changed = self.leaving.set_reported(reported);
+        for upstream in &changed {
+            self.update_takes_work(&upstream.id);
+        }
+        (!changed.is_empty()).then(|| self.leaving.reported_only())
+    }
+
+    fn find_incarnations(&self, digests: &HashSet<u32>) -> HashSet<Incarnation> {
+        let pools = self.pools.values();
+        let all = pools.flat_map(|pool| pool.candidates.iter().zip(&pool.upstreams));
+        let found = all.filter(|(candidate, upstream)| {
+            digests.contains(&incarnation_digest(candidate.id_hash, upstream.started_ms))
+        });
+        found.map(|(_, upstream)| upstream.incarnation()).collect()
+    }
+
+    /// Digests of the starts of those upstreams that announced their shutdown to this router and
+    /// whose records don't say so.
+    pub(crate) fn announced_digests(&self) -> HashSet<u32> {
+        let announced = self.leaving.announced();
+        let unlisted = announced.filter(|upstream| {
+            let listed = self.by_id.get(&upstream.id);
+            listed.is_some_and(|u| u.started_ms == upstream.started_ms && !u.draining)
+        });
+        let digest = |upstream: &Incarnation| {
+            let id_hash = util::hash_bytes(upstream.id.as_bytes());
+            incarnation_digest(id_hash, upstream.started_ms)
+        };
+        unlisted.map(digest).collect()
+    }
+
     /// Time since `upstream` first announced its shutdown in an answer.
     pub fn leaving_ms(&self, upstream: &Upstream, now_ms: u64) -> Option<u64> {
         self.leaving.age_ms(&upstream.incarnation(), now_ms)
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -138,6 +138,9 @@
             GossipCommand::Publish(Publish::UpstreamLeaving { upstream, leaving }) => {
                 self.leaving.set_signalled(&upstream, leaving);
             }
+            GossipCommand::Publish(Publish::AnnouncedLeaving(digests)) => {
+                self.leaving.set_announced(digests);
+            }
             GossipCommand::Datagram(from, body) => self.receive(from, *body, now_ms).await,
             GossipCommand::Listed(hosts, leaving) => {
                 self.swim.merge_listed(hosts, now_ms);
--- a/tests/routed_notices.rs
+++ b/tests/routed_notices.rs
@@ -78,6 +78,34 @@
     assert!(!routed.arrivals(1).is_empty());
 }
 
+/// The store is away, and an upstream has announced its shutdown to one router only. The other
+/// routers must hear of it and send it nothing either.
+#[compio::test]
+async fn other_routers_learn_of_an_announced_shutdown() {
+    let size = FleetSize {
+        routers: 3,
+        ..FleetSize::default()
+    };
+    let routed = RoutedFleet::start(size).await;
+    routed.store_knobs(json!({ "fault": "silent" })).await;
+    set_knobs(routed.upstreams[0].addr, &json!({ "leaving": "1" })).await;
+    wait_for_announcement(&routed, 0).await;
+    for router in [1, 2] {
+        wait_until("the report of another router", || async {
+            let log = routed.log(router);
+            log.contains("shutting down by the reports of other routers")
+        })
+        .await;
+    }
+    let before = routed.arrivals(0).len();
+    for n in 0..64 {
+        let router = if n % 2 == 0 { 1 } else { 2 };
+        let (_, received) = call(&routed, router, n).await;
+        assert!(received.status == 200 && received.complete, "{received:?}");
+    }
+    assert_eq!(routed.arrivals(0).len(), before);
+}
+
 /// An upstream that announced its shutdown starts again under its id, at its address. The later
 /// start has announced nothing and must get work.
 #[compio::test]
