Soak: upstreams announce shutdowns and ask for times without requests

An upstream that announced its shutdown is ended and starts again under an id that it had. The verdict joins what callers received with each arrival that upstreams print, also of rejected requests: none later than 2 s after the announcement was passed on, at most two in a time without requests after its first half second, but for routers that were stopped or frozen since, and upstreams frozen meanwhile.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::support::routed::{HOST, KEY, RoutedFleet, new_request_id};
-use crate::support::{Caller, Received, get, sleep_ms};
+use crate::support::{Caller, Received, get, sleep_ms, wall_ms};
 
 /// Timeout of a request, also sent to the router as its deadline.
 const DEADLINE: Duration = Duration::from_secs(4);
@@ -52,6 +52,12 @@
     pub(crate) id: String,
     pub(crate) kind: RequestKind,
     pub(crate) body: String,
+    /// Address of the router that it was sent to.
+    pub(crate) router: SocketAddr,
+    /// Unix time at which it was sent.
+    pub(crate) sent_ms: u64,
+    /// Unix time at which its response ended.
+    pub(crate) ended_ms: u64,
     /// `None` if no response began.
     pub(crate) received: Option<Received>,
 }
@@ -173,12 +179,16 @@
             ("host", HOST),
             ("deadline-ms", deadline_ms.as_str()),
         ];
+        let sent_ms = wall_ms();
         let call = self.caller.call(addr, "POST", kind.path(), &headers, &body);
         let received = compio::time::timeout(DEADLINE, call).await.ok().flatten();
         RequestRecord {
             id,
             kind,
             body,
+            router: addr,
+            sent_ms,
+            ended_ms: wall_ms(),
             received,
         }
     }
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -8,16 +8,16 @@
 
 mod callers;
 mod faults;
+mod notices;
 mod verdict;
 
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use bpaf::{Bpaf, Parser};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 use crate::callers::Callers;
+use crate::faults::FaultRngs;
 use crate::support::routed::{FleetSize, RoutedFleet};
 
 /// Runs a fleet of processes under load and faults, and checks the responses that callers received
@@ -72,7 +72,7 @@
 }
 
 async fn run(args: &Args) -> ExitCode {
-    let mut rng = SmallRng::seed_from_u64(args.seed);
+    let mut rngs = FaultRngs::from_seed(args.seed);
     let size = FleetSize {
         routers: args.routers,
         upstreams: args.upstreams,
@@ -82,12 +82,13 @@
     let mut routed = RoutedFleet::start(size).await;
     let callers = Callers::spawn(&routed, args.callers, args.seed);
     let until = Instant::now() + Duration::from_secs(args.seconds);
-    faults::inject_until(&mut routed, &mut rng, until).await;
+    let interruptions = faults::inject_until(&mut routed, &mut rngs, until).await;
     let mut violations = verdict::recovery(&routed).await;
     let records = callers.stop().await;
     // Upstreams print a run before they answer it; this waits for the last printed lines.
     support::sleep_ms(300).await;
     violations.extend(verdict::check(&routed, &records));
+    violations.extend(notices::check(&routed, &records, &interruptions));
     println!("seed {}: {}", args.seed, verdict::summary(&records));
     if violations.is_empty() {
         println!("PASS");
--- a/tests/routed_notices.rs
+++ b/tests/routed_notices.rs
@@ -2,21 +2,14 @@
 
 mod support;
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use serde_json::{Value, json};
 use support::routed::{FleetSize, RoutedFleet};
-use support::{Received, set_knobs, sleep_ms, wait_until};
+use support::{Received, set_knobs, sleep_ms, wait_until, wall_ms};
 use test_case::test_case;
 
 /// One path for each way in which a request may be repeated.
 const PATHS: [&str; 4] = ["/get/1", "/ticket/1", "/resumed/stream", "/once/stream"];
 
-fn wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    u64::try_from(since.as_millis()).unwrap()
-}
-
 /// Sends request `n` of a series over all kinds of requests and different shared prompt parts.
 async fn call(routed: &RoutedFleet, router: u8, n: usize) -> (String, Received) {
     let parts = format!("{:x}:100,{n:x}:10", n % 16);
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -114,6 +114,12 @@
     }
 }
 
+/// Returns the Unix time in milliseconds.
+pub(crate) fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    u64::try_from(since.as_millis()).unwrap()
+}
+
 pub(crate) async fn sleep_ms(ms: u64) {
     compio::time::sleep(Duration::from_millis(ms)).await;
 }
