Refusals say when all upstreams want no requests, and for how long

The detail of such a refusal was "no eligible upstream left after 0 attempts", which doesn't tell it from a pool that is gone. The search for it ends at once while no upstream has asked. Text of a log line and event alone; library tests of src/path pass.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -151,11 +151,7 @@
                 ));
             }
             let Some(choice) = self.choose() else {
-                let detail = format!(
-                    "no eligible upstream left after {} attempts",
-                    self.tried.len()
-                );
-                return Err(self.refuse(self.no_upstream_cause(), detail));
+                return Err(self.refuse_without_upstream());
             };
             if self.deliveries > 0 && !self.context.path.state.take_retry(&self.context.service) {
                 let detail = "retry budget of the fleet is exhausted".to_owned();
@@ -223,15 +219,24 @@
         }
     }
 
-    /// Returns the cause of a refusal if no upstream can be chosen.
-    fn no_upstream_cause(&self) -> Cause {
+    /// Returns the refusal if no upstream can be chosen.
+    fn refuse_without_upstream(&self) -> Refused {
+        if let Some(left_ms) = self.pushback_ms() {
+            let detail = format!("all upstreams want no requests for {left_ms} ms");
+            return self.refuse(Cause::Full, detail);
+        }
         let (state, quota) = (&self.context.path.state, self.connection_quota());
         let is_full = state.has_full_upstream(&self.context.service, quota.open);
-        if is_full || self.pushback_ms().is_some() {
+        let cause = if is_full {
             Cause::Full
         } else {
             Cause::NoUpstream
-        }
+        };
+        let attempts = self.tried.len();
+        self.refuse(
+            cause,
+            format!("no eligible upstream left after {attempts} attempts"),
+        )
     }
 
     async fn call(&self, choice: &Choice, resume_after: Option<u64>) -> Result<Reply, CallError> {
--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -205,12 +205,13 @@
         allowed_regions: &[&AllowedRegions],
         now_ms: u64,
     ) -> Option<u64> {
+        let pushbacks = self.pushbacks.borrow();
+        pushbacks.active(now_ms).next()?;
         let pool = self.upstreams.borrow().shared_pool(service);
         let mut candidates = Candidates::idle(&pool);
         self.withdraw(&mut candidates, allowed_regions);
         let upstreams = candidates.all.iter().zip(pool.upstreams());
         let available = upstreams.filter(|(candidate, _)| !candidate.excluded);
-        let pushbacks = self.pushbacks.borrow();
         let left = available.map(|(_, u)| pushbacks.left_ms(&u.incarnation(), now_ms));
         left.collect::<Option<Vec<u64>>>()?.into_iter().min()
     }
