--- a/src/decide/pushback.rs
+++ b/src/decide/pushback.rs
@@ -22,8 +22,8 @@
 }
 
 impl Pushbacks {
-    /// Records that `upstream` wants no request for `pushback_ms`, and returns whether it had no
-    /// such wish before. Of several times, the latest end holds.
+    /// Records that `upstream` wants no request for `pushback_ms`, and returns whether it took
+    /// requests before. Of several times, the latest end holds.
     ///
     /// ```
     /// use cassiagrade::decide::{Incarnation, pushback::Pushbacks};
--- a/src/path/router_state/notices.rs
+++ b/src/path/router_state/notices.rs
@@ -41,8 +41,11 @@
     /// routers. Each of the others sends it requests until one is answered.
     pub(crate) fn exchange_leaving(&self, reported: &HashSet<u32>) {
         let mut upstreams = self.upstreams.borrow_mut();
-        if let Some(upstreams) = upstreams.set_reported_leaving(reported) {
-            log::info!(upstreams; "upstreams are shutting down by the reports of other routers");
+        let before = upstreams.reported_leaving();
+        upstreams.set_reported_leaving(reported);
+        let count = upstreams.reported_leaving();
+        if count != before {
+            log::info!(upstreams = count; "upstreams that shut down, as known from other routers alone");
         }
         let announced = upstreams.announced_digests();
         let mut published = self.published_leaving.borrow_mut();
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -262,20 +262,22 @@
         is_first
     }
 
-    /// Applies what other routers report of leaving upstreams, by the digests of their starts, and
-    /// returns how many of them this router didn't know of itself if that changed. Costs a
-    /// comparison for each upstream while any is reported.
-    pub(crate) fn set_reported_leaving(&mut self, digests: &HashSet<u32>) -> Option<usize> {
+    /// Applies which upstreams other routers report as leaving, by the digests of their starts.
+    /// Costs a comparison for each upstream while any is reported.
+    pub(crate) fn set_reported_leaving(&mut self, digests: &HashSet<u32>) {
         let reported = if digests.is_empty() {
             HashSet::new()
         } else {
             self.find_incarnations(digests)
         };
-        let changed = self.leaving.set_reported(reported);
-        for upstream in &changed {
+        for upstream in self.leaving.set_reported(reported) {
             self.update_takes_work(&upstream.id);
         }
-        (!changed.is_empty()).then(|| self.leaving.reported_only())
+    }
+
+    /// Number of upstreams that are leaving by the reports of other routers alone.
+    pub(crate) fn reported_leaving(&self) -> usize {
+        self.leaving.reported_only()
     }
 
     fn find_incarnations(&self, digests: &HashSet<u32>) -> HashSet<Incarnation> {
--- a/tests/routed_notices.rs
+++ b/tests/routed_notices.rs
@@ -86,7 +86,7 @@
     for router in [1, 2] {
         wait_until("the report of another router", || async {
             let log = routed.log(router);
-            log.contains("shutting down by the reports of other routers")
+            log.contains("known from other routers alone")
         })
         .await;
     }
