Routers that know few others ask the seed hosts for the members

What was seen: other_routers_learn_of_an_announced_shutdown timed out in 3 of 8 runs. Kept logs of two: no datagram between some of three routers that had started at the same moment, for as long as the store was away. In one all three had read the list of routers before any was written; in the other the second knew the first of two groups, and the third, the only seed of all settings, knew none.

Cause: after a start the members were asked of a known live peer only. The seeds were asked only while a router had no configuration or upstreams, which the store had given.

Change: a router that knows fewer than three live others asks a seed that it doesn't know as a member, at the two times at which it asks for members and every two seconds while that lasts. One that knows more, as in any larger fleet, asks none: 985 routers would overload three hosts.

--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -31,6 +31,8 @@
 /// fleet starts for the first time, the first routers to read the list find few members in it, and
 /// learning the others by gossip probes would take many seconds.
 const MEMBER_REQUEST_DELAYS: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(2)];
+/// Interval at which a router that knows few others requests the members from a seed host.
+const SEED_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Answers requests of other routers at `addr`.
 pub(crate) async fn bind<D: Dialect + Records>(
@@ -112,6 +114,31 @@
         if let Some(addr) = live_peers(&path).first() {
             request_members(&path, &client, addr).await;
         }
+        request_members_of_seed(&path, &client, &seeds).await;
+    }
+    loop {
+        compio::time::sleep(SEED_INTERVAL).await;
+        request_members_of_seed(&path, &client, &seeds).await;
+    }
+}
+
+/// Requests the members from a seed host that isn't known as a member, while few others are known.
+///
+/// Failure guarded against: a fleet starts at once, and routers read the list of routers before
+/// others are registered. If the list can't be read again soon, the fleet consists of groups that
+/// don't know each other, though the settings of all name hosts of the fleet.
+async fn request_members_of_seed<D>(path: &RequestPath<D>, client: &PeerClient, seeds: &[Name]) {
+    if live_peers(path).len() >= START_PEERS {
+        return;
+    }
+    let unknown = {
+        let fleet = path.fleet.borrow();
+        let is_known = |seed: &Name| fleet.members.iter().any(|m| m.peer_addr == *seed);
+        let unknown = seeds.iter().filter(|seed| !is_known(seed));
+        unknown.choose(&mut rand::rng())
+    };
+    if let Some(addr) = unknown {
+        request_members(path, client, addr).await;
     }
 }
 
--- a/standins/src/keyed.rs
+++ b/standins/src/keyed.rs
@@ -37,6 +37,8 @@
     pub forget: bool,
     /// Number of reads whose response ends in bytes that are not a record.
     pub garble_reads: u32,
+    /// Stream of which no newest record is returned.
+    pub hidden: String,
 }
 
 /// What a request gets instead of a response.
@@ -261,9 +263,11 @@
     fn newest(&self, request: &BufferedRequest) -> Response<ResponseBody> {
         let name: String = request.query("stream_name").unwrap_or_default();
         let after: String = request.query("after").unwrap_or_default();
+        let is_hidden = self.knobs.borrow().hidden == name;
         let mut streams = self.streams.borrow_mut();
         let stream = streams.entry(name).or_default();
         let rest = stream.newest.iter().filter(|(key, _)| **key > after);
+        let rest = rest.filter(|_| !is_hidden);
         let remaining = rest.clone().count();
         let entry = |(key, (at, value)): (&String, &(u64, Bytes))| json!({ "key": key, "data": BASE64_STANDARD.encode(value), "position": at });
         let entries: Vec<_> = rest.take(PAGE_ENTRIES).map(entry).collect();
--- a/tests/routed_store.rs
+++ b/tests/routed_store.rs
@@ -252,3 +252,28 @@
     let (_, received) = routed.call(0, "/get/1", "1").await;
     assert_eq!(received.unwrap().status, 404);
 }
+
+/// A fleet starts at once: each router reads the list of routers before any other is registered, and
+/// the next read is far off or fails. The routers must find each other by the seed hosts in their
+/// settings: until then they know neither the others' load nor what upstreams announced to them.
+#[compio::test]
+async fn routers_find_each_other_without_the_list() {
+    const ROUTERS: u8 = 3;
+    let size = FleetSize {
+        routers: 0,
+        ..FleetSize::default()
+    };
+    let mut routed = RoutedFleet::start(size).await;
+    routed
+        .store_knobs(json!({ "hidden": "keyed.routers" }))
+        .await;
+    for i in 0..ROUTERS {
+        routed.spawn_router(i);
+    }
+    for i in 0..ROUTERS {
+        wait_until("all routers in the entry answer", || async {
+            routed.entry_addresses(i).await.len() == usize::from(ROUTERS)
+        })
+        .await;
+    }
+}
