--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -34,6 +34,8 @@
 pub(crate) mod suspend;
 pub mod upstreams;
 
+#[cfg(test)]
+mod admission_queue_tests;
 #[cfg(test)]
 mod call_tests;
 #[cfg(test)]
