An upstream's 503 without the note that it didn't run is no promise to the caller

What callers would see: 503 for a ticket that ran; they send it again, and it runs twice.

Cause: an answer with 408, 429 or 503 was passed on as it was, also where the upstream didn't say that it had not run the request. The status alone promises that to the caller.

Change: for requests that may run once such an answer ends as 502, without the upstream's proof, as unknown. Repeatable ones keep the upstream's answer. Rejections say that they are, and go elsewhere as before.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::StatusCode;
 use http::request::Parts;
 
 use crate::decide::connections::ConnectionQuota;
@@ -111,6 +112,11 @@
             if is_stream {
                 return Ok(UpstreamAnswer::Stream(reply));
             }
+            if self.is_false_promise(reply.parts.status) {
+                let status = reply.parts.status.as_u16();
+                let detail = format!("answered {status} without the note that it was not run");
+                return Err(self.refuse(Cause::UpstreamFailed, detail));
+            }
             let upstream = reply.upstream.clone();
             match reply.buffer(self.remaining()).await {
                 Some(buffered) if !buffered.parts.status.is_server_error() => {
@@ -140,6 +146,19 @@
         }
     }
 
+    /// Whether an upstream's answer with this status would tell the caller that the request did not
+    /// run and may be sent again. An upstream that did not run it says so in another way, which
+    /// counts as a rejection.
+    fn is_false_promise(&self, status: StatusCode) -> bool {
+        let promises_not_run = matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+        );
+        promises_not_run && self.context.route.repeat.at_most_once()
+    }
+
     /// Returns the answer of the next upstream. After the failure of a run that may have begun, the
     /// next attempt resumes after event `resume_after`.
     pub(crate) async fn next(&mut self, resume_after: Option<u64>) -> Result<Reply, Refused> {
--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -53,6 +53,8 @@
     Reject,
     /// 500 from the upstream itself.
     Fail,
+    /// 503 from the upstream itself, without the header that marks the request as not executed.
+    Busy,
     /// Closes the connection before the response.
     Cut,
     /// Closes the connection in the middle of the body.
@@ -359,6 +361,13 @@
                 )
                 .await
             }
+            ResponseFault::Busy => {
+                send(
+                    stream,
+                    &format_response("503 Service Unavailable", &head, ""),
+                )
+                .await
+            }
             ResponseFault::Cut => false,
             ResponseFault::Half => {
                 let text = format_response("200 OK", &head, &body);
--- a/tests/routed_upstream_faults.rs
+++ b/tests/routed_upstream_faults.rs
@@ -53,6 +53,23 @@
     assert_eq!(routed.runs_of(&id), 1);
 }
 
+/// An upstream runs a non-idempotent request and answers 503 without saying that it didn't. To the
+/// caller that status promises that the request never runs, and it would send it again.
+#[test_case("/ticket/1"; "ticket")]
+#[test_case("/once/1"; "stream that may not be resumed")]
+#[compio::test]
+async fn unavailable_after_a_run_is_no_promise(path: &str) {
+    let routed = RoutedFleet::start(FleetSize::default()).await;
+    routed
+        .upstream_knobs(json!({ "spoil": "busy", "spoilt": 10 }))
+        .await;
+    let (id, received) = routed.call(0, path, "1").await;
+    let received = received.unwrap();
+    assert_eq!(routed.runs_of(&id), 1);
+    assert_eq!(received.status, 502);
+    assert!(!received.not_run(), "{received:?}");
+}
+
 /// An upstream rejects a non-idempotent request before it ran: it is retried at another, and only
 /// that one runs it.
 #[compio::test]
