--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -1,6 +1,9 @@
 //! Attempts of one request: which upstream is tried next, and when to stop.
 
-use std::net::SocketAddr;
+mod choice;
+mod events;
+mod refusal;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,30 +11,22 @@
 use http::StatusCode;
 use http::request::Parts;
 
-use crate::decide::connections::ConnectionQuota;
-use crate::decide::refusal::{Cause, RunState, jittered_ms};
-use crate::decide::spread::{self, Bound, Counts, Selection};
-use crate::event::{Kind, chat_name};
+use crate::decide::refusal::Cause;
+use crate::event::Kind;
 use crate::path::RequestPath;
 use crate::path::admission_queue::Permit;
+use crate::path::attempts::choice::Choice;
 use crate::path::call::{BufferedReply, Call, CallError, FailureKind, Reply, UpstreamClient};
 use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
 use crate::path::refusal::Refused;
-use crate::path::regions::AllowedRegions;
-use crate::path::router_state::Tried;
 use crate::path::routes::{Account, Route};
-use crate::path::upstreams::Upstream;
-use crate::schema::settings::Decisions;
-use crate::util::{self, Name};
+use crate::util::Name;
 
 /// Maximum number of upstreams tried for one request. Each attempt costs a round trip, and after
 /// this many rejections the pool is most likely full, so a quick refusal serves the caller better.
 const MAX_UPSTREAMS_TRIED: usize = 4;
 /// Minimum remaining time for an attempt. With less, the answer would arrive after the deadline.
 const MIN_REMAINING: Duration = Duration::from_millis(20);
-/// Least base of `Retry-After` if all upstreams of a service are full or unreachable: the duration
-/// of a few requests.
-const RETRY_AFTER_MS: u64 = 300;
 /// An attempt of a repeatable request is abandoned after this multiple of its latency objective,
 /// well above the latency of a healthy upstream.
 const ATTEMPT_TIMEOUT_FACTOR: u64 = 2;
@@ -68,13 +63,6 @@
     _permit: Permit,
 }
 
-/// Destination of the next attempt.
-struct Choice {
-    upstream: Rc<Upstream>,
-    /// Upstream from which the chosen one fetches the cached shared part of the prompt.
-    fetch_from: Option<SocketAddr>,
-}
-
 /// Answer to forward to the caller.
 pub(crate) enum UpstreamAnswer {
     /// Completely read answer.
@@ -238,26 +226,6 @@
         }
     }
 
-    /// Returns the refusal if no upstream can be chosen.
-    fn refuse_without_upstream(&self) -> Refused {
-        if let Some(left_ms) = self.pushback_ms() {
-            let detail = format!("all upstreams want no requests for {left_ms} ms");
-            return self.refuse(Cause::Full, detail);
-        }
-        let (state, quota) = (&self.context.path.state, self.connection_quota());
-        let is_full = state.has_full_upstream(&self.context.service, quota.open);
-        let cause = if is_full {
-            Cause::Full
-        } else {
-            Cause::NoUpstream
-        };
-        let attempts = self.tried.len();
-        self.refuse(
-            cause,
-            format!("no eligible upstream left after {attempts} attempts"),
-        )
-    }
-
     async fn call(&self, choice: &Choice, resume_after: Option<u64>) -> Result<Reply, CallError> {
         let context = &self.context;
         let remaining = self.remaining();
@@ -303,63 +271,6 @@
         Some(attempt_timeout.max(MIN_ATTEMPT_TIMEOUT))
     }
 
-    /// Connections that this router may open to each upstream of the service.
-    fn connection_quota(&self) -> ConnectionQuota {
-        let path = &self.context.path;
-        path.state
-            .connection_quota(&self.context.service, path.routers())
-    }
-
-    fn choose(&self) -> Option<Choice> {
-        let context = &self.context;
-        let now_ms = context.path.clock.now_ms();
-        let tried = Tried {
-            upstreams: &self.tried,
-            may_repeat: self.runs > 0,
-        };
-        let max_open = self.connection_quota().open;
-        let state = &context.path.state;
-        let allowed_regions = self.allowed_regions();
-        let (pool, candidates) =
-            state.pool(&context.service, &tried, &allowed_regions, max_open, now_ms);
-        let decisions = state.decisions();
-        let selection = match shared_part(&context.head.prompt_parts) {
-            Some(part) if context.route.cached_prompts && decisions.part_order => {
-                spread::by_part(part, &candidates, bound(decisions))?
-            }
-            _ => {
-                let typical_ms = context.path.queues.typical_ms(&context.service);
-                let counts = Counts::of_age(state.load_report_age_ms(), typical_ms);
-                Selection {
-                    at: spread::by_load(&candidates, counts, &mut rand::rng())?,
-                    source: None,
-                }
-            }
-        };
-        Some(Choice {
-            upstream: pool.upstreams()[selection.at].clone(),
-            fetch_from: selection
-                .source
-                .filter(|_| decisions.fetch)
-                .map(|at| pool.upstreams()[at].addr),
-        })
-    }
-
-    /// Regions that the request may go to, by its route and by its account.
-    fn allowed_regions(&self) -> [&AllowedRegions; 2] {
-        let account = self.context.account.as_ref();
-        let account_regions = account.map_or(&None, |a| &a.allowed_regions);
-        [&self.context.route.allowed_regions, account_regions]
-    }
-
-    /// Time until an upstream takes requests again, if all of them want none for a while.
-    fn pushback_ms(&self) -> Option<u64> {
-        let context = &self.context;
-        let now_ms = context.path.clock.now_ms();
-        let state = &context.path.state;
-        state.pushback_ms(&context.service, &self.allowed_regions(), now_ms)
-    }
-
     /// Whether the request may run again after a run that may have begun.
     pub(crate) fn may_retry(&self) -> bool {
         !self.context.route.repeat.at_most_once() && self.runs < self.context.route.max_attempts
@@ -370,73 +281,4 @@
             .deadline
             .saturating_duration_since(Instant::now())
     }
-
-    /// Builds the final refusal. Its run state is "not run" only if no upstream can have run the
-    /// request.
-    fn refuse(&self, cause: Cause, detail: String) -> Refused {
-        let (run, retry_after_ms) = if self.runs > 0 {
-            (RunState::Unknown, 0)
-        } else {
-            let base_ms = self.pushback_ms().unwrap_or(0).max(RETRY_AFTER_MS);
-            (RunState::NotRun, jittered_ms(base_ms, &mut rand::rng()))
-        };
-        Refused {
-            cause,
-            run,
-            retry_after_ms,
-            detail,
-        }
-    }
-
-    /// Emits an event for a decision about this request, with its reason and the state that it was
-    /// based on.
-    pub(crate) fn emit(&self, kind: Kind, upstream: &str, reason: &str) {
-        let context = &self.context;
-        context.path.events.emit(kind, |e| {
-            e.request_id = context.head.request_id.clone().unwrap_or_default();
-            e.account = context
-                .account
-                .as_ref()
-                .map_or_else(String::new, |a| a.name.to_string());
-            e.chat = shared_part(&context.head.prompt_parts).map_or_else(String::new, chat_name);
-            e.upstream = upstream.to_owned();
-            e.attempt = u32::try_from(self.tried.len()).unwrap_or(u32::MAX);
-            e.took_us = util::micros(context.started.elapsed());
-            let now_ms = context.path.clock.now_ms();
-            let notices = context.path.state.describe_notices(upstream, now_ms);
-            e.detail = format!("{reason}; {}{notices}", self.describe_state());
-        });
-    }
-
-    /// Describes the state that a decision was based on, and its age.
-    fn describe_state(&self) -> String {
-        let context = &self.context;
-        let position = context.path.replica.position();
-        format!(
-            "route {}, service {}, configuration {} read {} ms ago, upstreams at {} read {} ms ago, \
-             {} ms left",
-            context.route.name,
-            context.service,
-            position.config_version,
-            position.config_age_ms,
-            position.upstreams_at,
-            position.upstreams_age_ms,
-            self.remaining().as_millis(),
-        )
-    }
-}
-
-fn bound(decisions: Decisions) -> Bound {
-    if decisions.load_bound {
-        Bound::ByMean
-    } else {
-        Bound::BySlots
-    }
-}
-
-/// Returns the last prompt part that other requests may share. The very last part belongs to this
-/// request alone.
-fn shared_part(prompt_parts: &[u64]) -> Option<u64> {
-    let at = prompt_parts.len().checked_sub(2)?;
-    prompt_parts.get(at).copied()
 }
--- /dev/null
+++ b/src/path/attempts/refusal.rs
@@ -0,0 +1,57 @@
+//! Refusals of a request that no upstream answered.
+
+use crate::decide::refusal::{Cause, RunState, jittered_ms};
+use crate::path::attempts::Attempts;
+use crate::path::dialect::{Dialect, Records};
+use crate::path::refusal::Refused;
+
+/// Least base of `Retry-After` if all upstreams of a service are full or unreachable: the duration
+/// of a few requests.
+const RETRY_AFTER_MS: u64 = 300;
+
+impl<D: Dialect + Records> Attempts<D> {
+    /// Returns the refusal if no upstream can be chosen.
+    pub(super) fn refuse_without_upstream(&self) -> Refused {
+        if let Some(left_ms) = self.pushback_ms() {
+            let detail = format!("all upstreams want no requests for {left_ms} ms");
+            return self.refuse(Cause::Full, detail);
+        }
+        let (state, quota) = (&self.context.path.state, self.connection_quota());
+        let is_full = state.has_full_upstream(&self.context.service, quota.open);
+        let cause = if is_full {
+            Cause::Full
+        } else {
+            Cause::NoUpstream
+        };
+        let attempts = self.tried.len();
+        self.refuse(
+            cause,
+            format!("no eligible upstream left after {attempts} attempts"),
+        )
+    }
+
+    /// Builds the final refusal. Its run state is "not run" only if no upstream can have run the
+    /// request.
+    pub(super) fn refuse(&self, cause: Cause, detail: String) -> Refused {
+        let (run, retry_after_ms) = if self.runs > 0 {
+            (RunState::Unknown, 0)
+        } else {
+            let base_ms = self.pushback_ms().unwrap_or(0).max(RETRY_AFTER_MS);
+            (RunState::NotRun, jittered_ms(base_ms, &mut rand::rng()))
+        };
+        Refused {
+            cause,
+            run,
+            retry_after_ms,
+            detail,
+        }
+    }
+
+    /// Time until an upstream takes requests again, if all of them want none for a while.
+    fn pushback_ms(&self) -> Option<u64> {
+        let context = &self.context;
+        let now_ms = context.path.clock.now_ms();
+        let state = &context.path.state;
+        state.pushback_ms(&context.service, &self.allowed_regions(), now_ms)
+    }
+}
