--- /dev/null
+++ b/src/path/router_state/outcomes.rs
@@ -0,0 +1,117 @@
+//! Outcomes of calls to upstreams, and which upstreams get no work because of them.
+
+use std::collections::HashMap;
+
+use crate::decide::ejection::Change;
+use crate::decide::grey::Outcomes;
+use crate::fleet::in_flight::FleetInFlight;
+use crate::path::router_state::RouterState;
+use crate::path::upstreams::{Upstream, Upstreams};
+use crate::util::Name;
+
+/// Share of a pool's slots in use from which late answers and rejections are attributed to load.
+/// Batches that are half full already process prompts between the tokens of other requests.
+const LOADED_SHARE: f64 = 0.5;
+
+impl RouterState {
+    /// Ejects upstreams whose failure share is too high, by the outcomes that all routers observed.
+    pub(crate) fn eject_failing(&self, now_ms: u64) {
+        let upstreams = self.upstreams.borrow();
+        let reported = reported_outcomes(&upstreams, &self.gossip.in_flight());
+        let mut health = self.health.borrow_mut();
+        for (service, pool) in upstreams.pools() {
+            for (id, share) in health.eject_failing(service, pool, &reported, now_ms) {
+                log::info!("upstream {id} Ejected: fails {share:.2} of its calls");
+            }
+        }
+    }
+
+    /// Records that an upstream sent the head of an answer after `took_ms`.
+    pub(crate) fn record_answer(&self, upstream: &Upstream, took_ms: u64, now_ms: u64) {
+        let pool = self.upstreams.borrow().shared_pool(&upstream.service);
+        let mut health = self.health.borrow_mut();
+        let change = health.record_answer(upstream, took_ms, &*pool, now_ms);
+        if change != Change::None {
+            log::info!(
+                "upstream {} {change:?}: answer head received after {took_ms} ms",
+                upstream.id
+            );
+        }
+    }
+
+    /// Records that an upstream accepts no connections.
+    pub(crate) fn record_unreachable(&self, upstream: &Name, now_ms: u64) {
+        self.health
+            .borrow_mut()
+            .record_unreachable(upstream, now_ms);
+        self.record_death(upstream, now_ms);
+    }
+
+    /// Records that another incarnation answers at an upstream's address.
+    ///
+    /// Failure guarded against: an upstream crashes and restarts at its address, and its old entry
+    /// stays until it expires, for as long as the log is unavailable. Each request addressed to the
+    /// old incarnation is rejected and uses up one of the fleet's retries, until none are left and
+    /// callers are refused.
+    pub(crate) fn record_replaced(&self, upstream: &Name, now_ms: u64) {
+        if self.health.borrow_mut().record_replaced(upstream) {
+            log::info!("upstream {upstream} is gone: another incarnation has its address");
+            self.record_death(upstream, now_ms);
+        }
+    }
+
+    /// Records that an upstream answered a call late or rejected it.
+    ///
+    /// Failure guarded against: demand exceeds the capacity of a pool. Its upstreams answer late
+    /// and reject requests; if they are ejected for it one by one, the others receive their load
+    /// too, and the pool runs at two thirds of its capacity for as long as the ejections last. An
+    /// overloaded pool says nothing about a single upstream.
+    pub(crate) fn record_overload(&self, upstream: &Upstream, reason: &str, now_ms: u64) {
+        if !self.is_under_load(&upstream.service) {
+            self.record_failure(upstream, reason, now_ms);
+        }
+    }
+
+    /// Whether the load of `service` explains late answers and rejections by its upstreams.
+    fn is_under_load(&self, service: &str) -> bool {
+        let pool = self.upstreams.borrow().shared_pool(service);
+        let load = self.gossip.in_flight();
+        let reported = self.reported_counts(&pool, &load);
+        let reported: f64 = reported.iter().map(|(_, count)| count).sum();
+        let running = self.running.borrow();
+        let own = running.iter().filter(|(id, _)| pool.position(id).is_some());
+        let own: u32 = own.map(|(_, count)| count).sum();
+        let slots: u32 = pool.candidates().iter().map(|c| c.slots).sum();
+        slots > 0 && f64::from(own) + reported >= f64::from(slots) * LOADED_SHARE
+    }
+
+    /// Records that an upstream answered with a server error.
+    pub(crate) fn record_error_answer(&self, upstream: &Upstream, now_ms: u64) {
+        let pool = self.upstreams.borrow().shared_pool(&upstream.service);
+        let mut health = self.health.borrow_mut();
+        health.record_error_answer(upstream, &*pool, now_ms);
+    }
+
+    /// Records the failure of a call to an upstream.
+    pub(crate) fn record_failure(&self, upstream: &Upstream, reason: &str, now_ms: u64) {
+        let pool = self.upstreams.borrow().shared_pool(&upstream.service);
+        let change = self
+            .health
+            .borrow_mut()
+            .record_failure(upstream, &*pool, now_ms);
+        if change != Change::None {
+            log::info!("upstream {} {change:?}: {reason}", upstream.id);
+        }
+    }
+}
+
+/// Outcomes of the other routers' calls to those upstreams where they reported any.
+fn reported_outcomes(upstreams: &Upstreams, load: &FleetInFlight) -> HashMap<Name, Outcomes> {
+    let called = load.upstreams.iter();
+    let called = called.filter(|(_, t)| t.outcomes.is_significant());
+    let by_id = called.filter_map(|(digest, t)| {
+        let upstream = upstreams.by_digest(*digest)?;
+        Some((upstream.id.clone(), t.outcomes))
+    });
+    by_id.collect()
+}
