Log and count how old the state behind each decision is, and what confirmed it

The record of the incident can't tell whether late requests were decided on old state, or who had confirmed that state. Lines about attempts and refusals of routes and accounts now name what last confirmed the configuration and the upstreams (own read, asked peer, report of a peer) and the time since a suspension; a line says what ended the wait after one. Metrics: decisions on state older than its bound, lag of the event loop, reloads after deleted history. No decision changed.

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -95,6 +95,11 @@
         Duration::from_millis((self.bound_ms * WAIT_SHARE) as u64)
     }
 
+    /// Returns the time within which a change must be in force.
+    pub fn bound_ms(self) -> u64 {
+        self.bound_ms as u64
+    }
+
     /// Returns the time between the starts of two reads of a reader.
     fn pace_ms(self) -> u64 {
         (self.bound_ms * PACE_SHARE) as u64
--- a/src/path/attempts/events.rs
+++ b/src/path/attempts/events.rs
@@ -30,16 +30,11 @@
     /// Describes the state that a decision was based on, and its age.
     fn describe_state(&self) -> String {
         let context = &self.context;
-        let position = context.path.replica.position();
         format!(
-            "route {}, service {}, configuration {} read {} ms ago, upstreams at {} read {} ms ago, \
-             {} ms left",
+            "route {}, service {}, {}, {} ms left",
             context.route.name,
             context.service,
-            position.config_version,
-            position.config_age_ms,
-            position.upstreams_at,
-            position.upstreams_age_ms,
+            context.path.replica.describe(),
             self.remaining().as_millis(),
         )
     }
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use strum::Display;
 use tokio::sync::Notify;
 
 use crate::fleet::log_reads::{Freshness, ReadSchedule};
@@ -38,6 +39,21 @@
     pub(crate) upstreams: ReadSchedule,
 }
 
+/// What last confirmed a part of the state.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Evidence {
+    /// Nothing since the start.
+    #[default]
+    None,
+    /// A read of the log by this router.
+    Log,
+    /// A peer's answer to a request of this router.
+    Reply,
+    /// A peer's periodic report.
+    Report,
+}
+
 /// Compressed records, and the offset that they reflect.
 #[derive(Default)]
 struct Compressed {
@@ -54,9 +70,11 @@
     compressed_config: RefCell<Bytes>,
     compressed_upstreams: RefCell<Compressed>,
     config_fresh: Cell<Freshness>,
+    config_evidence: Cell<Evidence>,
     upstreams: RefCell<HashMap<Name, Bytes>>,
     upstreams_at: Cell<u64>,
     upstreams_fresh: Cell<Freshness>,
+    upstreams_evidence: Cell<Evidence>,
     changes: RefCell<Changes>,
     /// Time until which upstreams with removed entries are assumed to be alive.
     removals_delayed_until_ms: Cell<u64>,
@@ -80,9 +98,11 @@
             compressed_config: RefCell::default(),
             compressed_upstreams: RefCell::default(),
             config_fresh: Cell::default(),
+            config_evidence: Cell::default(),
             upstreams: RefCell::default(),
             upstreams_at: Cell::default(),
             upstreams_fresh: Cell::default(),
+            upstreams_evidence: Cell::default(),
             changes: RefCell::default(),
             removals_delayed_until_ms: Cell::default(),
             missing: RefCell::default(),
@@ -173,18 +193,15 @@
     }
 
     /// Confirms that the configuration was the newest one at `at_ms`.
-    pub(crate) fn confirm_config(&self, at_ms: u64) {
-        let mut fresh = self.config_fresh.get();
-        fresh.confirm(at_ms, &mut rand::rng());
-        self.config_fresh.set(fresh);
+    pub(crate) fn confirm_config(&self, at_ms: u64, evidence: Evidence) {
+        confirm(&self.config_fresh, &self.config_evidence, at_ms, evidence);
         self.notify_loaded();
     }
 
     /// Confirms that the upstreams were complete at `at_ms`.
-    pub(crate) fn confirm_upstreams(&self, at_ms: u64) {
-        let mut fresh = self.upstreams_fresh.get();
-        fresh.confirm(at_ms, &mut rand::rng());
-        self.upstreams_fresh.set(fresh);
+    pub(crate) fn confirm_upstreams(&self, at_ms: u64, evidence: Evidence) {
+        let fresh = &self.upstreams_fresh;
+        confirm(fresh, &self.upstreams_evidence, at_ms, evidence);
         self.notify_loaded();
     }
 
@@ -194,6 +211,41 @@
         }
     }
 
+    /// Describes the state that a decision is based on: versions, ages, what confirmed each, and the
+    /// last suspension.
+    pub(crate) fn describe(&self) -> String {
+        let now_ms = self.clock.now_ms();
+        let since_resumed_ms = self.suspend.since_resumed_ms();
+        let resumed = since_resumed_ms.map(|ms| format!(", resumed {ms} ms ago"));
+        format!(
+            "configuration {} read {} ms ago by {}, upstreams at {} read {} ms ago by {}{}",
+            self.state.deployment().version,
+            self.config_fresh.get().age_ms(now_ms),
+            self.config_evidence.get(),
+            self.upstreams_at.get(),
+            self.upstreams_fresh.get().age_ms(now_ms),
+            self.upstreams_evidence.get(),
+            resumed.unwrap_or_default(),
+        )
+    }
+
+    /// Counts a decision by the configuration if that is older than a change may take to be in
+    /// force.
+    pub(crate) fn count_config_use(&self) {
+        let bound_ms = self.schedules.get().config.bound_ms();
+        if self.config_fresh.get().age_ms(self.clock.now_ms()) > bound_ms {
+            stats::stale_decision("configuration");
+        }
+    }
+
+    /// Counts a decision by the upstreams if those are older than a change may take to be in force.
+    pub(crate) fn count_upstreams_use(&self) {
+        let bound_ms = self.schedules.get().upstreams.bound_ms();
+        if self.upstreams_fresh.get().age_ms(self.clock.now_ms()) > bound_ms {
+            stats::stale_decision("upstreams");
+        }
+    }
+
     /// Freshness of the configuration.
     pub(crate) fn config_fresh(&self) -> Freshness {
         self.config_fresh.get()
@@ -276,8 +328,9 @@
         }
         self.start_at(end);
         self.finish_bulk_update("the store");
-        self.confirm_upstreams(asked_ms);
-        self.suspend.record_refresh(asked_ms);
+        self.confirm_upstreams(asked_ms, Evidence::Log);
+        self.suspend
+            .record_refresh(asked_ms, "all upstreams from the store");
     }
 
     /// Applies the records of upstreams from offset `from` on: all that the log had at `seen_ms`.
@@ -296,8 +349,9 @@
                 self.record(at, record);
             }
         }
-        self.confirm_upstreams(seen_ms);
-        self.suspend.record_refresh(asked_ms);
+        self.confirm_upstreams(seen_ms, Evidence::Log);
+        self.suspend
+            .record_refresh(asked_ms, "upstreams from the store");
     }
 
     fn record(&self, at: u64, record: Record) {
@@ -459,6 +513,16 @@
     }
 }
 
+/// Records that a part of the state was confirmed as of `at_ms`.
+fn confirm(fresh: &Cell<Freshness>, by: &Cell<Evidence>, at_ms: u64, evidence: Evidence) {
+    let mut confirmed = fresh.get();
+    if at_ms > confirmed.confirmed_ms() {
+        by.set(evidence);
+    }
+    confirmed.confirm(at_ms, &mut rand::rng());
+    fresh.set(confirmed);
+}
+
 /// State that tests compare with the log.
 #[cfg(test)]
 impl<D: Records> LogReplica<D> {
--- a/src/path/log_replica/orders.rs
+++ b/src/path/log_replica/orders.rs
@@ -4,7 +4,7 @@
 
 use crate::path::cursor::Order;
 use crate::path::dialect::Records;
-use crate::path::log_replica::LogReplica;
+use crate::path::log_replica::{Evidence, LogReplica};
 use crate::util::Name;
 
 impl<D: Records> LogReplica<D> {
@@ -22,8 +22,9 @@
             self.apply_order(at, order);
         }
         self.state.change_evacuations(|e| e.advance_to(end));
-        self.confirm_config(seen_ms);
-        self.suspend.record_refresh(asked_ms);
+        self.confirm_config(seen_ms, Evidence::Log);
+        self.suspend
+            .record_refresh(asked_ms, "orders from the store");
     }
 
     /// Applies the newest records of operators up to offset `end`.
@@ -40,8 +41,9 @@
             }
         }
         self.replace_evacuated(end, evacuated, "the store");
-        self.confirm_config(asked_ms);
-        self.suspend.record_refresh(asked_ms);
+        self.confirm_config(asked_ms, Evidence::Log);
+        self.suspend
+            .record_refresh(asked_ms, "all orders from the store");
     }
 
     fn apply_order(&self, at: u64, order: Order) {
--- a/src/path/log_replica/sync.rs
+++ b/src/path/log_replica/sync.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet::log_reads::Freshness;
 use crate::path::dialect::Records;
-use crate::path::log_replica::LogReplica;
+use crate::path::log_replica::{Evidence, LogReplica};
 use crate::peers::{compression, frames};
 use crate::schema::peer::{LogPosition, LogSyncReply, LogSyncRequest, UpstreamChange};
 use crate::util::Name;
@@ -41,20 +41,20 @@
     /// Handles the state that another router published by gossip.
     pub(crate) fn receive_position(&self, position: &LogPosition) {
         if !self.needs_refresh() {
-            self.confirm(position, self.clock.now_ms());
+            self.confirm(position, self.clock.now_ms(), Evidence::Report);
         }
     }
 
     /// Confirms the state of this router by that of another one at `as_of_ms`, as far as the other
     /// has nothing newer.
-    fn confirm(&self, position: &LogPosition, as_of_ms: u64) {
+    fn confirm(&self, position: &LogPosition, as_of_ms: u64, evidence: Evidence) {
         let at = |age_ms: u32| as_of_ms.saturating_sub(age_ms.into());
         let has_orders = position.orders_at == self.orders_at();
         if has_orders && position.config_version == self.state.deployment().version {
-            self.confirm_config(at(position.config_age_ms));
+            self.confirm_config(at(position.config_age_ms), evidence);
         }
         if position.upstreams_at == self.upstreams_at.get() {
-            self.confirm_upstreams(at(position.upstreams_age_ms));
+            self.confirm_upstreams(at(position.upstreams_age_ms), evidence);
         }
     }
 
@@ -168,8 +168,8 @@
         } else if position.upstreams_age_ms == NOT_SENT_MS {
             self.request_read();
         }
-        self.confirm(&position, asked_ms);
-        self.suspend.record_refresh(asked_ms);
+        self.confirm(&position, asked_ms, Evidence::Reply);
+        self.suspend.record_refresh(asked_ms, source);
     }
 
     /// Applies the upstreams of an answer, and returns whether they could be decoded.
--- a/src/path/log_replica_tests.rs
+++ b/src/path/log_replica_tests.rs
@@ -1,7 +1,7 @@
 use super::changes::MAX_CHANGES;
 use super::cursor::Order;
 use super::dialect::Records;
-use super::log_replica::{LogReplica, ReadSchedules};
+use super::log_replica::{Evidence, LogReplica, ReadSchedules};
 use super::regions::Regions;
 use super::router_state::{RetryLimit, RouterState};
 use super::routes::{Deployment, Draft};
@@ -110,7 +110,7 @@
     }
     // The silence is as old as the clock, far above the limit.
     std::thread::sleep(Duration::from_millis(3_100));
-    other.replica.confirm_upstreams(3_000);
+    other.replica.confirm_upstreams(3_000, Evidence::Log);
     reader.replica.end_silence();
     reader.replica.remove(3, "i-1");
     put(&reader, 4, "i-3");
@@ -165,8 +165,8 @@
     );
     old.replica.configure(Bytes::from_static(b"3"), "a test");
     put(&old, 1, "i-1");
-    old.replica.confirm_config(10_000);
-    old.replica.confirm_upstreams(10_000);
+    old.replica.confirm_config(10_000, Evidence::Log);
+    old.replica.confirm_upstreams(10_000, Evidence::Log);
     let settled = new.replica.load_settled();
     let mut wait = pin!(settled.notified());
     assert!(!wait.as_mut().enable());
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -66,7 +66,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::seq::IteratorRandom;
 use tokio::sync::watch;
@@ -219,7 +219,9 @@
 pub(crate) async fn run_maintenance<D: Records>(path: Rc<RequestPath<D>>) {
     let mut publishes = 0_u32;
     loop {
+        let slept = Instant::now();
         compio::time::sleep(PUBLISH_INTERVAL).await;
+        stats::loop_lag(slept.elapsed().saturating_sub(PUBLISH_INTERVAL));
         let demands = path.queues.refresh(&path.state);
         path.state
             .publish_in_flight(demands, path.replica.position());
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -19,6 +19,7 @@
 use crate::path::admission_queue::Permit;
 use crate::path::attempts::{Attempts, RequestContext};
 use crate::path::dialect::{CallerHead, Dialect, Records};
+use crate::path::log_replica::LogReplica;
 use crate::path::refusal::Refused;
 use crate::path::routes::{Account, CallerLimits, Deployment, Route};
 use crate::path::{RequestPath, answer};
@@ -83,8 +84,10 @@
         let detail = "this router is stopping";
         return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
     }
-    let route = route(&deployment, &parts)?;
-    let account = account(&deployment, &route, &head)?;
+    path.replica.count_config_use();
+    let with_state = |refused| describe_state(refused, &path.replica);
+    let route = route(&deployment, &parts).map_err(with_state)?;
+    let account = account(&deployment, &route, &head).map_err(with_state)?;
     let max_bytes = deployment.limits.max_body_bytes;
     let body = check::body(&parts.headers, &mut body, max_bytes, BODY_TIMEOUT).await;
     let body = body.map_err(|e| malformed(&e))?;
@@ -208,6 +211,14 @@
     Ok(())
 }
 
+/// Adds the state that a refusal is based on to its reason.
+fn describe_state<D: Records>(refused: Refused, replica: &LogReplica<D>) -> Refused {
+    Refused {
+        detail: format!("{}; {}", refused.detail, replica.describe()),
+        ..refused
+    }
+}
+
 fn malformed(error: &RequestError) -> Refused {
     Refused::not_run(error.cause(), 0, error.to_string())
 }
--- a/src/path/suspend.rs
+++ b/src/path/suspend.rs
@@ -24,6 +24,8 @@
     checked_ms: Cell<u64>,
     /// Time at which this router was resumed, until it has refreshed its state.
     resumed_ms: Cell<Option<u64>>,
+    /// Time at which this router was last resumed; 0 if it never was.
+    last_resumed_ms: Cell<u64>,
     resumed: Rc<Notify>,
     refreshed: Rc<Notify>,
 }
@@ -34,6 +36,7 @@
             clock,
             checked_ms: Cell::new(clock.now_ms()),
             resumed_ms: Cell::default(),
+            last_resumed_ms: Cell::default(),
             resumed: Rc::default(),
             refreshed: Rc::default(),
         }
@@ -48,6 +51,7 @@
         }
         log::warn!("suspended for {pause_ms} ms");
         self.resumed_ms.set(Some(now_ms));
+        self.last_resumed_ms.set(now_ms);
         self.resumed.notify_waiters();
         true
     }
@@ -57,17 +61,25 @@
         self.resumed_ms.get().is_some()
     }
 
-    /// Notes that the log or a peer answered a request sent at `asked_ms` with the state of the
-    /// log.
-    pub(crate) fn record_refresh(&self, asked_ms: u64) {
-        if self
-            .resumed_ms
-            .get()
-            .is_some_and(|resumed_ms| asked_ms >= resumed_ms)
-        {
-            self.resumed_ms.set(None);
-            self.refreshed.notify_waiters();
+    /// Notes that the log or a peer, `source`, answered a request sent at `asked_ms` with the state
+    /// of the log.
+    pub(crate) fn record_refresh(&self, asked_ms: u64, source: &str) {
+        let Some(resumed_ms) = self.resumed_ms.get() else {
+            return;
+        };
+        if asked_ms < resumed_ms {
+            return;
         }
+        let after_ms = self.clock.now_ms().saturating_sub(resumed_ms);
+        log::info!(after_ms, source; "state refreshed after the suspension");
+        self.resumed_ms.set(None);
+        self.refreshed.notify_waiters();
+    }
+
+    /// Returns the time since this router was last resumed, if it ever was suspended.
+    pub(crate) fn since_resumed_ms(&self) -> Option<u64> {
+        let resumed_ms = self.last_resumed_ms.get();
+        (resumed_ms > 0).then(|| self.clock.now_ms().saturating_sub(resumed_ms))
     }
 
     /// Notified when a suspension is detected.
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -36,6 +36,9 @@
 const UPSTREAM_QUEUED: &str = "cassiagrade_upstream_queued";
 const LOG_APPEND_MS: &str = "cassiagrade_log_append_ms";
 const LOG_READ_LAG: &str = "cassiagrade_log_read_lag_records";
+const STALE_DECISIONS: &str = "cassiagrade_stale_decisions_total";
+const LOOP_LAG_MS: &str = "cassiagrade_loop_lag_ms";
+const HISTORY_RELOADS: &str = "cassiagrade_history_reloads_total";
 const UPSTREAMS_KNOWN: &str = "cassiagrade_upstreams_known";
 
 /// Upper bucket bounds of all `_ms` histograms.
@@ -45,7 +48,7 @@
 ];
 
 /// Histograms in milliseconds without labels.
-pub(crate) const HISTOGRAMS_MS: [&str; 2] = [QUEUE_WAIT_MS, LOG_APPEND_MS];
+pub(crate) const HISTOGRAMS_MS: [&str; 3] = [QUEUE_WAIT_MS, LOG_APPEND_MS, LOOP_LAG_MS];
 /// Histograms in milliseconds with a `service` label.
 pub(crate) const HISTOGRAMS_BY_SERVICE_MS: [&str; 2] = [REQUEST_MS, FIRST_BYTE_MS];
 
@@ -138,6 +141,18 @@
         "Requests waiting for an upstream that is at home here"
     );
     describe_gauge!(UPSTREAMS_KNOWN, "Upstreams that the platform lists");
+    describe_counter!(
+        STALE_DECISIONS,
+        "Decisions by state older than a change may take to be in force, by part of the state"
+    );
+    describe_counter!(
+        HISTORY_RELOADS,
+        "Reads of a stream whose next records were deleted, so that all of it is loaded"
+    );
+    describe_histogram!(
+        LOOP_LAG_MS,
+        "How late the event loop runs a periodic task, in milliseconds"
+    );
     describe_histogram!(LOG_APPEND_MS, "Time of an append in milliseconds");
     describe_gauge!(
         LOG_READ_LAG,
@@ -154,6 +169,21 @@
     gauge!(UPSTREAMS_KNOWN).set(count as f64);
 }
 
+/// Records how late the event loop ran a periodic task.
+pub(crate) fn loop_lag(lag: Duration) {
+    histogram!(LOOP_LAG_MS).record(as_ms(lag));
+}
+
+/// Counts a decision by state that is older than a change may take to be in force.
+pub(crate) fn stale_decision(state: &'static str) {
+    counter!(STALE_DECISIONS, "state" => state).increment(1);
+}
+
+/// Counts a read of `stream` whose next records were deleted.
+pub(crate) fn history_reload(stream: &'static str) {
+    counter!(HISTORY_RELOADS, "stream" => stream).increment(1);
+}
+
 /// Counts a refusal sent to a caller.
 pub(crate) fn refused(cause: &str) {
     counter!(REFUSALS, "cause" => cause.to_owned()).increment(1);
