--- a/tests/routed_pauses.rs
+++ b/tests/routed_pauses.rs
@@ -447,6 +447,7 @@
 
 /// Routers that seldom run never notice a pause, and confirm one another's old state.
 #[test_case(700, 50, 0; "short stops")]
+#[test_case(950, 20, 0; "long stops")]
 #[test_case(700, 50, 100; "answers of the store take longer than a router runs")]
 #[compio::test]
 async fn router_without_processor_time_applies_changes_in_time(
