Reports of peers are dated by their sending, not by their handling

What callers saw: requests routed and sent by state older than the bound, on routers that were never paused themselves. Class: evidence counts as newer than it is.

Cause: a report says how old its sender's state is, and the receiver took that age as of the moment it handled the report. Each hop dropped its delay: queues of a host that lacks processor time, of its sockets, of its tasks, and the time that a report waited while a query to a paused peer timed out. Routers report to one another five times a second, so state that nobody reads was made younger in circles; stale routers read too late, or not at all.

Evidence: the replica's fuzz model never delayed a report but by a detected suspension. With late reports drawn, the former behaviour (mutation DateReportsByArrival) is found: state confirmed that the log had replaced.

Fix: reports carry the sender's clock. The smallest recent difference between arrival and sending stands for the offset of the clocks; the excess of a report over it, and 5 ms for the fastest, count towards the age. One more number in each report. Left open: a fastest transit of more than 5 ms, as between regions, still makes state younger by the rest on each hop.

--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -97,6 +97,8 @@
     pub host: String,
     /// Versions of its state.
     pub position: LogPosition,
+    /// Time of this router's clock as of which the ages in `position` are to be taken.
+    pub as_of_ms: u64,
 }
 
 /// Channels on which the membership task publishes what it receives.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod member;
 pub mod suspects;
 pub mod swim;
+pub mod transit;
 
 #[cfg(test)]
 mod homes_tests;
@@ -24,3 +25,5 @@
 mod loads_tests;
 #[cfg(test)]
 mod log_reads_tests;
+#[cfg(test)]
+mod transit_tests;
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -367,6 +367,9 @@
     /// Offset up to which configuration and evacuations match the log.
     #[prost(uint64, tag = "5")]
     pub orders_at: u64,
+    /// Time of the sender's clock as of which the ages are stated.
+    #[prost(uint64, tag = "6")]
+    pub at_ms: u64,
 }
 /// Requests a router's state beyond these versions.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -36,6 +36,8 @@
     NoRetentionMargin,
     /// Evidence from before a suspend of this router still counts as fresh.
     KeepEvidenceAfterSuspend,
+    /// A report of a peer counts as sent when it is handled.
+    DateReportsByArrival,
     /// After a full re-read, the changes kept for peers have a gap.
     KeepChangesAcrossGap,
     /// Records already received from peers are applied again.
--- a/src/path/log_replica/sync.rs
+++ b/src/path/log_replica/sync.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use crate::fleet::log_reads::Freshness;
+use crate::mutation::{Mutation, mutated};
 use crate::path::dialect::Records;
 use crate::path::log_replica::{Evidence, LogReplica};
 use crate::peers::{compression, frames};
@@ -28,6 +29,7 @@
             upstreams_at: self.upstreams_at.get(),
             upstreams_age_ms: age(&self.upstreams_fresh),
             orders_at: self.orders_at(),
+            at_ms: now_ms,
         }
     }
 
@@ -38,11 +40,17 @@
             || position.orders_at > self.orders_at()
     }
 
-    /// Handles the state that another router published by gossip.
-    pub(crate) fn receive_position(&self, position: &LogPosition) {
-        if !self.needs_refresh() {
-            self.confirm(position, self.clock.now_ms(), Evidence::Report);
+    /// Handles the state that another router published by gossip; its ages are as of `as_of_ms`.
+    pub(crate) fn receive_position(&self, position: &LogPosition, as_of_ms: u64) {
+        if self.needs_refresh() {
+            return;
         }
+        let as_of_ms = if mutated(Mutation::DateReportsByArrival) {
+            self.clock.now_ms()
+        } else {
+            as_of_ms
+        };
+        self.confirm(position, as_of_ms, Evidence::Report);
     }
 
     /// Confirms the state of this router by that of another one at `as_of_ms`, as far as the other
--- a/src/path/log_replica_fuzz_tests.rs
+++ b/src/path/log_replica_fuzz_tests.rs
@@ -31,6 +31,8 @@
     PeerAnswer(u8),
     Suspend(u8, u8),
     Restart(u8),
+    /// A router handles reports of the others only after some ticks.
+    Starve(u8, u8),
     /// Ticks during which all routers that are not suspended behave as in a running fleet.
     Run(u8),
 }
@@ -69,6 +71,7 @@
             5 => pick().prop_map(Step::PeerAnswer),
             2 => (pick(), pick()).prop_map(|(r, extra)| Step::Suspend(r, extra)),
             1 => pick().prop_map(Step::Restart),
+            2 => (pick(), 1..5_u8).prop_map(|(r, ticks)| Step::Starve(r, ticks)),
             8 => (1..24_u8).prop_map(Step::Run),
         ]
         .boxed()
@@ -113,6 +116,7 @@
                 world.hosts[at(r)].suspended_until_ms =
                     now_ms + SUSPENSION_MS + u64::from(extra) * 40;
             }
+            Step::Starve(r, ticks) => world.hosts[at(r)].starved_ticks = ticks.into(),
             Step::Restart(r) => world.hosts[at(r)] = host(world.now_ms),
             Step::Run(ticks) => (0..ticks).for_each(|_| world.tick()),
         }
@@ -137,6 +141,7 @@
 }
 
 #[test_case(Mutation::KeepEvidenceAfterSuspend)]
+#[test_case(Mutation::DateReportsByArrival)]
 #[test_case(Mutation::KeepChangesAcrossGap)]
 #[test_case(Mutation::AcceptOldRecords)]
 #[test_case(Mutation::AcceptOlderVersion)]
--- a/src/path/log_replica_tests.rs
+++ b/src/path/log_replica_tests.rs
@@ -148,7 +148,9 @@
         Router::with_clock(clock_at(500)),
         Router::with_clock(clock_at(900)),
     );
-    early.replica.receive_position(&late.replica.position());
+    early
+        .replica
+        .receive_position(&late.replica.position(), 900);
     early.learn_from(&late);
     assert_eq!(early.replica.config_confirmed_ms(), 0);
     assert_eq!(early.replica.upstreams_confirmed_ms(), 0);
--- a/src/path/log_replica_world_tests.rs
+++ b/src/path/log_replica_world_tests.rs
@@ -13,8 +13,7 @@
 pub(super) const ROUTERS: usize = 4;
 /// Interval at which routers publish their positions and check the clock.
 const TICK_MS: u64 = 200;
-/// Duration of a suspension that routers detect. State received during a shorter pause counts as up
-/// to that much fresher than it was.
+/// Duration of a suspension that routers detect.
 pub(super) const SUSPENSION_MS: u64 = 1_100;
 /// After this many ticks with the log available and no router suspended, all routers have
 /// everything.
@@ -28,8 +27,10 @@
     orders: Option<(u64, Answer<Order>)>,
     upstreams: Option<(u64, Answer<Record>)>,
     peer: Option<(u64, LogSyncReply)>,
-    /// Positions published by other routers while this one is suspended.
-    positions: VecDeque<LogPosition>,
+    /// Positions published by other routers that this one has not handled, and when they were sent.
+    positions: VecDeque<(u64, LogPosition)>,
+    /// Ticks in which it handles no reports: it lacks processor time.
+    pub(super) starved_ticks: u32,
     pub(super) is_rejected: bool,
     pub(super) suspended_until_ms: u64,
     started_ms: u64,
@@ -165,13 +166,16 @@
                 .collect();
             let host = &mut self.hosts[at];
             host.positions
-                .extend(received.iter().map(|(_, position)| *position));
+                .extend(received.iter().map(|(_, position)| (now_ms, *position)));
             if self.is_suspended(at) {
                 continue;
             }
             let host = &mut self.hosts[at];
-            for position in std::mem::take(&mut host.positions) {
-                host.router.replica.receive_position(&position);
+            let is_starved = host.starved_ticks > 0;
+            host.starved_ticks = host.starved_ticks.saturating_sub(1);
+            let handled = if is_starved { 0 } else { host.positions.len() };
+            for (sent_ms, position) in host.positions.drain(..handled) {
+                host.router.replica.receive_position(&position, sent_ms);
             }
             host.router.replica.check_clock();
             host.router.replica.remove_missing();
@@ -338,6 +342,7 @@
         upstreams: None,
         peer: None,
         positions: VecDeque::new(),
+        starved_ticks: 0,
         is_rejected: false,
         suspended_until_ms: 0,
         started_ms: now_ms.load(Ordering::Relaxed),
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -72,7 +72,8 @@
     let mut peer_positions = path.gossip.peer_positions();
     while peer_positions.changed().await.is_ok() {
         let received = peer_positions.borrow_and_update().clone();
-        path.replica.receive_position(&received.position);
+        path.replica
+            .receive_position(&received.position, received.as_of_ms);
         if path.replica.is_behind(&received.position)
             && !(waits_for_log(&path) || path.replica.awaits_log())
             && let Some(addr) = path.peer_addr(&received.host)
--- a/src/peers/probes/mod.rs
+++ b/src/peers/probes/mod.rs
@@ -27,6 +27,7 @@
 use crate::fleet::member::{Member, View};
 use crate::fleet::suspects::SuspectTable;
 use crate::fleet::swim::{Swim, SwimPolicy};
+use crate::fleet::transit::TransitTimes;
 use crate::log::view::ConfigView;
 use crate::peers::frames;
 use crate::schema::peer::Datagram;
@@ -83,6 +84,7 @@
             suspects: SuspectTable::default(),
             leaving: LeavingTable::default(),
             in_flight: InFlightTable::default(),
+            transit: TransitTimes::default(),
             in_flight_seq: 0,
             names: HashMap::new(),
             config: options.config,
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -22,6 +22,7 @@
 use crate::fleet::member::{Member, MemberState, View};
 use crate::fleet::suspects::SuspectTable;
 use crate::fleet::swim::{Message, Outgoing, Swim};
+use crate::fleet::transit::TransitTimes;
 use crate::log::view::ConfigView;
 use crate::peers::frames;
 use crate::peers::probes::auth::{DatagramAuth, TAG_BYTES};
@@ -62,6 +63,7 @@
     pub(super) suspects: SuspectTable,
     pub(super) leaving: LeavingTable,
     pub(super) in_flight: InFlightTable,
+    pub(super) transit: TransitTimes,
     pub(super) in_flight_seq: u64,
     pub(super) names: HashMap<u32, Name>,
     pub(super) config: watch::Receiver<Arc<ConfigView>>,
@@ -230,11 +232,18 @@
             Body::Flights(mut counts) => {
                 let position = counts.mark.take().unwrap_or_default();
                 let host = counts.from_host.clone();
-                self.swim
-                    .record_contact(&host, counts.from_incarnation, now_ms);
+                let incarnation = counts.from_incarnation;
+                self.swim.record_contact(&host, incarnation, now_ms);
+                let as_of_ms =
+                    self.transit
+                        .sent_as_of_ms(&host, incarnation, position.at_ms, now_ms);
                 self.senders
                     .peer_positions
-                    .send_replace(Arc::new(PeerPosition { host, position }));
+                    .send_replace(Arc::new(PeerPosition {
+                        host,
+                        position,
+                        as_of_ms,
+                    }));
                 return self.in_flight.record(counts, now_ms);
             }
         };
