Requests are decided by state no older than its bound, whatever made it old

Class: evidence counts as newer than it is, or as proof of what it doesn't show.

Causes, one design: only a gap of over a second between two checks of the clock made requests wait, and one answer ended the wait for everything: a read of either stream, even when it found records deleted in the other, or a peer's answer however old that peer's state was. Pauses under a second never counted, however many. The age of the state, which each router knows, was not asked when a request was decided.

Fix: each stream's copy has its own freshness (path/freshness.rs). A request waits before its route is chosen, before each choice of an upstream and before its first byte leaves, until the copy is at most 0.9 of the bound old, or a read that was due since then and since the last suspension has failed: then nothing newer can be had. The wait ends 400 ms after the first request's, not counting time in which the process did not run. The guard that counted one answer for all is gone.

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -110,12 +110,28 @@
         (self.bound_ms * STALE_SHARE) as u64
     }
 
+    /// Age from which each router reads for itself, and by which no request may be decided.
+    fn usable_ms(self) -> u64 {
+        self.stale_ms() + self.spread_ms() as u64
+    }
+
     /// Range of the random delay with which stale routers read.
     fn spread_ms(self) -> f64 {
         self.bound_ms * SPREAD_SHARE
     }
 }
 
+/// Times other than its age that decide whether state may be used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UseLimits {
+    /// Time until which what the router loaded at its start counts as fresh.
+    pub settled_ms: u64,
+    /// Time of the last failed read of the log; 0 if none failed.
+    pub failed_ms: u64,
+    /// Time at which the router was last resumed from a suspension; 0 if it never was suspended.
+    pub resumed_ms: u64,
+}
+
 /// When this router's state was last confirmed to be current.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
@@ -170,6 +186,32 @@
         now_ms.saturating_sub(self.confirmed_ms)
     }
 
+    /// Whether requests may be decided by this state. It may not be older than the age at which the
+    /// last router reads for itself, unless a read that was due since then, and since the router was
+    /// last resumed, has failed: then nothing newer can be had.
+    ///
+    /// ```
+    /// use cassiagrade::fleet::log_reads::{Freshness, ReadSchedule, UseLimits};
+    /// use rand::{SeedableRng, rngs::SmallRng};
+    /// let mut freshness = Freshness::default();
+    /// freshness.confirm(10_000, &mut SmallRng::seed_from_u64(1));
+    /// let schedule = ReadSchedule::within(2_000.0);
+    /// let is_usable = |now_ms, limits| freshness.is_usable(now_ms, schedule, limits);
+    /// let limits = UseLimits::default();
+    /// assert!(is_usable(11_800, limits) && !is_usable(11_801, limits));
+    /// let failed = UseLimits { failed_ms: 12_000, ..limits };
+    /// assert!(is_usable(12_000, failed));
+    /// assert!(!is_usable(15_000, UseLimits { resumed_ms: 14_000, ..failed }));
+    /// ```
+    pub fn is_usable(&self, now_ms: u64, schedule: ReadSchedule, limits: UseLimits) -> bool {
+        let fresh = self.settled(limits.settled_ms, schedule);
+        if fresh.age_ms(now_ms) <= schedule.usable_ms() {
+            return true;
+        }
+        let due_ms = fresh.confirmed_ms + schedule.stale_ms();
+        limits.failed_ms >= due_ms.max(limits.resumed_ms)
+    }
+
     /// Whether the state is so old that this router, one of `routers` that can reach one another,
     /// must read for itself.
     ///
@@ -288,9 +330,9 @@
 
 /// Returns how long a read that must begin now waits for a change, or `None` if none is due.
 ///
-/// Readers always read, at a pace, and wait for a change. The other routers read only when their state is
-/// stale, each at its own time, and without a wait: they replace readers that fail, and publish
-/// what they find. A reader whose reads fail backs off longer while other readers keep its state
+/// Readers always read, at a pace, and wait for a change, unless their state is stale: requests may
+/// wait for it. The other routers read only when their state is stale, each at its own time, and
+/// without a wait: they replace readers that fail, and publish what they find. A reader whose reads fail backs off longer while other readers keep its state
 /// fresh.
 ///
 /// ```
@@ -298,9 +340,14 @@
 /// let (fresh, backoff) = (Freshness::default(), Backoff::default());
 /// let schedule = ReadSchedule::within(2_000.0);
 /// let role = |is_reader| Role { is_reader, routers: 9, last_read_ms: 0, settled_ms: 3_000 };
-/// let due = |is_reader| read_due(role(is_reader), fresh, backoff, schedule, 1);
-/// assert_eq!(due(true).unwrap().as_millis(), 900);
-/// assert_eq!(due(false).unwrap().as_millis(), 0, "nothing is known yet");
+/// let due = |is_reader, now_ms| read_due(role(is_reader), fresh, backoff, schedule, now_ms);
+/// assert_eq!(due(true, 9_001).unwrap().as_millis(), 0, "nothing is known yet");
+/// let mut fresh = fresh;
+/// fresh.confirm(9_000, &mut rand::rng());
+/// let due = |is_reader, now_ms| read_due(role(is_reader), fresh, backoff, schedule, now_ms);
+/// assert_eq!(due(true, 9_001).unwrap().as_millis(), 900);
+/// assert_eq!(due(false, 9_001), None);
+/// assert_eq!(due(true, 12_000).unwrap().as_millis(), 0, "requests may wait");
 /// ```
 pub fn read_due(
     role: Role,
@@ -318,7 +365,7 @@
     if !(is_turn || is_stale) || !backoff.is_due(now_ms, is_needed, sharing) {
         return None;
     }
-    Some(if role.is_reader {
+    Some(if role.is_reader && !is_stale {
         schedule.wait()
     } else {
         Duration::ZERO
--- a/src/fleet/transit_tests.rs
+++ b/src/fleet/transit_tests.rs
@@ -9,7 +9,7 @@
 fn late_reports_make_no_state_younger() {
     const ROUTERS: usize = 9;
     const READ_MS: u64 = 10_000;
-    /// Their clocks differ, so each has its own time of the read.
+    // Their clocks differ, so each has its own time of the read.
     let offset_ms = |router: usize| router as u64 * 1_234_567;
     let mut confirmed_ms = [READ_MS; ROUTERS];
     let mut transit: [TransitTimes; ROUTERS] = std::array::from_fn(|_| TransitTimes::default());
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -36,6 +36,8 @@
     NoRetentionMargin,
     /// Evidence from before a suspend of this router still counts as fresh.
     KeepEvidenceAfterSuspend,
+    /// Requests are decided by state of any age.
+    DecideByOldState,
     /// A report of a peer counts as sent when it is handled.
     DateReportsByArrival,
     /// After a full re-read, the changes kept for peers have a gap.
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -151,6 +151,8 @@
     /// next attempt resumes after event `resume_after`.
     pub(crate) async fn next(&mut self, resume_after: Option<u64>) -> Result<Reply, Refused> {
         loop {
+            let upstreams = self.context.path.replica.upstreams_fresh();
+            upstreams.wait_until_usable().await;
             if self.remaining() < MIN_REMAINING {
                 return Err(self.refuse(
                     Cause::Deadline,
@@ -255,6 +257,7 @@
             connections: &context.path.connections,
             quota: self.connection_quota(),
             clock: context.path.clock,
+            upstreams_fresh: context.path.replica.upstreams_fresh(),
         };
         client.call::<D>(choice.upstream.clone(), call).await
     }
--- a/src/path/attempts/choice.rs
+++ b/src/path/attempts/choice.rs
@@ -23,7 +23,6 @@
     /// Chooses the upstream of the next attempt, or `None` if none is eligible.
     pub(super) fn choose(&self) -> Option<Choice> {
         let context = &self.context;
-        context.path.replica.count_upstreams_use();
         let now_ms = context.path.clock.now_ms();
         let tried = Tried {
             upstreams: &self.tried,
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -15,6 +15,7 @@
 use crate::decide::connections::ConnectionQuota;
 use crate::path::connection::{self, Connection, ConnectionPool};
 use crate::path::dialect::{AnswerHead, Dialect};
+use crate::path::freshness::StreamFreshness;
 use crate::path::router_state::{RouterState, RunningGuard};
 use crate::path::upstreams::Upstream;
 use crate::util::{Clock, Name};
@@ -77,6 +78,7 @@
     pub(crate) connections: &'a ConnectionPool,
     pub(crate) quota: ConnectionQuota,
     pub(crate) clock: Clock,
+    pub(crate) upstreams_fresh: &'a StreamFreshness,
 }
 
 /// Content of one call.
@@ -210,6 +212,7 @@
         upstream: &Upstream,
         call: &Call<'_>,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
+        self.upstreams_fresh.wait_until_usable().await;
         if !self.state.still_takes_work(upstream, self.clock.now_ms()) {
             return Err(withheld());
         }
--- /dev/null
+++ b/src/path/freshness.rs
@@ -0,0 +1,197 @@
+//! How old this router's copy of one stream of the log is, and whether requests may be decided by
+//! it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use strum::Display;
+use tokio::sync::Notify;
+
+use crate::fleet::in_flight::REPORT_INTERVAL_MS;
+use crate::fleet::log_reads::{Freshness, ReadSchedule, UseLimits};
+use crate::mutation::{Mutation, mutated};
+use crate::path::SETTLE_MS;
+use crate::path::suspend::SuspendGuard;
+use crate::stats;
+use crate::util::Clock;
+
+/// Time until which what a router loaded at its start counts as fresh: the readers' first updates
+/// arrive with the next reports.
+pub(crate) const SETTLED_MS: u64 = SETTLE_MS + REPORT_INTERVAL_MS;
+/// Time for which requests wait for a newer copy: some round trips to the store or to a peer. It
+/// runs once for all requests, so that an outage of the store delays only those of its first moment.
+const WAIT_LIMIT_MS: u64 = 400;
+
+/// What last confirmed a copy.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Evidence {
+    /// Nothing since the start.
+    #[default]
+    None,
+    /// A read of the log by this router.
+    Log,
+    /// A peer's answer to a request of this router.
+    Reply,
+    /// A peer's periodic report.
+    Report,
+}
+
+/// Freshness of the copy of one stream.
+///
+/// Failure guarded against: a router lacks processor time or is suspended, and then decides
+/// requests by what it knew before: routes and keys that operators have withdrawn, and upstreams
+/// that have left. Requests wait until the copy is at most as old as its bound allows, unless the
+/// log is known to fail.
+pub(crate) struct StreamFreshness {
+    /// Name in log lines and metrics.
+    name: &'static str,
+    clock: Clock,
+    suspend: Rc<SuspendGuard>,
+    schedule: Cell<ReadSchedule>,
+    fresh: Cell<Freshness>,
+    evidence: Cell<Evidence>,
+    /// Time of the last failed read of the log; 0 if none failed.
+    failed_ms: Cell<u64>,
+    /// Since when requests have been waiting for a newer copy.
+    wanted_since_ms: Cell<Option<u64>>,
+    /// Notified when requests wait for a newer copy.
+    wanted: Rc<Notify>,
+    /// Notified when the copy is confirmed and when a read fails.
+    changed: Notify,
+}
+
+impl StreamFreshness {
+    pub(crate) fn new(
+        name: &'static str,
+        clock: Clock,
+        suspend: Rc<SuspendGuard>,
+        schedule: ReadSchedule,
+        wanted: Rc<Notify>,
+    ) -> Self {
+        Self {
+            name,
+            clock,
+            suspend,
+            schedule: Cell::new(schedule),
+            fresh: Cell::default(),
+            evidence: Cell::default(),
+            failed_ms: Cell::default(),
+            wanted_since_ms: Cell::default(),
+            wanted,
+            changed: Notify::new(),
+        }
+    }
+
+    pub(crate) fn get(&self) -> Freshness {
+        self.fresh.get()
+    }
+
+    pub(crate) fn schedule(&self) -> ReadSchedule {
+        self.schedule.get()
+    }
+
+    pub(crate) fn set_schedule(&self, schedule: ReadSchedule) {
+        self.schedule.set(schedule);
+    }
+
+    pub(crate) fn age_ms(&self) -> u64 {
+        self.fresh.get().age_ms(self.clock.now_ms())
+    }
+
+    /// Confirms that the copy was complete at `at_ms`.
+    pub(crate) fn confirm(&self, at_ms: u64, evidence: Evidence) {
+        let mut fresh = self.fresh.get();
+        if at_ms > fresh.confirmed_ms() {
+            self.evidence.set(evidence);
+        }
+        fresh.confirm(at_ms, &mut rand::rng());
+        self.fresh.set(fresh);
+        if self.is_usable()
+            && let Some(since_ms) = self.wanted_since_ms.take()
+        {
+            let after_ms = self.clock.now_ms().saturating_sub(since_ms);
+            log::info!(after_ms, evidence:%; "{}: up to date again", self.name);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Makes this router read the log at once.
+    pub(crate) fn invalidate(&self) {
+        self.fresh.set(self.fresh.get().invalidated());
+    }
+
+    /// Records that a read of the log, requested at `asked_ms`, failed.
+    pub(crate) fn record_failure(&self, asked_ms: u64) {
+        if asked_ms < self.suspend.resumed_ms() {
+            return;
+        }
+        self.failed_ms.set(self.clock.now_ms());
+        self.wanted_since_ms.set(None);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether requests may be decided by the copy.
+    pub(crate) fn is_usable(&self) -> bool {
+        let limits = UseLimits {
+            settled_ms: SETTLED_MS,
+            failed_ms: self.failed_ms.get(),
+            resumed_ms: self.suspend.resumed_ms(),
+        };
+        let now_ms = self.clock.now_ms();
+        self.fresh
+            .get()
+            .is_usable(now_ms, self.schedule.get(), limits)
+            || mutated(Mutation::DecideByOldState)
+    }
+
+    /// Requests a newer copy if requests may not be decided by this one.
+    pub(crate) fn refresh_if_needed(&self) {
+        if self.is_usable() {
+            return;
+        }
+        let since_ms = self.wanted_since_ms.get();
+        let since_ms = since_ms.unwrap_or_else(|| self.clock.now_ms());
+        self.wanted_since_ms.set(Some(since_ms));
+        self.wanted.notify_waiters();
+    }
+
+    /// Returns how long requests may still wait for a newer copy. Time in which this router did not
+    /// run doesn't count: an answer may have arrived in it that is still to be handled.
+    fn wait_left(&self) -> Duration {
+        let since_ms = self.wanted_since_ms.get().unwrap_or(0);
+        let until_ms = since_ms.max(self.suspend.stalled_ms()) + WAIT_LIMIT_MS;
+        Duration::from_millis(until_ms.saturating_sub(self.clock.now_ms()))
+    }
+
+    /// Waits until a request may be decided by the copy. If neither the log nor a peer answers in
+    /// time, the old one must do: refusing would not serve the caller better.
+    pub(crate) async fn wait_until_usable(&self) {
+        self.suspend.check_clock();
+        if !self.is_usable() {
+            self.refresh_if_needed();
+            stats::held_for_refresh(self.name);
+            // After the time limit, the request goes on with the old copy.
+            let _ = compio::time::timeout(self.wait_left(), self.usable()).await;
+        }
+        if self.age_ms() > self.schedule.get().bound_ms() {
+            stats::stale_decision(self.name);
+        }
+    }
+
+    async fn usable(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if self.is_usable() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Describes the age of the copy and what confirmed it.
+    pub(crate) fn describe(&self) -> String {
+        format!("read {} ms ago by {}", self.age_ms(), self.evidence.get())
+    }
+}
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -9,15 +9,15 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use strum::Display;
 use tokio::sync::Notify;
 
-use crate::fleet::log_reads::{Freshness, ReadSchedule};
+use crate::fleet::log_reads::ReadSchedule;
 use crate::mutation::{Mutation, mutated};
 use crate::path::change_log::{Change, ChangeLog};
 use crate::path::changes::Changes;
 use crate::path::cursor::Record;
 use crate::path::dialect::Records;
+use crate::path::freshness::{Evidence, StreamFreshness};
 use crate::path::router_state::RouterState;
 use crate::path::suspend::SuspendGuard;
 use crate::peers::compression;
@@ -39,21 +39,6 @@
     pub(crate) upstreams: ReadSchedule,
 }
 
-/// What last confirmed a part of the state.
-#[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
-#[strum(serialize_all = "snake_case")]
-pub(crate) enum Evidence {
-    /// Nothing since the start.
-    #[default]
-    None,
-    /// A read of the log by this router.
-    Log,
-    /// A peer's answer to a request of this router.
-    Reply,
-    /// A peer's periodic report.
-    Report,
-}
-
 /// Compressed records, and the offset that they reflect.
 #[derive(Default)]
 struct Compressed {
@@ -65,16 +50,13 @@
 pub(crate) struct LogReplica<D> {
     state: Rc<RouterState>,
     clock: Clock,
-    schedules: Cell<ReadSchedules>,
     /// Configuration in force, compressed for other routers.
     compressed_config: RefCell<Bytes>,
     compressed_upstreams: RefCell<Compressed>,
-    config_fresh: Cell<Freshness>,
-    config_evidence: Cell<Evidence>,
+    config_fresh: StreamFreshness,
     upstreams: RefCell<HashMap<Name, Bytes>>,
     upstreams_at: Cell<u64>,
-    upstreams_fresh: Cell<Freshness>,
-    upstreams_evidence: Cell<Evidence>,
+    upstreams_fresh: StreamFreshness,
     changes: RefCell<Changes>,
     /// Time until which upstreams with removed entries are assumed to be alive.
     removals_delayed_until_ms: Cell<u64>,
@@ -84,25 +66,29 @@
     change_log: ChangeLog,
     log_fails: Cell<bool>,
     awaits_peers: Cell<bool>,
-    suspend: SuspendGuard,
+    suspend: Rc<SuspendGuard>,
+    refresh_wanted: Rc<Notify>,
     load_settled: Rc<Notify>,
     records: PhantomData<D>,
 }
 
 impl<D: Records> LogReplica<D> {
     pub(crate) fn new(state: Rc<RouterState>, clock: Clock, schedules: ReadSchedules) -> Self {
+        let suspend = Rc::new(SuspendGuard::new(clock));
+        let refresh_wanted: Rc<Notify> = Rc::default();
+        let fresh = |name, schedule| {
+            let (suspend, wanted) = (suspend.clone(), refresh_wanted.clone());
+            StreamFreshness::new(name, clock, suspend, schedule, wanted)
+        };
         Self {
             state,
             clock,
-            schedules: Cell::new(schedules),
             compressed_config: RefCell::default(),
             compressed_upstreams: RefCell::default(),
-            config_fresh: Cell::default(),
-            config_evidence: Cell::default(),
+            config_fresh: fresh("configuration", schedules.config),
             upstreams: RefCell::default(),
             upstreams_at: Cell::default(),
-            upstreams_fresh: Cell::default(),
-            upstreams_evidence: Cell::default(),
+            upstreams_fresh: fresh("upstreams", schedules.upstreams),
             changes: RefCell::default(),
             removals_delayed_until_ms: Cell::default(),
             missing: RefCell::default(),
@@ -110,29 +96,34 @@
             change_log: ChangeLog::default(),
             log_fails: Cell::default(),
             awaits_peers: Cell::default(),
-            suspend: SuspendGuard::new(clock),
+            suspend,
+            refresh_wanted,
             load_settled: Rc::default(),
             records: PhantomData,
         }
     }
 
-    /// Checks the clock for a suspension of this router, after which its whole state is stale.
+    /// Checks the clock for a suspension of this router, after which its state may be too old.
     pub(crate) fn check_clock(&self) {
         if self.suspend.check_clock() {
-            self.config_fresh.set(self.config_fresh.get().invalidated());
-            self.upstreams_fresh
-                .set(self.upstreams_fresh.get().invalidated());
+            self.config_fresh.refresh_if_needed();
+            self.upstreams_fresh.refresh_if_needed();
         }
     }
 
-    /// Whether this router has not refreshed its state since it was suspended.
-    pub(crate) fn needs_refresh(&self) -> bool {
-        self.check_clock();
-        self.suspend.needs_refresh()
+    /// Notified when requests wait for newer state.
+    pub(crate) fn refresh_wanted(&self) -> Rc<Notify> {
+        self.refresh_wanted.clone()
     }
 
-    pub(crate) fn suspend(&self) -> &SuspendGuard {
-        &self.suspend
+    /// Whether requests may be decided by the configuration and by the upstreams.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.config_fresh.is_usable() && self.upstreams_fresh.is_usable()
+    }
+
+    /// Returns when this router was last resumed from a suspension; 0 if it never was suspended.
+    pub(crate) fn resumed_ms(&self) -> u64 {
+        self.suspend.resumed_ms()
     }
 
     /// Applies a configuration. An invalid one is refused, and the current one stays in force.
@@ -194,14 +185,13 @@
 
     /// Confirms that the configuration was the newest one at `at_ms`.
     pub(crate) fn confirm_config(&self, at_ms: u64, evidence: Evidence) {
-        confirm(&self.config_fresh, &self.config_evidence, at_ms, evidence);
+        self.config_fresh.confirm(at_ms, evidence);
         self.notify_loaded();
     }
 
     /// Confirms that the upstreams were complete at `at_ms`.
     pub(crate) fn confirm_upstreams(&self, at_ms: u64, evidence: Evidence) {
-        let fresh = &self.upstreams_fresh;
-        confirm(fresh, &self.upstreams_evidence, at_ms, evidence);
+        self.upstreams_fresh.confirm(at_ms, evidence);
         self.notify_loaded();
     }
 
@@ -214,53 +204,32 @@
     /// Describes the state that a decision is based on: versions, ages, what confirmed each, and the
     /// last suspension.
     pub(crate) fn describe(&self) -> String {
-        let now_ms = self.clock.now_ms();
-        let since_resumed_ms = self.suspend.since_resumed_ms();
-        let resumed = since_resumed_ms.map(|ms| format!(", resumed {ms} ms ago"));
+        let resumed = self.suspend.since_resumed_ms();
+        let resumed = resumed.map(|ms| format!(", resumed {ms} ms ago"));
         format!(
-            "configuration {} read {} ms ago by {}, upstreams at {} read {} ms ago by {}{}",
+            "configuration {} {}, upstreams at {} {}{}",
             self.state.deployment().version,
-            self.config_fresh.get().age_ms(now_ms),
-            self.config_evidence.get(),
+            self.config_fresh.describe(),
             self.upstreams_at.get(),
-            self.upstreams_fresh.get().age_ms(now_ms),
-            self.upstreams_evidence.get(),
+            self.upstreams_fresh.describe(),
             resumed.unwrap_or_default(),
         )
     }
 
-    /// Counts a decision by the configuration if that is older than a change may take to be in
-    /// force.
-    pub(crate) fn count_config_use(&self) {
-        let bound_ms = self.schedules.get().config.bound_ms();
-        if self.config_fresh.get().age_ms(self.clock.now_ms()) > bound_ms {
-            stats::stale_decision("configuration");
-        }
-    }
-
-    /// Counts a decision by the upstreams if those are older than a change may take to be in force.
-    pub(crate) fn count_upstreams_use(&self) {
-        let bound_ms = self.schedules.get().upstreams.bound_ms();
-        if self.upstreams_fresh.get().age_ms(self.clock.now_ms()) > bound_ms {
-            stats::stale_decision("upstreams");
-        }
-    }
-
     /// Freshness of the configuration.
-    pub(crate) fn config_fresh(&self) -> Freshness {
-        self.config_fresh.get()
+    pub(crate) fn config_fresh(&self) -> &StreamFreshness {
+        &self.config_fresh
     }
 
     /// Freshness of the upstreams.
-    pub(crate) fn upstreams_fresh(&self) -> Freshness {
-        self.upstreams_fresh.get()
+    pub(crate) fn upstreams_fresh(&self) -> &StreamFreshness {
+        &self.upstreams_fresh
     }
 
     /// Makes this router read the log at once, because a peer has newer upstreams that it doesn't
     /// send.
     fn request_read(&self) {
-        self.upstreams_fresh
-            .set(self.upstreams_fresh.get().invalidated());
+        self.upstreams_fresh.invalidate();
     }
 
     /// Whether this router is about to read from the log what its peers cannot send. False while
@@ -290,13 +259,9 @@
         }
     }
 
-    /// Intervals at which the log is read.
-    pub(crate) fn schedules(&self) -> ReadSchedules {
-        self.schedules.get()
-    }
-
     pub(crate) fn set_schedules(&self, schedules: ReadSchedules) {
-        self.schedules.set(schedules);
+        self.config_fresh.set_schedule(schedules.config);
+        self.upstreams_fresh.set_schedule(schedules.upstreams);
     }
 
     /// Offset of the log that the upstreams reflect; 0 if nothing is known.
@@ -329,19 +294,10 @@
         self.start_at(end);
         self.finish_bulk_update("the store");
         self.confirm_upstreams(asked_ms, Evidence::Log);
-        self.suspend
-            .record_refresh(asked_ms, "all upstreams from the store");
     }
 
     /// Applies the records of upstreams from offset `from` on: all that the log had at `seen_ms`.
-    /// They were requested at `asked_ms`.
-    pub(crate) fn apply_records(
-        &self,
-        from: u64,
-        records: Vec<Record>,
-        asked_ms: u64,
-        seen_ms: u64,
-    ) {
+    pub(crate) fn apply_records(&self, from: u64, records: Vec<Record>, seen_ms: u64) {
         self.check_clock();
         self.end_silence();
         for (at, record) in (from + 1..).zip(records) {
@@ -350,8 +306,6 @@
             }
         }
         self.confirm_upstreams(seen_ms, Evidence::Log);
-        self.suspend
-            .record_refresh(asked_ms, "upstreams from the store");
     }
 
     fn record(&self, at: u64, record: Record) {
@@ -424,7 +378,7 @@
     /// would send work to an upstream that has left.
     pub(crate) fn end_silence(&self) {
         let now_ms = self.clock.now_ms();
-        let silence_ms = self.upstreams_fresh.get().age_ms(now_ms);
+        let silence_ms = self.upstreams_fresh.age_ms();
         if self.upstreams_at.get() > 0
             && silence_ms > ENTRY_EXPIRY_MS
             && !mutated(Mutation::RemoveExpiredAtOnce)
@@ -513,16 +467,6 @@
     }
 }
 
-/// Records that a part of the state was confirmed as of `at_ms`.
-fn confirm(fresh: &Cell<Freshness>, by: &Cell<Evidence>, at_ms: u64, evidence: Evidence) {
-    let mut confirmed = fresh.get();
-    if at_ms > confirmed.confirmed_ms() {
-        by.set(evidence);
-    }
-    confirmed.confirm(at_ms, &mut rand::rng());
-    fresh.set(confirmed);
-}
-
 /// State that tests compare with the log.
 #[cfg(test)]
 impl<D: Records> LogReplica<D> {
--- a/src/path/log_replica/orders.rs
+++ b/src/path/log_replica/orders.rs
@@ -4,7 +4,8 @@
 
 use crate::path::cursor::Order;
 use crate::path::dialect::Records;
-use crate::path::log_replica::{Evidence, LogReplica};
+use crate::path::freshness::Evidence;
+use crate::path::log_replica::LogReplica;
 use crate::util::Name;
 
 impl<D: Records> LogReplica<D> {
@@ -14,8 +15,7 @@
     }
 
     /// Applies the records of operators from offset `from` on: all that the log had at `seen_ms`.
-    /// They were requested at `asked_ms`.
-    pub(crate) fn apply_orders(&self, from: u64, orders: Vec<Order>, asked_ms: u64, seen_ms: u64) {
+    pub(crate) fn apply_orders(&self, from: u64, orders: Vec<Order>, seen_ms: u64) {
         self.check_clock();
         let end = from + orders.len() as u64;
         for (at, order) in (from + 1..).zip(orders) {
@@ -23,8 +23,6 @@
         }
         self.state.change_evacuations(|e| e.advance_to(end));
         self.confirm_config(seen_ms, Evidence::Log);
-        self.suspend
-            .record_refresh(asked_ms, "orders from the store");
     }
 
     /// Applies the newest records of operators up to offset `end`.
@@ -42,8 +40,6 @@
         }
         self.replace_evacuated(end, evacuated, "the store");
         self.confirm_config(asked_ms, Evidence::Log);
-        self.suspend
-            .record_refresh(asked_ms, "all orders from the store");
     }
 
     fn apply_order(&self, at: u64, order: Order) {
--- a/src/path/log_replica/sync.rs
+++ b/src/path/log_replica/sync.rs
@@ -1,6 +1,5 @@
 //! Exchange of log state between routers.
 
-use std::cell::Cell;
 use std::collections::HashSet;
 
 use bytes::Bytes;
@@ -8,7 +7,8 @@
 use crate::fleet::log_reads::Freshness;
 use crate::mutation::{Mutation, mutated};
 use crate::path::dialect::Records;
-use crate::path::log_replica::{Evidence, LogReplica};
+use crate::path::freshness::{Evidence, StreamFreshness};
+use crate::path::log_replica::LogReplica;
 use crate::peers::{compression, frames};
 use crate::schema::peer::{LogPosition, LogSyncReply, LogSyncRequest, UpstreamChange};
 use crate::util::Name;
@@ -22,7 +22,7 @@
     /// Returns the versions, offsets and ages of the state of this router.
     pub(crate) fn position(&self) -> LogPosition {
         let now_ms = self.clock.now_ms();
-        let age = |fresh: &Cell<Freshness>| age_ms(fresh.get(), now_ms);
+        let age = |fresh: &StreamFreshness| age_ms(fresh.get(), now_ms);
         LogPosition {
             config_version: self.state.deployment().version,
             config_age_ms: age(&self.config_fresh),
@@ -42,9 +42,6 @@
 
     /// Handles the state that another router published by gossip; its ages are as of `as_of_ms`.
     pub(crate) fn receive_position(&self, position: &LogPosition, as_of_ms: u64) {
-        if self.needs_refresh() {
-            return;
-        }
         let as_of_ms = if mutated(Mutation::DateReportsByArrival) {
             self.clock.now_ms()
         } else {
@@ -177,7 +174,6 @@
             self.request_read();
         }
         self.confirm(&position, asked_ms, Evidence::Reply);
-        self.suspend.record_refresh(asked_ms, source);
     }
 
     /// Applies the upstreams of an answer, and returns whether they could be decoded.
--- a/src/path/log_replica_fuzz_tests.rs
+++ b/src/path/log_replica_fuzz_tests.rs
@@ -141,6 +141,7 @@
 }
 
 #[test_case(Mutation::KeepEvidenceAfterSuspend)]
+#[test_case(Mutation::DecideByOldState)]
 #[test_case(Mutation::DateReportsByArrival)]
 #[test_case(Mutation::KeepChangesAcrossGap)]
 #[test_case(Mutation::AcceptOldRecords)]
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -20,6 +20,7 @@
 pub mod dialect;
 pub mod evacuations;
 pub mod events;
+pub(crate) mod freshness;
 pub(crate) mod health;
 pub(crate) mod leaving;
 pub(crate) mod log_replica;
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{Response, StatusCode};
 use hyper::body::Incoming;
 use rand::seq::IteratorRandom;
@@ -31,6 +32,8 @@
 /// fleet starts for the first time, the first routers to read the list find few members in it, and
 /// learning the others by gossip probes would take many seconds.
 const MEMBER_REQUEST_DELAYS: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(2)];
+/// Pause between two rounds of requests for newer state.
+const REFRESH_PAUSE: Duration = Duration::from_millis(100);
 /// Interval at which a router that knows few others requests the members from a seed host.
 const SEED_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -143,20 +146,20 @@
     }
 }
 
-/// Requests the state from peers after each suspension of this router.
-pub(crate) async fn refresh_after_suspend<D: Dialect + Records>(
+/// Requests the state from peers whenever requests wait for newer state: after a suspension of this
+/// router, or if its own reads take too long.
+pub(crate) async fn refresh_on_demand<D: Dialect + Records>(
     path: Rc<RequestPath<D>>,
     client: PeerClient,
 ) {
-    let resumed = path.replica.suspend().resumed();
+    let wanted = path.replica.refresh_wanted();
     loop {
-        resumed.notified().await;
-        for addr in live_peers(&path) {
-            if !path.replica.needs_refresh() {
-                break;
-            }
-            request_state(&path, &client, &addr).await;
-        }
+        wanted.notified().await;
+        let addrs = live_peers(&path);
+        let requests = addrs.iter().map(|addr| request_state(&path, &client, addr));
+        let mut requests: FuturesUnordered<_> = requests.collect();
+        while !path.replica.is_usable() && requests.next().await.is_some() {}
+        compio::time::sleep(REFRESH_PAUSE).await;
     }
 }
 
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -30,9 +30,6 @@
 const STOPPING_RETRY_MS: u64 = 50;
 /// Time limit for reading the body, which callers send at once.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time limit for refreshing the state after a suspension: some round trips to the store or to a
-/// peer.
-const REFRESH_LIMIT: Duration = Duration::from_millis(400);
 /// Time after start during which a router holds requests until its first load. A router that takes
 /// longer is overloaded or cut off.
 const LOAD_LIMIT_MS: u64 = 2_000;
@@ -75,16 +72,15 @@
     tally: &mut Tally,
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
-    refresh_after_suspend(&path).await;
     let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     wait_for_first_load(&path, &head, caller_ms).await;
+    path.replica.config_fresh().wait_until_usable().await;
     let deployment = path.state.deployment();
     check(&parts, &deployment.limits)?;
     if path.drain.phase() == Phase::Refusing {
         let detail = "this router is stopping";
         return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
     }
-    path.replica.count_config_use();
     let with_state = |refused| describe_state(refused, &path.replica);
     let route = route(&deployment, &parts).map_err(with_state)?;
     let account = account(&deployment, &route, &head).map_err(with_state)?;
@@ -154,17 +150,6 @@
     })
 }
 
-/// Waits until the state was refreshed after a suspension. If neither the log nor a peer answers,
-/// the router continues with its old state.
-async fn refresh_after_suspend<D: Records>(path: &RequestPath<D>) {
-    if !path.replica.needs_refresh() {
-        return;
-    }
-    let refreshed = path.replica.suspend().refreshed();
-    // Without an answer, serving with the old state is better than refusing.
-    let _ = compio::time::timeout(REFRESH_LIMIT, refreshed.notified()).await;
-}
-
 /// Holds a request that arrives while the router is still loading configuration and upstreams.
 ///
 /// If these requests were refused instead, all callers of a restarting fleet would retry together
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -100,7 +100,7 @@
         let client = PeerClient::new(&policy.key, events);
         let seeds = seeds(&policy.seed_addrs, peer_addr);
         compio::runtime::spawn(peers::follow_positions(path.clone(), client.clone())).detach();
-        compio::runtime::spawn(peers::refresh_after_suspend(path.clone(), client.clone())).detach();
+        compio::runtime::spawn(peers::refresh_on_demand(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::join(path.clone(), client, seeds)).detach();
         compio::runtime::spawn(follow_orders(open, path.clone())).detach();
         compio::runtime::spawn(follow_upstreams(open(), path.clone())).detach();
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -37,6 +37,7 @@
 const LOG_APPEND_MS: &str = "cassiagrade_log_append_ms";
 const LOG_READ_LAG: &str = "cassiagrade_log_read_lag_records";
 const STALE_DECISIONS: &str = "cassiagrade_stale_decisions_total";
+const HELD_FOR_REFRESH: &str = "cassiagrade_requests_held_for_refresh_total";
 const LOOP_LAG_MS: &str = "cassiagrade_loop_lag_ms";
 const HISTORY_RELOADS: &str = "cassiagrade_history_reloads_total";
 const UPSTREAMS_KNOWN: &str = "cassiagrade_upstreams_known";
@@ -141,6 +142,10 @@
         "Requests waiting for an upstream that is at home here"
     );
     describe_gauge!(UPSTREAMS_KNOWN, "Upstreams that the platform lists");
+    describe_counter!(
+        HELD_FOR_REFRESH,
+        "Requests that waited because this router's state was too old, by part of the state"
+    );
     describe_counter!(
         STALE_DECISIONS,
         "Decisions by state older than a change may take to be in force, by part of the state"
@@ -174,6 +179,11 @@
     histogram!(LOOP_LAG_MS).record(as_ms(lag));
 }
 
+/// Counts a request that waited for a newer copy of `state`.
+pub(crate) fn held_for_refresh(state: &'static str) {
+    counter!(HELD_FOR_REFRESH, "state" => state).increment(1);
+}
+
 /// Counts a decision by state that is older than a change may take to be in force.
 pub(crate) fn stale_decision(state: &'static str) {
     counter!(STALE_DECISIONS, "state" => state).increment(1);
