A router's own pause is no evidence about the log

What callers saw: a router that had paused for over 3 s sent requests for a further 2.3 s to upstreams whose entries were removed meanwhile (DRAIN).

Cause: the age of a router's copy was taken for silence of the log, in which the entries of live upstreams expire, so removals were delayed; and the timeout of a read that was under way in the pause fires at the wake, before its answer is read, and counted as a failure of the log. Neither says anything about the log.

Fix: removals are delayed only if a read has failed since the copy was last recent, and a failure counts only if the router ran all the time since it asked. A request that waits for newer state asks anew how long when its router has not run meanwhile.

Open: a router that pauses through an outage's end, and reads first within the two seconds in which entries are written again, removes them at once and refuses until they are back.

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -110,8 +110,9 @@
         (self.bound_ms * STALE_SHARE) as u64
     }
 
-    /// Age from which each router reads for itself, and by which no request may be decided.
-    fn usable_ms(self) -> u64 {
+    /// Returns the age from which each router reads for itself, and above which state decides no
+    /// request.
+    pub fn usable_ms(self) -> u64 {
         self.stale_ms() + self.spread_ms() as u64
     }
 
--- a/src/path/cursor.rs
+++ b/src/path/cursor.rs
@@ -56,11 +56,6 @@
         }
     }
 
-    /// Whether the next request without anything from peers is for all records.
-    pub(crate) fn is_loading(&self) -> bool {
-        self.next.is_none() || self.is_expired
-    }
-
     /// Notes that all records were read; `end` is the offset to continue from.
     pub(crate) fn reset_to(&mut self, end: u64) {
         self.next = Some(end);
--- a/src/path/freshness.rs
+++ b/src/path/freshness.rs
@@ -54,6 +54,8 @@
     evidence: Cell<Evidence>,
     /// Time of the last failed read of the log; 0 if none failed.
     failed_ms: Cell<u64>,
+    /// Whether a read of the log failed since the copy was last recent.
+    has_failed: Cell<bool>,
     /// Since when requests have been waiting for a newer copy.
     wanted_since_ms: Cell<Option<u64>>,
     /// Notified when requests wait for a newer copy.
@@ -78,6 +80,7 @@
             fresh: Cell::default(),
             evidence: Cell::default(),
             failed_ms: Cell::default(),
+            has_failed: Cell::default(),
             wanted_since_ms: Cell::default(),
             wanted,
             changed: Notify::new(),
@@ -108,6 +111,9 @@
         }
         fresh.confirm(at_ms, &mut rand::rng());
         self.fresh.set(fresh);
+        if self.age_ms() <= self.schedule.get().usable_ms() {
+            self.has_failed.set(false);
+        }
         if self.is_usable()
             && let Some(since_ms) = self.wanted_since_ms.take()
         {
@@ -122,16 +128,25 @@
         self.fresh.set(self.fresh.get().invalidated());
     }
 
-    /// Records that a read of the log, requested at `asked_ms`, failed.
+    /// Records that a read requested at `asked_ms` failed: the log is away. If this router did not
+    /// run for a part of that time, the failure shows nothing: the answer may be there.
     pub(crate) fn record_failure(&self, asked_ms: u64) {
-        if asked_ms < self.suspend.resumed_ms() {
+        self.suspend.check_clock();
+        if asked_ms < self.suspend.stalled_ms() {
             return;
         }
         self.failed_ms.set(self.clock.now_ms());
+        self.has_failed.set(true);
         self.wanted_since_ms.set(None);
         self.changed.notify_waiters();
     }
 
+    /// Whether a read of the log failed since the copy was last recent. If not, its age is due to a
+    /// pause of this router.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.has_failed.get()
+    }
+
     /// Whether requests may be decided by the copy.
     pub(crate) fn is_usable(&self) -> bool {
         let limits = UseLimits {
@@ -170,16 +185,29 @@
     pub(crate) async fn wait_until_usable(&self) {
         self.suspend.check_clock();
         if !self.is_usable() {
-            self.refresh_if_needed();
             stats::held_for_refresh(self.name);
-            // After the time limit, the request goes on with the old copy.
-            let _ = compio::time::timeout(self.wait_left(), self.usable()).await;
+            self.wait().await;
         }
         if self.age_ms() > self.schedule.get().bound_ms() {
             stats::stale_decision(self.name);
         }
     }
 
+    async fn wait(&self) {
+        let started_ms = self.clock.now_ms();
+        let last_ms = started_ms + self.schedule.get().bound_ms();
+        while !self.is_usable() && self.clock.now_ms() < last_ms {
+            self.refresh_if_needed();
+            let left = self.wait_left();
+            if left.is_zero() {
+                return;
+            }
+            // The time left is determined anew, as this router may not have run in it.
+            let _ = compio::time::timeout(left, self.usable()).await;
+            self.suspend.check_clock();
+        }
+    }
+
     async fn usable(&self) {
         loop {
             let changed = self.changed.notified();
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -369,8 +369,9 @@
         self.remove(at, id);
     }
 
-    /// Handles the arrival of records. After a long silence, upstreams whose entries were removed
-    /// stay in use for a while.
+    /// Handles the arrival of records. After a long outage, upstreams whose entries were removed stay
+    /// in use for a while. A pause of this router is no outage: the entries of live upstreams were
+    /// renewed in it, and one that is missing has left.
     ///
     /// Failure guarded against: the log returns and all entries have expired. A router that removed
     /// every upstream would refuse all requests until they have written their entries again. Each
@@ -381,6 +382,7 @@
         let silence_ms = self.upstreams_fresh.age_ms();
         if self.upstreams_at.get() > 0
             && silence_ms > ENTRY_EXPIRY_MS
+            && self.upstreams_fresh.has_failed()
             && !mutated(Mutation::RemoveExpiredAtOnce)
         {
             log::info!(
--- a/src/path/log_replica_tests.rs
+++ b/src/path/log_replica_tests.rs
@@ -1,5 +1,5 @@
 use super::changes::MAX_CHANGES;
-use super::cursor::Order;
+use super::cursor::{Order, Record};
 use super::dialect::Records;
 use super::freshness::Evidence;
 use super::log_replica::{LogReplica, ReadSchedules};
@@ -15,7 +15,7 @@
 use futures_util::FutureExt;
 use std::pin::pin;
 use std::rc::Rc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -112,6 +112,8 @@
     // The silence is as old as the clock, far above the limit.
     std::thread::sleep(Duration::from_millis(3_100));
     other.replica.confirm_upstreams(3_000, Evidence::Log);
+    let now_ms = reader.replica.now_ms();
+    reader.replica.upstreams_fresh().record_failure(now_ms);
     reader.replica.end_silence();
     reader.replica.remove(3, "i-1");
     put(&reader, 4, "i-3");
@@ -121,6 +123,24 @@
     assert!(other.state.has_upstream("i-3"));
 }
 
+/// A router was suspended while the entry of an upstream was removed. It must not take its own pause
+/// for an outage of the log and go on sending requests to the upstream.
+#[test]
+fn removal_after_a_suspension_is_applied_at_once() {
+    let now_ms: &'static AtomicU64 = Box::leak(Box::new(AtomicU64::new(10_000)));
+    let router = Router::with_clock(Clock::set_by(now_ms));
+    put(&router, 1, "i-1");
+    put(&router, 2, "i-2");
+    router.replica.confirm_upstreams(10_000, Evidence::Log);
+    now_ms.store(16_000, Ordering::Relaxed);
+    let removal = Record {
+        key: "i-1".to_owned(),
+        value: None,
+    };
+    router.replica.apply_records(2, vec![removal], 16_000);
+    assert!(!router.state.has_upstream("i-1"));
+}
+
 /// A router that missed more changes than are kept is sent all upstreams, and drops those that are
 /// not among them.
 #[test]
--- a/src/path/log_replica_world_tests.rs
+++ b/src/path/log_replica_world_tests.rs
@@ -83,8 +83,12 @@
             let host = &mut self.hosts[at];
             host.failed_ms = now_ms;
             host.router.replica.check_clock();
-            host.router.replica.config_fresh().record_failure(now_ms);
-            host.router.replica.upstreams_fresh().record_failure(now_ms);
+            for fresh in [
+                host.router.replica.config_fresh(),
+                host.router.replica.upstreams_fresh(),
+            ] {
+                fresh.record_failure(now_ms);
+            }
             return;
         }
         let host = &mut self.hosts[at];
