A router that has not run for a while refuses rather than deciding by old state

What callers saw: on routers that run for 20 of 970 ms, 401 and 404 for routes that exist (DENIED), and requests run by withdrawn routes (CONFIG), when the wait for newer state ended without any.

Cause: after the wait, the old copy decided, whatever made it old. That is right while the log answers late to everybody. If the router itself did not run, its peers have newer copies.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -18,7 +18,7 @@
 use crate::path::attempts::choice::Choice;
 use crate::path::call::{BufferedReply, Call, CallError, FailureKind, Reply, UpstreamClient};
 use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
-use crate::path::refusal::Refused;
+use crate::path::refusal::{Refused, STALE_STATE};
 use crate::path::routes::{Account, Route};
 use crate::util::Name;
 
@@ -152,7 +152,9 @@
     pub(crate) async fn next(&mut self, resume_after: Option<u64>) -> Result<Reply, Refused> {
         loop {
             let upstreams = self.context.path.replica.upstreams_fresh();
-            upstreams.wait_until_usable().await;
+            if !upstreams.wait_until_usable().await {
+                return Err(self.refuse(Cause::NoUpstream, STALE_STATE.to_owned()));
+            }
             if self.remaining() < MIN_REMAINING {
                 return Err(self.refuse(
                     Cause::Deadline,
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -212,8 +212,8 @@
         upstream: &Upstream,
         call: &Call<'_>,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
-        self.upstreams_fresh.wait_until_usable().await;
-        if !self.state.still_takes_work(upstream, self.clock.now_ms()) {
+        let is_current = self.upstreams_fresh.wait_until_usable().await;
+        if !is_current || !self.state.still_takes_work(upstream, self.clock.now_ms()) {
             return Err(withheld());
         }
         let sent = connection.sender.try_send_request(build(call)).await;
--- a/src/path/freshness.rs
+++ b/src/path/freshness.rs
@@ -180,17 +180,25 @@
         Duration::from_millis(until_ms.saturating_sub(self.clock.now_ms()))
     }
 
-    /// Waits until a request may be decided by the copy. If neither the log nor a peer answers in
-    /// time, the old one must do: refusing would not serve the caller better.
-    pub(crate) async fn wait_until_usable(&self) {
+    /// Waits until a request may be decided by the copy, and returns whether it may.
+    ///
+    /// If neither the log nor a peer answers in time, the old copy must do: refusing would not serve
+    /// the caller better. But if this router did not run for a part of the time since the copy was
+    /// confirmed, others have newer copies, and the caller is better served by one of them.
+    pub(crate) async fn wait_until_usable(&self) -> bool {
         self.suspend.check_clock();
         if !self.is_usable() {
             stats::held_for_refresh(self.name);
             self.wait().await;
         }
+        let has_stalled = self.suspend.stalled_ms() > self.fresh.get().confirmed_ms();
+        if has_stalled && !self.is_usable() {
+            return false;
+        }
         if self.age_ms() > self.schedule.get().bound_ms() {
             stats::stale_decision(self.name);
         }
+        true
     }
 
     async fn wait(&self) {
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -8,6 +8,10 @@
 use crate::front::refusal::{ErrorBody, status};
 use crate::path::dialect::Dialect;
 
+/// Detail of a refusal by a router whose state is too old to decide by.
+pub(crate) const STALE_STATE: &str =
+    "this router has not run for a while, and its state is too old";
+
 /// Reason why a request ends without an answer of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Refused {
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -20,13 +20,14 @@
 use crate::path::attempts::{Attempts, RequestContext};
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::log_replica::LogReplica;
-use crate::path::refusal::Refused;
+use crate::path::refusal::{Refused, STALE_STATE};
 use crate::path::routes::{Account, CallerLimits, Deployment, Route};
 use crate::path::{RequestPath, answer};
 use crate::stats::{self, Tally};
 use crate::util::Name;
 
-/// `Retry-After` of a router that is stopping: the caller can retry at another router at once.
+/// `Retry-After` of a router that is stopping or was suspended: the caller can retry at another
+/// router at once.
 const STOPPING_RETRY_MS: u64 = 50;
 /// Time limit for reading the body, which callers send at once.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -74,7 +75,10 @@
     let started = Instant::now();
     let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     wait_for_first_load(&path, &head, caller_ms).await;
-    path.replica.config_fresh().wait_until_usable().await;
+    if !path.replica.config_fresh().wait_until_usable().await {
+        let refused = Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, STALE_STATE);
+        return Err(describe_state(refused, &path.replica));
+    }
     let deployment = path.state.deployment();
     check(&parts, &deployment.limits)?;
     if path.drain.phase() == Phase::Refusing {
