A paused peer doesn't delay what other peers offer

What could be seen: a router learns that a peer has newer state, the peer is paused before it answers, and the router handles no report of any other peer until its request times out after 1 s: half of the bound in which a change must be in force. Found by looking for the cause elsewhere, not seen in the record.

Fix: requests for newer state run beside the handling of reports; another peer is asked after 200 ms without an answer, three at most at once, so that a large configuration isn't sent by all.

--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -30,6 +30,7 @@
 pub(crate) mod request;
 pub(crate) mod router_state;
 pub mod routes;
+mod state_requests;
 pub(crate) mod stop;
 pub(crate) mod suspects;
 pub(crate) mod suspend;
@@ -62,6 +63,8 @@
 #[cfg(test)]
 mod router_state_tests;
 #[cfg(test)]
+mod state_requests_tests;
+#[cfg(test)]
 mod suspects_tests;
 
 use std::cell::Cell;
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -15,6 +15,7 @@
 use crate::front::body::Answer;
 use crate::path::RequestPath;
 use crate::path::dialect::{Dialect, Records};
+use crate::path::state_requests::StateRequests;
 use crate::peers::server::{self, PeerHandler};
 use crate::peers::{LOG_SYNC, MEMBERS, PeerClient};
 use crate::schema::peer::{LogSyncReply, LogSyncRequest, MembersReply, MembersRequest};
@@ -73,6 +74,7 @@
     client: PeerClient,
 ) {
     let mut peer_positions = path.gossip.peer_positions();
+    let requests = Rc::new(StateRequests::default());
     while peer_positions.changed().await.is_ok() {
         let received = peer_positions.borrow_and_update().clone();
         path.replica
@@ -80,8 +82,14 @@
         if path.replica.is_behind(&received.position)
             && !(waits_for_log(&path) || path.replica.awaits_log())
             && let Some(addr) = path.peer_addr(&received.host)
+            && requests.start(&received.host, path.clock.now_ms())
         {
-            request_state(&path, &client, &addr).await;
+            let (path, client, requests) = (path.clone(), client.clone(), requests.clone());
+            compio::runtime::spawn(async move {
+                request_state(&path, &client, &addr).await;
+                requests.end(&received.host);
+            })
+            .detach();
         }
     }
 }
