Soak: versions, departures and short stops, with promises measured from the store's acknowledgement

The operator writes versions in uneven steps and repeats a write until it is acknowledged. Callers probe changing routes and keys at each router. Upstreams leave by a draining entry or by removal of it while they go on serving. History of any stream is deleted at any moment. Routers are stopped in short cycles, which excuse nothing. A new module checks what must be in force how long after the store's acknowledgement, and counts the requests that it could check.

--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -8,8 +8,11 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 
-use crate::support::routed::{RoutedFleet, routes};
+use crate::operator::Operator;
+use crate::outages::{Outage, Outages};
+use crate::support::routed::RoutedFleet;
 use crate::support::{post, sleep_ms, wall_ms};
+use crate::suspend::{Hold, Suspender};
 
 /// Maximum pause between two faults; shorter than most faults last, so that they overlap.
 const MAX_PAUSE_MS: u64 = 900;
@@ -21,10 +24,19 @@
 /// Share of the steps in which an upstream also announces a shutdown or a time without requests.
 const NOTICE_SHARE: f64 = 0.4;
 
-/// Random numbers of the faults. Notices have their own, so that a seed keeps its other faults.
+/// Share of the steps in which an upstream starts to leave.
+const DEPARTURE_SHARE: f64 = 0.35;
+/// Time for which a leaving upstream serves.
+const DEPARTURE_MS: std::ops::Range<u64> = 4_000..9_500;
+/// Offset of the seed of departures.
+const DEPARTURE_SEED: u64 = 0x6465_7061_7274;
+
+/// Random numbers of the faults. Notices and departures have their own, so that a seed keeps its
+/// other faults.
 pub(crate) struct FaultRngs {
     faults: SmallRng,
     notices: SmallRng,
+    departures: SmallRng,
 }
 
 impl FaultRngs {
@@ -32,10 +44,34 @@
         Self {
             faults: SmallRng::seed_from_u64(seed),
             notices: SmallRng::seed_from_u64(!seed),
+            departures: SmallRng::seed_from_u64(seed ^ DEPARTURE_SEED),
         }
     }
 }
 
+/// What else acts on the fleet during the run, and the record of all outages.
+pub(crate) struct Scene {
+    pub(crate) operator: Operator,
+    pub(crate) suspender: Suspender,
+    pub(crate) outages: Outages,
+}
+
+impl Scene {
+    /// Starts a router again that was waited for.
+    fn start_router(&self, routed: &mut RoutedFleet, router: usize) {
+        routed.spawn_router(u8::try_from(router).unwrap_or_default());
+        self.suspender
+            .replace(router, routed.routers[router].handle());
+        self.outages.end(Outage::RouterDown(router));
+    }
+
+    /// Records that an upstream was killed.
+    fn upstream_killed(&self, upstream: usize) {
+        self.outages.end(Outage::UpstreamFrozen(upstream));
+        self.outages.end(Outage::UpstreamLeaving(upstream));
+    }
+}
+
 /// Timeout for setting an upstream's knobs.
 const KNOBS_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -44,7 +80,7 @@
 
 /// How a fault is reverted.
 enum Revert {
-    ResumeRouter(u8),
+    ResumeRouter(Hold),
     StartRouter(u8),
     ClearStore,
     ClearRelay(u8),
@@ -52,6 +88,8 @@
     ClearUpstream(usize),
     /// Ends the upstream and starts it again, mostly under an id that earlier starts had.
     ReplaceUpstream(usize),
+    /// Ends a leaving upstream and starts it again under a new id.
+    ReplaceDeparted(usize),
 }
 
 /// Unix times at which routers and upstreams were stopped, frozen, resumed or started.
@@ -81,6 +119,7 @@
 pub(crate) async fn inject_until(
     routed: &mut RoutedFleet,
     rngs: &mut FaultRngs,
+    scene: &Scene,
     until: Instant,
 ) -> Interruptions {
     let start = Instant::now();
@@ -89,14 +128,27 @@
     let mut interruptions = Interruptions::default();
     while Instant::now() < until {
         sleep_ms(rng.random_range(50..MAX_PAUSE_MS)).await;
-        revert_due(routed, &mut active, &mut interruptions, Instant::now());
-        clear_due_knobs(routed, &mut active, Instant::now()).await;
+        revert_due(
+            routed,
+            scene,
+            &mut active,
+            &mut interruptions,
+            Instant::now(),
+        );
+        clear_due_knobs(routed, scene, &mut active, Instant::now()).await;
+        if rngs.departures.random_bool(DEPARTURE_SHARE) {
+            let departure = departure(routed, scene, &mut rngs.departures).await;
+            if let Some((description, fault)) = departure {
+                println!("{} ms: {description}", start.elapsed().as_millis());
+                active.push(fault);
+            }
+        }
         if rngs.notices.random_bool(NOTICE_SHARE) {
-            let (description, fault) = notice(routed, &mut rngs.notices).await;
+            let (description, fault) = notice(routed, scene, &mut rngs.notices).await;
             println!("{} ms: {description}", start.elapsed().as_millis());
             active.push(fault);
         }
-        let injected = inject(routed, rng, &active, &mut interruptions);
+        let injected = inject(routed, scene, rng, &active, &mut interruptions);
         let injected = compio::time::timeout(INJECT_TIMEOUT, injected);
         let Ok((description, revert)) = injected.await else {
             println!("fault injection timed out; continuing with the next fault");
@@ -111,8 +163,8 @@
         }
     }
     let end = Instant::now() + Duration::from_secs(3_600);
-    revert_due(routed, &mut active, &mut interruptions, end);
-    clear_due_knobs(routed, &mut active, end).await;
+    revert_due(routed, scene, &mut active, &mut interruptions, end);
+    clear_due_knobs(routed, scene, &mut active, end).await;
     for i in 0..routed.upstreams.len() {
         if routed.upstreams[i].exited().is_some() {
             routed.spawn_upstream(u8::try_from(i).unwrap_or_default());
@@ -121,13 +173,13 @@
     // An upstream that was frozen applies knobs when it resumes, after their request timed out, so
     // all knobs are reset once more.
     for i in 0..routed.upstreams.len() {
-        set_upstream(routed, i, &json!({})).await;
+        set_upstream(routed, scene, i, &json!({})).await;
     }
     for i in 0..routed.routers.len() {
         // A router that was stopped may not have exited yet.
         if routed.stopping.contains(&i) || routed.routers[i].exited().is_some() {
             routed.routers[i].wait_exit().await;
-            routed.spawn_router(u8::try_from(i).unwrap_or_default());
+            scene.start_router(routed, i);
         }
     }
     routed.stopping.clear();
@@ -135,7 +187,7 @@
 }
 
 /// Makes an upstream announce its shutdown, or reject requests and ask for a time without any.
-async fn notice(routed: &RoutedFleet, rng: &mut SmallRng) -> (String, ActiveFault) {
+async fn notice(routed: &RoutedFleet, scene: &Scene, rng: &mut SmallRng) -> (String, ActiveFault) {
     let i = rng.random_range(0..routed.upstreams.len());
     let (knobs, revert, duration_ms) = if rng.random_bool(0.5) {
         let knobs = json!({ "leaving": "1", "draining": rng.random_bool(0.3) });
@@ -148,7 +200,7 @@
         let duration_ms = rng.random_range(300..MAX_FAULT_MS);
         (knobs, Revert::ClearUpstream(i), duration_ms)
     };
-    set_upstream(routed, i, &knobs).await;
+    set_upstream(routed, scene, i, &knobs).await;
     let fault = ActiveFault {
         reverts_at: Instant::now() + Duration::from_millis(duration_ms),
         revert,
@@ -157,9 +209,38 @@
     (description, fault)
 }
 
+/// Makes an upstream leave, with or without a `draining` entry, while it goes on serving. At most
+/// half of the upstreams leave at once, and a frozen one doesn't.
+async fn departure(
+    routed: &RoutedFleet,
+    scene: &Scene,
+    rng: &mut SmallRng,
+) -> Option<(String, ActiveFault)> {
+    let count = routed.upstreams.len();
+    let i = rng.random_range(0..count);
+    let is_withdrawn = rng.random_bool(0.5);
+    let duration_ms = rng.random_range(DEPARTURE_MS);
+    let is_leaving = |i: usize| scene.outages.is_open(Outage::UpstreamLeaving(i));
+    let leaving = (0..count).filter(|i| is_leaving(*i)).count();
+    let is_frozen = scene.outages.is_open(Outage::UpstreamFrozen(i));
+    if is_leaving(i) || is_frozen || leaving >= count.div_ceil(2) {
+        return None;
+    }
+    let knobs = json!({ "draining": !is_withdrawn, "withdrawn": is_withdrawn });
+    set_upstream(routed, scene, i, &knobs).await;
+    scene.outages.begin(Outage::UpstreamLeaving(i));
+    let fault = ActiveFault {
+        reverts_at: Instant::now() + Duration::from_millis(duration_ms),
+        revert: Revert::ReplaceDeparted(i),
+    };
+    let description = format!("upstream {i} leaves: {knobs}, for {duration_ms} ms");
+    Some((description, fault))
+}
+
 /// Reverts due faults that end by a signal or a process start.
 fn revert_due(
     routed: &mut RoutedFleet,
+    scene: &Scene,
     active: &mut Vec<ActiveFault>,
     interruptions: &mut Interruptions,
     now: Instant,
@@ -169,9 +250,9 @@
             return true;
         }
         match fault.revert {
-            Revert::ResumeRouter(i) => {
-                routed.routers[usize::from(i)].unfreeze();
-                interruptions.router(usize::from(i));
+            Revert::ResumeRouter(hold) => {
+                scene.suspender.release(hold);
+                interruptions.router(hold.router);
             }
             Revert::StartRouter(i) => {
                 let index = usize::from(i);
@@ -179,18 +260,26 @@
                     return now < fault.reverts_at + Duration::from_secs(60);
                 }
                 routed.stopping.retain(|s| *s != index);
-                routed.spawn_router(i);
+                scene.start_router(routed, index);
                 interruptions.router(index);
             }
             Revert::ResumeUpstream(i) => {
                 routed.upstreams[i].unfreeze();
+                scene.outages.end(Outage::UpstreamFrozen(i));
                 interruptions.upstream(i);
             }
             Revert::ReplaceUpstream(i) => {
                 routed.upstreams[i].kill();
+                scene.upstream_killed(i);
                 routed.spawn_upstream_as(u8::try_from(i).unwrap_or_default(), &format!("i-{i}"));
                 interruptions.upstream(i);
             }
+            Revert::ReplaceDeparted(i) => {
+                routed.upstreams[i].kill();
+                scene.upstream_killed(i);
+                routed.spawn_upstream(u8::try_from(i).unwrap_or_default());
+                interruptions.upstream(i);
+            }
             Revert::ClearStore | Revert::ClearRelay(_) | Revert::ClearUpstream(_) => return true,
         }
         false
@@ -198,15 +287,26 @@
 }
 
 /// Reverts due faults that end by resetting knobs.
-async fn clear_due_knobs(routed: &RoutedFleet, active: &mut Vec<ActiveFault>, now: Instant) {
+async fn clear_due_knobs(
+    routed: &RoutedFleet,
+    scene: &Scene,
+    active: &mut Vec<ActiveFault>,
+    now: Instant,
+) {
     let due: Vec<ActiveFault> = active
         .extract_if(.., |fault| fault.reverts_at <= now)
         .collect();
     for fault in due {
         match fault.revert {
-            Revert::ClearStore => routed.store_knobs(json!({ "lapse_ms": 1_500 })).await,
-            Revert::ClearRelay(i) => routed.relay_knobs(i, json!({})).await,
-            Revert::ClearUpstream(i) => set_upstream(routed, i, &json!({})).await,
+            Revert::ClearStore => {
+                routed.store_knobs(json!({ "lapse_ms": 1_500 })).await;
+                scene.outages.end(Outage::Store);
+            }
+            Revert::ClearRelay(i) => {
+                routed.relay_knobs(i, json!({})).await;
+                scene.outages.end(Outage::Relay(usize::from(i)));
+            }
+            Revert::ClearUpstream(i) => set_upstream(routed, scene, i, &json!({})).await,
             revert => active.push(ActiveFault {
                 reverts_at: fault.reverts_at,
                 revert,
@@ -217,6 +317,7 @@
 
 async fn inject(
     routed: &mut RoutedFleet,
+    scene: &Scene,
     rng: &mut SmallRng,
     active: &[ActiveFault],
     interruptions: &mut Interruptions,
@@ -224,22 +325,29 @@
     let router = rng.random_range(0..routed.routers.len());
     let upstream = rng.random_range(0..routed.upstreams.len());
     let i = u8::try_from(router).unwrap_or_default();
-    let is_faulted = active.iter().any(
-        |fault| matches!(fault.revert, Revert::ResumeRouter(r) | Revert::StartRouter(r) if r == i),
-    );
+    let is_faulted = active.iter().any(|fault| match fault.revert {
+        Revert::ResumeRouter(hold) => hold.router == router,
+        Revert::StartRouter(r) => r == i,
+        _ => false,
+    });
     match rng.random_range(0..12) {
         0 if !is_faulted => {
+            scene.outages.begin(Outage::RouterDown(router));
             routed.routers[router].kill();
-            routed.spawn_router(i);
+            scene.start_router(routed, router);
             interruptions.router(router);
             (format!("router {i} killed and started"), None)
         }
         1 if !is_faulted => {
-            routed.routers[router].freeze();
+            let hold = scene.suspender.hold(router);
             interruptions.router(router);
-            (format!("router {i} frozen"), Some(Revert::ResumeRouter(i)))
+            (
+                format!("router {i} frozen"),
+                Some(Revert::ResumeRouter(hold)),
+            )
         }
         2 if !is_faulted => {
+            scene.outages.begin(Outage::RouterDown(router));
             routed.routers[router].terminate();
             interruptions.router(router);
             routed.stopping.push(router);
@@ -259,11 +367,20 @@
         }
         4 => {
             let fault = store_fault(rng);
+            let is_forget = fault["forget"] == true;
+            if !is_forget {
+                scene.outages.begin(Outage::Store);
+            }
             routed.store_knobs(fault.clone()).await;
+            if is_forget {
+                // These knobs replaced those of a fault.
+                scene.outages.end(Outage::Store);
+            }
             (format!("store: {fault}"), Some(Revert::ClearStore))
         }
         5 | 6 => {
             let fault = relay_fault(rng);
+            scene.outages.begin(Outage::Relay(router));
             routed.relay_knobs(i, fault.clone()).await;
             (
                 format!("relay from router {i} to the store: {fault}"),
@@ -272,11 +389,13 @@
         }
         7 => {
             routed.upstreams[upstream].kill();
+            scene.upstream_killed(upstream);
             routed.spawn_upstream(u8::try_from(upstream).unwrap_or_default());
             interruptions.upstream(upstream);
             (format!("upstream {upstream} killed and started"), None)
         }
         8 => {
+            scene.outages.begin(Outage::UpstreamFrozen(upstream));
             routed.upstreams[upstream].freeze();
             interruptions.upstream(upstream);
             (
@@ -286,32 +405,30 @@
         }
         9 | 10 => {
             let fault = upstream_fault(rng);
-            post(
-                routed.upstreams[upstream].addr,
-                "/knobs",
-                &fault.to_string(),
-            )
-            .await;
+            set_upstream(routed, scene, upstream, &fault).await;
             (
                 format!("upstream {upstream}: {fault}"),
                 Some(Revert::ClearUpstream(upstream)),
             )
         }
         _ => {
-            let mut changed = routes();
             let name = format!("more-{}", rng.random_range(0..100));
-            changed.push(json!({
+            let description = format!("configuration with route {name}");
+            scene.operator.want_route(json!({
                 "name": name, "host": "b.example", "path_prefix": "/x/", "type": "idempotent",
                 "service": "s1",
             }));
-            let version = routed.configure(json!({ "routes": changed })).await;
-            (format!("configuration {version}"), None)
+            (description, None)
         }
     }
 }
 
-/// Sets an upstream's knobs; prints a line if the upstream is frozen or was killed.
-async fn set_upstream(routed: &RoutedFleet, upstream: usize, knobs: &Value) {
+/// Sets an upstream's knobs, unless it is leaving, which other knobs would undo; prints a line if
+/// the upstream is frozen or was killed.
+async fn set_upstream(routed: &RoutedFleet, scene: &Scene, upstream: usize, knobs: &Value) {
+    if scene.outages.is_open(Outage::UpstreamLeaving(upstream)) {
+        return;
+    }
     let text = knobs.to_string();
     let set = post(routed.upstreams[upstream].addr, "/knobs", &text);
     if compio::time::timeout(KNOBS_TIMEOUT, set).await.is_err() {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -9,6 +9,11 @@
 mod callers;
 mod faults;
 mod notices;
+mod operator;
+mod outages;
+mod probes;
+mod promises;
+mod suspend;
 mod verdict;
 
 use std::process::ExitCode;
@@ -17,8 +22,29 @@
 use bpaf::{Bpaf, Parser};
 
 use crate::callers::Callers;
-use crate::faults::FaultRngs;
+use crate::faults::{FaultRngs, Scene};
+use crate::operator::Operator;
+use crate::outages::{Outage, Outages};
+use crate::probes::Probes;
+use crate::promises::Evidence;
 use crate::support::routed::{FleetSize, RoutedFleet};
+use crate::suspend::Suspender;
+
+/// Offsets of the seeds of tasks that draw their own random numbers.
+const OPERATOR_SEED: u64 = 0x6f70;
+const TRUNCATE_SEED: u64 = 0x7472;
+const SUSPEND_SEED: u64 = 0x7375;
+const PROBE_SEED: u64 = 0x7072;
+
+/// What decides whether a run passes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Checks {
+    /// Responses match the upstreams' records.
+    Answers,
+    /// Configurations and departures are in force in time.
+    Promises,
+}
 
 /// Runs a fleet of processes under load and faults, and checks the responses that callers received
 #[derive(Clone, Debug, Bpaf)]
@@ -39,6 +65,12 @@
     /// Number of callers
     #[bpaf(long, argument("N"), fallback(8))]
     pub(crate) callers: u32,
+    /// Number of tasks per router that send requests on changing routes
+    #[bpaf(long, argument("N"), fallback(3))]
+    pub(crate) probes: u32,
+    /// The only checks that decide, answers or promises; by default both
+    #[bpaf(long, argument("CHECKS"), optional)]
+    pub(crate) only: Option<Checks>,
 }
 
 fn main() -> ExitCode {
@@ -80,16 +112,52 @@
         ..FleetSize::default()
     };
     let mut routed = RoutedFleet::start(size).await;
+    let outages = started(&routed);
+    let scene = Scene {
+        operator: Operator::new(&routed),
+        suspender: Suspender::new(&routed, outages.clone()),
+        outages,
+    };
     let callers = Callers::spawn(&routed, args.callers, args.seed);
+    let probes = Probes::spawn(&routed, args.probes, args.seed ^ PROBE_SEED);
     let until = Instant::now() + Duration::from_secs(args.seconds);
-    let interruptions = faults::inject_until(&mut routed, &mut rngs, until).await;
-    let mut violations = verdict::recovery(&routed).await;
+    let others = spawn_others(&routed, &scene, args.seed, until);
+    let interruptions = faults::inject_until(&mut routed, &mut rngs, &scene, until).await;
+    for other in others {
+        let _ = other.await;
+    }
+    let recovery = verdict::recovery(&routed).await;
     let records = callers.stop().await;
+    let probes = probes.stop().await;
     // Upstreams print a run before they answer it; this waits for the last printed lines.
     support::sleep_ms(300).await;
-    violations.extend(verdict::check(&routed, &records));
-    violations.extend(notices::check(&routed, &records, &interruptions));
+    let mut violations = Vec::new();
+    if args.only != Some(Checks::Promises) {
+        violations.extend(recovery);
+        violations.extend(verdict::check(&routed, &records));
+        violations.extend(notices::check(&routed, &records, &interruptions));
+    }
     println!("seed {}: {}", args.seed, verdict::summary(&records));
+    let versions = scene.operator.versions();
+    let findings = promises::check(&Evidence {
+        seed: args.seed,
+        routed: &routed,
+        requests: &records,
+        probes: &probes,
+        versions: &versions,
+        outages: &scene.outages,
+    });
+    let (probed, written) = (probes.len(), versions.len());
+    println!(
+        "seed {}: {probed} requests on {written} versions",
+        args.seed
+    );
+    for finding in findings {
+        println!("seed {}: {}", args.seed, finding.summary());
+        if args.only != Some(Checks::Answers) {
+            violations.extend(finding.violations);
+        }
+    }
     if violations.is_empty() {
         println!("PASS");
         return ExitCode::SUCCESS;
@@ -100,3 +168,37 @@
     println!("output kept in {}", routed.keep_output().display());
     ExitCode::FAILURE
 }
+
+/// The record of outages, with the start of each router.
+fn started(routed: &RoutedFleet) -> Outages {
+    let outages = Outages::default();
+    for router in 0..routed.routers.len() {
+        outages.begin(Outage::RouterDown(router));
+        outages.end(Outage::RouterDown(router));
+    }
+    outages
+}
+
+/// Starts the operator and what disturbs the fleet beside the faults; all end soon after `until`.
+fn spawn_others(
+    routed: &RoutedFleet,
+    scene: &Scene,
+    seed: u64,
+    until: Instant,
+) -> Vec<compio::runtime::JoinHandle<()>> {
+    let operator = scene
+        .operator
+        .clone()
+        .run_until(seed ^ OPERATOR_SEED, until);
+    let store = routed.store.addr;
+    let truncations = operator::truncate_until(store, seed ^ TRUNCATE_SEED, until);
+    let shortages = scene
+        .suspender
+        .clone()
+        .run_until(seed ^ SUSPEND_SEED, until);
+    vec![
+        compio::runtime::spawn(operator),
+        compio::runtime::spawn(truncations),
+        compio::runtime::spawn(shortages),
+    ]
+}
--- a/examples/soak/notices.rs
+++ b/examples/soak/notices.rs
@@ -90,7 +90,7 @@
 }
 
 /// Index of the router that a request was sent to.
-fn index_of(routed: &RoutedFleet, record: &RequestRecord) -> Option<usize> {
+pub(crate) fn index_of(routed: &RoutedFleet, record: &RequestRecord) -> Option<usize> {
     let mut routers = 0..routed.routers.len();
     routers.find(|i| routed.caller(u8::try_from(*i).unwrap_or_default()) == record.router)
 }
--- /dev/null
+++ b/examples/soak/outages.rs
@@ -0,0 +1,148 @@
+//! Times of what disturbs the processes of the fleet.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use crate::support::wall_ms;
+
+/// Time after the end of a disturbance for which it still excuses a router.
+const EXCUSED_AFTER_MS: u64 = 3_000;
+/// Shortest suspension of a router that excuses it; shorter ones count as a shortage of processor.
+const MIN_FREEZE_MS: u64 = 1_000;
+
+/// What is disturbed, with the index of the router or upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Outage {
+    /// From a kill or SIGTERM until the next start of the router.
+    RouterDown(usize),
+    /// The router's process is suspended, for any time.
+    RouterSuspended(usize),
+    /// The router runs only in short cycles.
+    RouterShort(usize),
+    /// The relay between the router and the store has a fault.
+    Relay(usize),
+    Store,
+    UpstreamFrozen(usize),
+    /// The upstream announces its shutdown in the store, or removed its entry, and still serves.
+    UpstreamLeaving(usize),
+}
+
+/// A period in Unix milliseconds; one that hasn't ended ends at `u64::MAX`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Span {
+    pub(crate) from_ms: u64,
+    pub(crate) to_ms: u64,
+}
+
+impl Span {
+    pub(crate) fn overlaps(self, from_ms: u64, to_ms: u64) -> bool {
+        self.from_ms <= to_ms && from_ms <= self.to_ms
+    }
+
+    fn length_ms(self) -> u64 {
+        self.to_ms - self.from_ms
+    }
+}
+
+/// All outages of a run. Clones share one list.
+#[derive(Clone, Default)]
+pub(crate) struct Outages(Rc<RefCell<Vec<(Outage, Span)>>>);
+
+impl Outages {
+    /// Records the start of an outage, unless it is going on.
+    pub(crate) fn begin(&self, outage: Outage) {
+        let mut spans = self.0.borrow_mut();
+        let is_open = |(o, span): &(Outage, Span)| *o == outage && span.to_ms == u64::MAX;
+        if spans.iter().any(is_open) {
+            return;
+        }
+        let span = Span {
+            from_ms: wall_ms(),
+            to_ms: u64::MAX,
+        };
+        spans.push((outage, span));
+    }
+
+    pub(crate) fn end(&self, outage: Outage) {
+        let mut spans = self.0.borrow_mut();
+        let mut open = spans
+            .iter_mut()
+            .filter(|(o, s)| *o == outage && s.to_ms == u64::MAX);
+        if let Some((_, span)) = open.next() {
+            span.to_ms = wall_ms();
+        }
+    }
+
+    pub(crate) fn is_open(&self, outage: Outage) -> bool {
+        let spans = self.0.borrow();
+        let mut matching = spans.iter().filter(|(o, _)| *o == outage);
+        matching.any(|(_, span)| span.to_ms == u64::MAX)
+    }
+
+    /// The outages of this kind, in the order of their starts.
+    pub(crate) fn of(&self, outage: Outage) -> Vec<Span> {
+        let spans = self.0.borrow();
+        let matching = spans.iter().filter(|(o, _)| *o == outage);
+        matching.map(|(_, span)| *span).collect()
+    }
+
+    pub(crate) fn has(&self, outage: Outage, from_ms: u64, to_ms: u64) -> bool {
+        let spans = self.0.borrow();
+        let mut matching = spans.iter().filter(|(o, _)| *o == outage);
+        matching.any(|(_, span)| span.overlaps(from_ms, to_ms))
+    }
+
+    /// Whether a router's bounds don't hold for a request of this period.
+    pub(crate) fn excuses(&self, router: usize, from_ms: u64, to_ms: u64) -> bool {
+        let spans = self.0.borrow();
+        let is_excusing = |(outage, span): &(Outage, Span)| match outage {
+            Outage::RouterDown(r) | Outage::Relay(r) => *r == router,
+            Outage::RouterSuspended(r) => *r == router && span.length_ms() >= MIN_FREEZE_MS,
+            Outage::Store => true,
+            _ => false,
+        };
+        let mut excusing = spans.iter().filter(|entry| is_excusing(entry));
+        excusing.any(|(_, span)| {
+            let until_ms = span.to_ms.saturating_add(EXCUSED_AFTER_MS);
+            span.from_ms <= to_ms && from_ms <= until_ms
+        })
+    }
+
+    /// Whether a router was suspended or ran only in cycles in this period.
+    pub(crate) fn is_short(&self, router: usize, from_ms: u64, to_ms: u64) -> bool {
+        let kinds = [Outage::RouterShort(router), Outage::RouterSuspended(router)];
+        kinds.iter().any(|kind| self.has(*kind, from_ms, to_ms))
+    }
+
+    /// What disturbed a router in this period, in milliseconds relative to `origin_ms`.
+    pub(crate) fn describe(
+        &self,
+        router: usize,
+        from_ms: u64,
+        to_ms: u64,
+        origin_ms: u64,
+    ) -> String {
+        let relative = |at_ms: u64| i128::from(at_ms) - i128::from(origin_ms);
+        let spans = self.0.borrow();
+        let is_of_router = |outage: &Outage| match outage {
+            Outage::RouterDown(r)
+            | Outage::RouterSuspended(r)
+            | Outage::RouterShort(r)
+            | Outage::Relay(r) => *r == router,
+            Outage::Store => true,
+            Outage::UpstreamFrozen(_) | Outage::UpstreamLeaving(_) => false,
+        };
+        let matching = spans
+            .iter()
+            .filter(|(o, span)| is_of_router(o) && span.overlaps(from_ms, to_ms));
+        let texts = matching.map(|(outage, span)| {
+            let to = if span.to_ms == u64::MAX {
+                "end".to_owned()
+            } else {
+                format!("{:+}", relative(span.to_ms))
+            };
+            format!("{outage:?} {:+}..{to}", relative(span.from_ms))
+        });
+        texts.collect::<Vec<_>>().join(", ")
+    }
+}
--- a/examples/soak/verdict.rs
+++ b/examples/soak/verdict.rs
@@ -81,7 +81,7 @@
     let Some(received) = &record.received else {
         return violations;
     };
-    if received.status == 401 || received.status == 404 {
+    if matches!(received.status, 401 | 403 | 404) {
         violations.push(format!("rejected with status {}", received.status));
     }
     if record.kind.is_at_most_once()
--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -36,6 +36,8 @@
     pub draining: bool,
     /// Publishes nothing to the store.
     pub mute: bool,
+    /// Removes its entry from the store and publishes none.
+    pub withdrawn: bool,
     /// Value with which every response announces a shutdown; empty: no announcement.
     pub leaving: String,
     /// Time that rejections ask for, in seconds; empty: none.
@@ -206,24 +208,27 @@
 impl Server {
     async fn publish_entries(self: Rc<Self>) {
         loop {
-            let (draining, mute) = {
-                let knobs = self.knobs.borrow();
-                (knobs.draining, knobs.mute)
-            };
-            if !mute {
+            let knobs = self.knobs.borrow().clone();
+            if !knobs.mute {
                 let entry = json!({
                     "service": self.config.service,
                     "address": self.addr.to_string(),
                     "zone": self.config.data_center,
                     "version": "v1",
                     "slots": self.config.slots,
-                    "state": if draining { "draining" } else { "ready" },
+                    "state": if knobs.draining { "draining" } else { "ready" },
                     "cold_remaining_ms": 0,
                     "born": self.started_ms,
                 });
                 let store = self.config.store;
                 let url = format!("http://{store}/log-append?stream_name=keyed.servers&part=0");
-                let body = record(&self.id, &entry.to_string());
+                // An empty value deletes the entry.
+                let value = if knobs.withdrawn {
+                    String::new()
+                } else {
+                    entry.to_string()
+                };
+                let body = record(&self.id, &value);
                 // If the store is unavailable, the next publication makes up for it.
                 let _ = compio::time::timeout(PUBLISH_INTERVAL, post(&url, body)).await;
             }
--- a/standins/src/keyed.rs
+++ b/standins/src/keyed.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
@@ -15,7 +15,9 @@
 use serde_json::json;
 use tokio::sync::watch;
 
-use crate::http::{BufferedRequest, Handler, ResponseBody, json as json_reply, serve, status};
+use crate::http::{
+    BufferedRequest, Handler, ResponseBody, json as json_reply, print_run, serve, status,
+};
 
 /// Stream that upstreams publish to; an entry that isn't refreshed expires.
 const UPSTREAM_STREAM: &str = "keyed.servers";
@@ -58,6 +60,17 @@
     Silent,
 }
 
+/// A change of an upstream's entry, printed when the store holds it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct EntryChange {
+    /// Id of the upstream.
+    pub entry: String,
+    /// State that the entry names; empty if the entry was removed.
+    pub state: String,
+    /// Time from which the store holds it, in Unix milliseconds.
+    pub stored_ms: u64,
+}
+
 /// A running store.
 pub struct Keyed {
     /// Address that it listens on.
@@ -78,10 +91,16 @@
     }
 
     /// Writes a value; appends no record if the value is unchanged. An empty value deletes the key.
-    fn put(&mut self, key: String, value: Bytes) {
+    /// Returns whether the value changed.
+    fn put(&mut self, key: String, value: Bytes) -> bool {
+        let old = self.newest.get(&key).map(|(_, v)| v);
+        if old.is_none() && value.is_empty() {
+            return false;
+        }
+        let is_changed = old != Some(&value);
         self.written_at.insert(key.clone(), Instant::now());
-        if self.newest.get(&key).is_some_and(|(_, v)| *v == value) {
-            return;
+        if !is_changed {
+            return false;
         }
         let at = self.end();
         if value.is_empty() {
@@ -91,6 +110,13 @@
             self.newest.insert(key.clone(), (at, value.clone()));
         }
         self.records.push((key, value));
+        true
+    }
+
+    /// Deletes the history; the newest record of each key remains.
+    fn truncate(&mut self) {
+        self.first = self.end();
+        self.records.clear();
     }
 
     fn expire(&mut self, limit: Duration) {
@@ -100,11 +126,23 @@
             .filter(|(_, at)| at.elapsed() > limit);
         let expired: Vec<String> = expired.map(|(key, _)| key.clone()).collect();
         for key in expired {
+            print_entry_change(&key, &Bytes::new());
             self.put(key, Bytes::new());
         }
     }
 }
 
+fn print_entry_change(key: &str, value: &Bytes) {
+    let entry: serde_json::Value = serde_json::from_slice(value).unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let stored_ms = since.unwrap_or_default().as_millis();
+    print_run(&EntryChange {
+        entry: key.to_owned(),
+        state: entry["state"].as_str().unwrap_or_default().to_owned(),
+        stored_ms: u64::try_from(stored_ms).unwrap_or(u64::MAX),
+    });
+}
+
 struct Server {
     knobs: RefCell<Knobs>,
     streams: RefCell<HashMap<String, Stream>>,
@@ -135,6 +173,9 @@
         if (&request.method, request.path.as_str()) == (&Method::POST, "/knobs") {
             return Some(self.set_knobs(&request));
         }
+        if request.path == "/truncate" {
+            return Some(self.truncate(&request));
+        }
         if request.path == "/calls" {
             return Some(json_reply(&self.calls.get()));
         }
@@ -167,14 +208,25 @@
         };
         if knobs.forget {
             for stream in self.streams.borrow_mut().values_mut() {
-                stream.first = stream.end();
-                stream.records.clear();
+                stream.truncate();
             }
         }
         *self.knobs.borrow_mut() = knobs;
         status(StatusCode::OK)
     }
 
+    /// Truncates the stream given in the query, or every stream, whatever fault is set.
+    fn truncate(&self, request: &BufferedRequest) -> Response<ResponseBody> {
+        let only: Option<String> = request.query("stream_name");
+        let mut streams = self.streams.borrow_mut();
+        let is_chosen = |name: &String| only.as_ref().is_none_or(|only| only == name);
+        let chosen = streams.iter_mut().filter(|(name, _)| is_chosen(name));
+        for (_, stream) in chosen {
+            stream.truncate();
+        }
+        status(StatusCode::OK)
+    }
+
     async fn expire(self: Rc<Self>) {
         loop {
             compio::time::sleep(Duration::from_millis(100)).await;
@@ -191,6 +243,7 @@
 
     fn append(&self, request: &BufferedRequest) -> Option<Response<ResponseBody>> {
         let name: String = request.query("stream_name")?;
+        let is_of_upstreams = name == UPSTREAM_STREAM;
         let mut body = request.body.clone();
         let mut streams = self.streams.borrow_mut();
         let stream = streams.entry(name).or_default();
@@ -200,7 +253,10 @@
             let mut record = body.split_to(record_bytes.min(body.len()));
             let key_bytes = usize::from(record.get_u8());
             let key = record.split_to(key_bytes);
-            stream.put(String::from_utf8_lossy(&key).into_owned(), record);
+            let key = String::from_utf8_lossy(&key).into_owned();
+            if stream.put(key.clone(), record.clone()) && is_of_upstreams {
+                print_entry_change(&key, &record);
+            }
         }
         let reply = json!({ "position": position, "end_offset": stream.end() });
         self.changed.send_modify(|n| *n += 1);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) use fleet::Fleet;
 pub(crate) use operator::{account, apply_at, policy, upstream, upstream_at};
 pub(crate) use options::{Options, Relay, Shape};
-pub(crate) use process::{Process, sleep_ms, wall_ms};
+pub(crate) use process::{Process, ProcessHandle, sleep_ms, wall_ms};
 pub(crate) use records::{Run, Runs};
 
 pub(crate) const OPERATOR_KEY: &str = "operator-key-0123456789";
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -18,6 +18,21 @@
     pub(crate) addr: SocketAddr,
 }
 
+/// Signals a process that the test started, also while the fleet is borrowed. Valid until the
+/// process has been waited for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProcessHandle(Pid);
+
+impl ProcessHandle {
+    pub(crate) fn freeze(self) {
+        let _ = kill(self.0, Signal::SIGSTOP);
+    }
+
+    pub(crate) fn unfreeze(self) {
+        let _ = kill(self.0, Signal::SIGCONT);
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
@@ -31,6 +46,10 @@
         let _ = self.child.wait();
     }
 
+    pub(crate) fn handle(&self) -> ProcessHandle {
+        ProcessHandle(self.pid())
+    }
+
     /// Suspends the process with SIGSTOP: its sockets stay open and nothing is answered.
     pub(crate) fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
@@ -66,9 +85,12 @@
     }
 
     fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).unwrap();
         // Signalling an exited process fails; the test detects the exit elsewhere.
-        let _ = kill(Pid::from_raw(id), signal);
+        let _ = kill(self.pid(), signal);
+    }
+
+    fn pid(&self) -> Pid {
+        Pid::from_raw(i32::try_from(self.child.id()).unwrap())
     }
 }
 
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -11,6 +11,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use standins::backend::{Arrival, Run, record};
+use standins::keyed::EntryChange;
 use tempfile::TempDir;
 
 use super::caller::{Caller, Received, get, poll_until, post, set_knobs, wait_until};
@@ -70,19 +71,50 @@
     version: u64,
 }
 
+/// A route to the service of every test; `more` replaces whole fields.
+pub(crate) fn route(name: &str, kind: &str, more: Value) -> Value {
+    let mut route = json!({
+        "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "type": kind,
+        "timeout_ms": 10_000, "target_latency_ms": 200, "priority": 0, "service": SERVICE,
+        "max_attempts": 3, "public": false,
+    });
+    for (field, value) in more.as_object().unwrap() {
+        route[field] = value.clone();
+    }
+    route
+}
+
+/// A configuration with the routes and the account of every test; `change` replaces whole fields.
+pub(crate) fn config(version: u64, change: &Value) -> Value {
+    let mut config = json!({
+        "version": version,
+        "routes": routes(),
+        "services": [{ "name": SERVICE, "health_path": "/healthz" }],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 100_000,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{ "name": "workshop", "api_keys": [KEY], "priority": 1 }],
+    });
+    for (field, value) in change.as_object().unwrap() {
+        config[field] = value.clone();
+    }
+    config
+}
+
+/// Writes an operator's record to the store; an empty value deletes the key. Returns whether the
+/// store acknowledged it.
+pub(crate) async fn write_operator_record(store: SocketAddr, key: &str, value: &str) -> bool {
+    let body = record(key, value);
+    let url = format!("http://{store}/log-append?stream_name=keyed.op&part=0");
+    let client = cyper::Client::new().unwrap();
+    let sent = client.post(url).unwrap().body(body).send();
+    let sent = compio::time::timeout(Duration::from_secs(1), sent).await;
+    sent.is_ok_and(|answer| answer.is_ok_and(|a| a.status().is_success()))
+}
+
 /// The routes of every test, one for each retry rule.
 pub(crate) fn routes() -> Vec<Value> {
-    let route = |name: &str, kind: &str, more: Value| {
-        let mut route = json!({
-            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "type": kind,
-            "timeout_ms": 10_000, "target_latency_ms": 200, "priority": 0, "service": SERVICE,
-            "max_attempts": 3, "public": false,
-        });
-        for (field, value) in more.as_object().unwrap() {
-            route[field] = value.clone();
-        }
-        route
-    };
     let streaming = json!({ "target_gap_ms": 300, "session_affinity": true });
     let resumed = json!({ "target_gap_ms": 300, "session_affinity": true, "stream_resume": true });
     vec![
@@ -322,23 +354,16 @@
     /// Writes the next configuration; `change` replaces whole fields. Returns its version.
     pub(crate) async fn configure(&mut self, change: Value) -> u64 {
         self.version += 3;
-        let mut config = json!({
-            "version": self.version,
-            "routes": routes(),
-            "services": [{ "name": SERVICE, "health_path": "/healthz" }],
-            "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 100_000,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-            },
-            "tenants": [{ "name": "workshop", "api_keys": [KEY], "priority": 1 }],
-        });
-        for (field, value) in change.as_object().unwrap() {
-            config[field] = value.clone();
-        }
+        let config = config(self.version, &change);
         self.write_config(&config.to_string()).await;
         self.version
     }
 
+    /// The version of the last configuration that [`Self::configure`] wrote.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
     pub(crate) async fn write_config(&self, text: &str) {
         self.write_operator_record("config", text).await;
     }
@@ -352,15 +377,8 @@
 
     /// Writes an operator's record under `key`; an empty value deletes the key.
     async fn write_operator_record(&self, key: &str, value: &str) {
-        let body = record(key, value);
-        let url = format!(
-            "http://{}/log-append?stream_name=keyed.op&part=0",
-            self.store.addr
-        );
-        let client = cyper::Client::new().unwrap();
-        let sent = client.post(url).unwrap().body(body).send();
         // A dropped or delayed reply is part of the tests.
-        let _ = compio::time::timeout(Duration::from_secs(1), sent).await;
+        write_operator_record(self.store.addr, key, value).await;
     }
 
     pub(crate) async fn store_knobs(&self, knobs: Value) {
@@ -430,6 +448,11 @@
         names.flat_map(|name| self.arrivals_at(name)).collect()
     }
 
+    /// The changes of upstreams' entries in the store, in order.
+    pub(crate) fn entry_changes(&self) -> Vec<EntryChange> {
+        self.records("store")
+    }
+
     /// The records of one kind among the lines that process `name` printed.
     fn records<T: DeserializeOwned>(&self, name: &str) -> Vec<T> {
         let path = self.dir.path().join(format!("{name}.out"));
