--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -28,8 +28,9 @@
 const DEPARTURE_SHARE: f64 = 0.35;
 /// Time for which a leaving upstream serves.
 const DEPARTURE_MS: std::ops::Range<u64> = 4_000..9_500;
-/// Offset of the seed of departures.
+/// Offsets of the seeds of departures, and of the choice of faults that are left out.
 const DEPARTURE_SEED: u64 = 0x6465_7061_7274;
+const OMISSION_SEED: u64 = 0x6f6d_6974;
 
 /// Random numbers of the faults. Notices and departures have their own, so that a seed keeps its
 /// other faults.
@@ -37,14 +38,19 @@
     faults: SmallRng,
     notices: SmallRng,
     departures: SmallRng,
+    omissions: SmallRng,
+    /// Share of the faults that excuse routers which are injected.
+    excusing_share: f64,
 }
 
 impl FaultRngs {
-    pub(crate) fn from_seed(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64, excusing_share: f64) -> Self {
         Self {
             faults: SmallRng::seed_from_u64(seed),
             notices: SmallRng::seed_from_u64(!seed),
             departures: SmallRng::seed_from_u64(seed ^ DEPARTURE_SEED),
+            omissions: SmallRng::seed_from_u64(seed ^ OMISSION_SEED),
+            excusing_share,
         }
     }
 }
@@ -148,7 +154,15 @@
             println!("{} ms: {description}", start.elapsed().as_millis());
             active.push(fault);
         }
-        let injected = inject(routed, scene, rng, &active, &mut interruptions);
+        let has_excusing = rngs.omissions.random_bool(rngs.excusing_share);
+        let injected = inject(
+            routed,
+            scene,
+            rng,
+            has_excusing,
+            &active,
+            &mut interruptions,
+        );
         let injected = compio::time::timeout(INJECT_TIMEOUT, injected);
         let Ok((description, revert)) = injected.await else {
             println!("fault injection timed out; continuing with the next fault");
@@ -319,6 +333,7 @@
     routed: &mut RoutedFleet,
     scene: &Scene,
     rng: &mut SmallRng,
+    has_excusing: bool,
     active: &[ActiveFault],
     interruptions: &mut Interruptions,
 ) -> (String, Option<Revert>) {
@@ -331,6 +346,7 @@
         _ => false,
     });
     match rng.random_range(0..12) {
+        0..=2 if !has_excusing => ("no router fault".to_owned(), None),
         0 if !is_faulted => {
             scene.outages.begin(Outage::RouterDown(router));
             routed.routers[router].kill();
@@ -368,6 +384,9 @@
         4 => {
             let fault = store_fault(rng);
             let is_forget = fault["forget"] == true;
+            if !is_forget && !has_excusing {
+                return (format!("not injected: {fault}"), None);
+            }
             if !is_forget {
                 scene.outages.begin(Outage::Store);
             }
@@ -380,6 +399,9 @@
         }
         5 | 6 => {
             let fault = relay_fault(rng);
+            if !has_excusing {
+                return (format!("not injected: {fault}"), None);
+            }
             scene.outages.begin(Outage::Relay(router));
             routed.relay_knobs(i, fault.clone()).await;
             (
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -68,6 +68,9 @@
     /// Number of tasks per router that send requests on changing routes
     #[bpaf(long, argument("N"), fallback(3))]
     pub(crate) probes: u32,
+    /// Share of the faults that excuse routers which are injected, from 0 to 1
+    #[bpaf(long, argument("SHARE"), fallback(1.0))]
+    pub(crate) excusing: f64,
     /// The only checks that decide, answers or promises; by default both
     #[bpaf(long, argument("CHECKS"), optional)]
     pub(crate) only: Option<Checks>,
@@ -104,7 +107,7 @@
 }
 
 async fn run(args: &Args) -> ExitCode {
-    let mut rngs = FaultRngs::from_seed(args.seed);
+    let mut rngs = FaultRngs::new(args.seed, args.excusing.clamp(0.0, 1.0));
     let size = FleetSize {
         routers: args.routers,
         upstreams: args.upstreams,
--- a/examples/soak/operator.rs
+++ b/examples/soak/operator.rs
@@ -134,8 +134,8 @@
         let next = self.draw_next(rng);
         let text = self.text_of(&next);
         println!(
-            "version {}: routes {:?}, keys {:?}",
-            next.version, next.routes, next.keys
+            "{}: version {}, routes {:?}, keys {:?}",
+            next.sent_ms, next.version, next.routes, next.keys
         );
         self.versions.borrow_mut().push(next);
         // A lost answer leaves open whether the version is in force, so it is written again.
--- a/examples/soak/probes.rs
+++ b/examples/soak/probes.rs
@@ -52,6 +52,9 @@
             records: Rc::default(),
             running: Rc::default(),
         };
+        // Building a client takes milliseconds, so the tasks share them.
+        let lasting = Caller::new(KEY);
+        let changing: Vec<Caller> = (0..KEYS).map(|k| Caller::new(&key_text(k))).collect();
         for router in 0..routed.routers.len() {
             let addr = routed.caller(u8::try_from(router).unwrap_or(u8::MAX));
             for n in 0..per_router {
@@ -60,8 +63,8 @@
                     rng: SmallRng::seed_from_u64(seed),
                     router,
                     addr,
-                    lasting: Caller::new(KEY),
-                    changing: (0..KEYS).map(|k| Caller::new(&key_text(k))).collect(),
+                    lasting: lasting.clone(),
+                    changing: changing.clone(),
                 };
                 probes.running.set(probes.running.get() + 1);
                 let (stop, records, running) = (
--- a/examples/soak/promises.rs
+++ b/examples/soak/promises.rs
@@ -135,17 +135,27 @@
     requests.chain(probes).collect()
 }
 
-/// The periods in which the store held no `ready` entry of an upstream that had one before.
-fn not_ready(routed: &RoutedFleet) -> HashMap<String, Vec<Span>> {
-    let mut periods: HashMap<String, Vec<Span>> = HashMap::new();
+/// A period in which the store held no `ready` entry of an upstream that had one before.
+struct NotReady {
+    span: Span,
+    /// Whether it began with the removal of the entry, otherwise with a `draining` entry.
+    is_removed: bool,
+}
+
+/// The periods in which the store held no `ready` entry, by the upstream's id.
+fn not_ready(routed: &RoutedFleet) -> HashMap<String, Vec<NotReady>> {
+    let mut periods: HashMap<String, Vec<NotReady>> = HashMap::new();
     for change in routed.entry_changes() {
-        let spans = periods.entry(change.entry).or_default();
-        let open = spans.last_mut().filter(|span| span.to_ms == u64::MAX);
+        let known = periods.entry(change.entry).or_default();
+        let open = known.last_mut().filter(|p| p.span.to_ms == u64::MAX);
         match (open, change.state.as_str()) {
-            (Some(span), "ready") => span.to_ms = change.stored_ms,
-            (None, "draining" | "") => spans.push(Span {
-                from_ms: change.stored_ms,
-                to_ms: u64::MAX,
+            (Some(period), "ready") => period.span.to_ms = change.stored_ms,
+            (None, "draining" | "") => known.push(NotReady {
+                span: Span {
+                    from_ms: change.stored_ms,
+                    to_ms: u64::MAX,
+                },
+                is_removed: change.state.is_empty(),
             }),
             _ => {}
         }
@@ -162,10 +172,10 @@
         let Some(sent) = sent_by_id.get(arrival.request_id.as_str()) else {
             continue;
         };
-        let spans = periods.get(&arrival.arrived_at);
-        let mut spans = spans.into_iter().flatten();
-        let Some(span) = spans.find(|s| s.from_ms < arrival.at_ms && arrival.at_ms < s.to_ms)
-        else {
+        let known = periods.get(&arrival.arrived_at);
+        let mut known = known.into_iter().flatten();
+        let is_during = |span: Span| span.from_ms < arrival.at_ms && arrival.at_ms < span.to_ms;
+        let Some(NotReady { span, is_removed }) = known.find(|p| is_during(p.span)) else {
             continue;
         };
         let late_ms = arrival.at_ms - span.from_ms;
@@ -179,11 +189,12 @@
         if late_ms > DRAIN_BOUND_MS && !is_excused {
             finding.violations.push(format!(
                 "seed {} departures {}: from router {} reached upstream {} {late_ms} ms after the store \
-                 held its departure, sent at +{} ms; outages: {}",
+                 held {}, sent at {:+} ms; outages: {}",
                 evidence.seed,
                 arrival.request_id,
                 sent.router,
                 arrival.arrived_at,
+                if *is_removed { "no entry of it" } else { "its draining" },
                 i128::from(sent.sent_ms) - i128::from(span.from_ms),
                 context(evidence, *sent, span.from_ms),
             ));
--- a/examples/soak/suspend.rs
+++ b/examples/soak/suspend.rs
@@ -6,11 +6,12 @@
 
 use futures_util::future::join_all;
 use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
 use crate::outages::{Outage, Outages};
 use crate::support::routed::RoutedFleet;
-use crate::support::{ProcessHandle, sleep_ms};
+use crate::support::{ProcessHandle, sleep_ms, wall_ms};
 
 /// Maximum pause between two shortages.
 const MAX_PAUSE_MS: u64 = 3_000;
@@ -104,27 +105,48 @@
             if Instant::now() >= until {
                 return;
             }
-            let router = rng.random_range(0..count);
-            match rng.random_range(0..5) {
-                0 => {
-                    let duration_ms = rng.random_range(FREEZE_MS);
-                    println!("router {router} frozen for {duration_ms} ms");
-                    let hold = self.hold(router);
-                    sleep_until(duration_ms, until).await;
-                    self.release(hold);
+            let mut routers: Vec<usize> = (0..count).collect();
+            routers.shuffle(&mut rng);
+            match rng.random_range(0..6) {
+                0 | 1 => {
+                    // Those that aren't frozen are not excused.
+                    routers.truncate(rng.random_range(1..=count.div_ceil(2)));
+                    self.freeze(&routers, &mut rng, until).await;
                 }
-                1 => self.shorten(0..count, &mut rng, until).await,
-                _ => self.shorten(router..router + 1, &mut rng, until).await,
+                2 => self.shorten(&routers, &mut rng, until).await,
+                3 => {
+                    routers.truncate(rng.random_range(1..=count));
+                    self.shorten(&routers, &mut rng, until).await;
+                }
+                _ => self.shorten(&routers[..1], &mut rng, until).await,
             }
         }
     }
 
+    async fn freeze(&self, routers: &[usize], rng: &mut SmallRng, until: Instant) {
+        let duration_ms = rng.random_range(FREEZE_MS);
+        println!(
+            "{}: routers {routers:?} frozen for {duration_ms} ms",
+            wall_ms()
+        );
+        let holds: Vec<Hold> = routers.iter().map(|r| self.hold(*r)).collect();
+        sleep_until(duration_ms, until).await;
+        for hold in holds {
+            self.release(hold);
+        }
+    }
+
     /// Lets these routers run in short cycles for some seconds.
-    async fn shorten(&self, routers: std::ops::Range<usize>, rng: &mut SmallRng, until: Instant) {
+    async fn shorten(&self, routers: &[usize], rng: &mut SmallRng, until: Instant) {
         let duration_ms = rng.random_range(SHORTAGE_MS);
-        println!("routers {routers:?} short of processor for {duration_ms} ms");
+        println!(
+            "{}: routers {routers:?} short of processor for {duration_ms} ms",
+            wall_ms()
+        );
         let end = until.min(Instant::now() + Duration::from_millis(duration_ms));
-        let cycles = routers.map(|router| self.cycle(router, SmallRng::from_rng(rng), end));
+        let cycles = routers
+            .iter()
+            .map(|router| self.cycle(*router, SmallRng::from_rng(rng), end));
         join_all(cycles.collect::<Vec<_>>()).await;
     }
 
