Soak: record the starts of routers after the last fault, and the freezes of the suspender

The trace shows that the process which was asked had been stopped with SIGTERM while frozen, could exit only when the faults ended, and was started again in the clean-up. The new process sent the requests. The check already allows a start in that time, but the clean-up didn't record its own.

--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -194,9 +194,16 @@
         if routed.stopping.contains(&i) || routed.routers[i].exited().is_some() {
             routed.routers[i].wait_exit().await;
             scene.start_router(routed, i);
+            interruptions.router(i);
         }
     }
     routed.stopping.clear();
+    for i in 0..routed.routers.len() {
+        for freeze in scene.outages.freezes(i) {
+            interruptions.routers.push((i, freeze.from_ms));
+            interruptions.routers.push((i, freeze.to_ms));
+        }
+    }
     interruptions
 }
 
--- a/examples/soak/outages.rs
+++ b/examples/soak/outages.rs
@@ -86,6 +86,13 @@
         matching.map(|(_, span)| *span).collect()
     }
 
+    /// The suspensions of a router that are long enough to excuse it.
+    pub(crate) fn freezes(&self, router: usize) -> Vec<Span> {
+        let mut spans = self.of(Outage::RouterSuspended(router));
+        spans.retain(|span| span.length_ms() >= MIN_FREEZE_MS);
+        spans
+    }
+
     pub(crate) fn has(&self, outage: Outage, from_ms: u64, to_ms: u64) -> bool {
         let spans = self.0.borrow();
         let mut matching = spans.iter().filter(|(o, _)| *o == outage);
