Waiting for newer state is no lateness of an upstream

Found by the reviewer: the wait before a request's first byte ran within the attempt's timeout, 250 ms at least, and could end as an answer lost by the upstream: a run, a suspicion, an ejection, and 502 for a request that nobody had received. Now a request whose state became too old while its connection was opened is withheld; the wait is that of the next choice, which may be the same upstream.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -207,6 +207,10 @@
             if !matches!(failed.kind, FailureKind::NotSent | FailureKind::Withheld) {
                 self.deliveries += 1;
             }
+            if failed.kind == FailureKind::Withheld {
+                // It may still take work: perhaps only the state was too old to tell.
+                self.tried.pop();
+            }
             if failed.kind == FailureKind::Lost {
                 self.runs += 1;
                 if !self.may_retry() {
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -212,7 +212,7 @@
         upstream: &Upstream,
         call: &Call<'_>,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
-        let is_current = self.upstreams_fresh.wait_until_usable().await;
+        let is_current = self.upstreams_fresh.is_usable();
         if !is_current || !self.state.still_takes_work(upstream, self.clock.now_ms()) {
             return Err(withheld());
         }
