A failed read proves nothing newer only once peers were asked as well

Found by the reviewer, by reading; all of the same class, evidence taken for more than it shows: - One 503 or 429 to this router ended the wait of all requests, though peers had newer state; and a long poll that began before the state was due counted. Now the failed read must have been asked for since then, and a round of requests to peers must have ended. - A failure that says nothing, as the router did not run meanwhile, still set the backoff (seconds in a large fleet) and told others' checks that the log fails. A router that has loaded nothing sends none: that is join's task, at its pace.

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -127,8 +127,10 @@
 pub struct UseLimits {
     /// Time until which what the router loaded at its start counts as fresh.
     pub settled_ms: u64,
-    /// Time of the last failed read of the log; 0 if none failed.
+    /// Time of the request of the last failed read of the log; 0 if none failed.
     pub failed_ms: u64,
+    /// Time at which peers were last asked for newer state; 0 if they never were.
+    pub peers_asked_ms: u64,
     /// Time at which the router was last resumed from a suspension; 0 if it never was suspended.
     pub resumed_ms: u64,
 }
@@ -189,7 +191,7 @@
 
     /// Whether requests may be decided by this state. It may not be older than the age at which the
     /// last router reads for itself, unless a read that was due since then, and since the router was
-    /// last resumed, has failed: then nothing newer can be had.
+    /// last resumed, has failed and peers had nothing newer.
     ///
     /// ```
     /// use cassiagrade::fleet::log_reads::{Freshness, ReadSchedule, UseLimits};
@@ -201,6 +203,8 @@
     /// let limits = UseLimits::default();
     /// assert!(is_usable(11_800, limits) && !is_usable(11_801, limits));
     /// let failed = UseLimits { failed_ms: 12_000, ..limits };
+    /// assert!(!is_usable(12_000, failed), "peers may know more");
+    /// let failed = UseLimits { peers_asked_ms: 12_000, ..failed };
     /// assert!(is_usable(12_000, failed));
     /// assert!(!is_usable(15_000, UseLimits { resumed_ms: 14_000, ..failed }));
     /// ```
@@ -210,7 +214,7 @@
             return true;
         }
         let due_ms = fresh.confirmed_ms + schedule.stale_ms();
-        limits.failed_ms >= due_ms.max(limits.resumed_ms)
+        limits.failed_ms.min(limits.peers_asked_ms) >= due_ms.max(limits.resumed_ms)
     }
 
     /// Whether the state is so old that this router, one of `routers` that can reach one another,
--- a/src/path/freshness.rs
+++ b/src/path/freshness.rs
@@ -52,8 +52,10 @@
     schedule: Cell<ReadSchedule>,
     fresh: Cell<Freshness>,
     evidence: Cell<Evidence>,
-    /// Time of the last failed read of the log; 0 if none failed.
+    /// Time of the request of the last failed read; 0 if none failed.
     failed_ms: Cell<u64>,
+    /// Time at which peers were last asked; 0 if they never were.
+    peers_asked_ms: Cell<u64>,
     /// Whether a read of the log failed since the copy was last recent.
     has_failed: Cell<bool>,
     /// Since when requests have been waiting for a newer copy.
@@ -80,6 +82,7 @@
             fresh: Cell::default(),
             evidence: Cell::default(),
             failed_ms: Cell::default(),
+            peers_asked_ms: Cell::default(),
             has_failed: Cell::default(),
             wanted_since_ms: Cell::default(),
             wanted,
@@ -128,23 +131,28 @@
         self.fresh.set(self.fresh.get().invalidated());
     }
 
-    /// Records that a read requested at `asked_ms` failed: the log is away. If this router did not
-    /// run for a part of that time, the failure shows nothing: the answer may be there.
+    /// Records that a read requested at `asked_ms` failed.
     pub(crate) fn record_failure(&self, asked_ms: u64) {
-        self.suspend.check_clock();
-        if asked_ms < self.suspend.stalled_ms() {
-            return;
-        }
-        self.failed_ms.set(self.clock.now_ms());
+        self.failed_ms.set(asked_ms);
         self.has_failed.set(true);
-        self.wanted_since_ms.set(None);
         self.changed.notify_waiters();
     }
 
-    /// Whether a read of the log failed since the copy was last recent. If not, its age is due to a
-    /// pause of this router.
+    /// Records that peers which were asked at `asked_ms` have answered, or had the time to.
+    pub(crate) fn record_peers_asked(&self, asked_ms: u64) {
+        self.peers_asked_ms.set(asked_ms);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether a read of the log failed since the copy was last recent and since this router was
+    /// last resumed. If not, the copy's age is due to a pause of this router.
     pub(crate) fn has_failed(&self) -> bool {
-        self.has_failed.get()
+        self.has_failed.get() && self.failed_ms.get() >= self.suspend.resumed_ms()
+    }
+
+    /// Whether requests wait for a newer copy, or did so in vain.
+    pub(crate) fn is_wanted(&self) -> bool {
+        self.wanted_since_ms.get().is_some() && !self.is_usable()
     }
 
     /// Whether requests may be decided by the copy.
@@ -152,6 +160,7 @@
         let limits = UseLimits {
             settled_ms: SETTLED_MS,
             failed_ms: self.failed_ms.get(),
+            peers_asked_ms: self.peers_asked_ms.get(),
             resumed_ms: self.suspend.resumed_ms(),
         };
         let now_ms = self.clock.now_ms();
@@ -164,6 +173,7 @@
     /// Requests a newer copy if requests may not be decided by this one.
     pub(crate) fn refresh_if_needed(&self) {
         if self.is_usable() {
+            self.wanted_since_ms.set(None);
             return;
         }
         let since_ms = self.wanted_since_ms.get();
@@ -187,6 +197,7 @@
     /// confirmed, others have newer copies, and the caller is better served by one of them.
     pub(crate) async fn wait_until_usable(&self) -> bool {
         self.suspend.check_clock();
+        self.refresh_if_needed();
         if !self.is_usable() {
             stats::held_for_refresh(self.name);
             self.wait().await;
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -116,6 +116,25 @@
         self.refresh_wanted.clone()
     }
 
+    /// Whether requests wait for newer state, or did so in vain.
+    pub(crate) fn is_refresh_wanted(&self) -> bool {
+        self.config_fresh.is_wanted() || self.upstreams_fresh.is_wanted()
+    }
+
+    /// Records that peers which were asked at `asked_ms` have answered, or had the time to.
+    pub(crate) fn record_peers_asked(&self, asked_ms: u64) {
+        if asked_ms >= self.suspend.stalled_ms() {
+            self.config_fresh.record_peers_asked(asked_ms);
+            self.upstreams_fresh.record_peers_asked(asked_ms);
+        }
+    }
+
+    /// Whether this router did not run for a part of the time since `from_ms`.
+    pub(crate) fn has_stalled_since(&self, from_ms: u64) -> bool {
+        self.check_clock();
+        self.suspend.stalled_ms() > from_ms
+    }
+
     /// Whether requests may be decided by the configuration and by the upstreams.
     pub(crate) fn is_usable(&self) -> bool {
         self.config_fresh.is_usable() && self.upstreams_fresh.is_usable()
--- a/src/path/log_replica_world_tests.rs
+++ b/src/path/log_replica_world_tests.rs
@@ -88,6 +88,7 @@
                 host.router.replica.upstreams_fresh(),
             ] {
                 fresh.record_failure(now_ms);
+                fresh.record_peers_asked(now_ms);
             }
             return;
         }
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -33,6 +33,8 @@
 /// fleet starts for the first time, the first routers to read the list find few members in it, and
 /// learning the others by gossip probes would take many seconds.
 const MEMBER_REQUEST_DELAYS: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(2)];
+/// Time limit of a round of requests for newer state; peers answer within milliseconds.
+const ROUND_LIMIT: Duration = Duration::from_millis(200);
 /// Pause between two rounds of requests for newer state.
 const REFRESH_PAUSE: Duration = Duration::from_millis(100);
 /// Interval at which a router that knows few others requests the members from a seed host.
@@ -162,15 +164,29 @@
 ) {
     let wanted = path.replica.refresh_wanted();
     loop {
-        wanted.notified().await;
-        let addrs = live_peers(&path);
-        let requests = addrs.iter().map(|addr| request_state(&path, &client, addr));
-        let mut requests: FuturesUnordered<_> = requests.collect();
-        while !path.replica.is_usable() && requests.next().await.is_some() {}
+        if !path.replica.is_refresh_wanted() {
+            wanted.notified().await;
+        }
+        // A router that has loaded nothing yet is `join`'s concern.
+        if path.unready_reason().is_none() {
+            let asked_ms = path.clock.now_ms();
+            let asked = ask_peers(&path, &client);
+            // What is late is as good as not sent.
+            let _ = compio::time::timeout(ROUND_LIMIT, asked).await;
+            path.replica.record_peers_asked(asked_ms);
+        }
         compio::time::sleep(REFRESH_PAUSE).await;
     }
 }
 
+/// Requests the state from some peers at once, until this router's state may be used.
+async fn ask_peers<D: Dialect + Records>(path: &RequestPath<D>, client: &PeerClient) {
+    let addrs = live_peers(path);
+    let requests = addrs.iter().map(|addr| request_state(path, client, addr));
+    let mut requests: FuturesUnordered<_> = requests.collect();
+    while !path.replica.is_usable() && requests.next().await.is_some() {}
+}
+
 /// Whether this router has just started and should wait for its read of the log.
 fn waits_for_log<D: Dialect + Records>(path: &RequestPath<D>) -> bool {
     let has_started = path.clock.now_ms() >= LOG_ONLY_MS || path.replica.awaits_peers();
