Soak: a rejection answers the process that sent the request

Trace: the upstream was frozen from 1.7 to 5.0 s; router 3 gave requests up after 400 ms, was killed and started at 4.8 s; resumed at 5.0 s, the upstream read the old requests and answered them with 503 and a time to come back, on connections that nobody read. The router that got the requests after never had that answer. The check excused restarts of the router and freezes of the upstream only from the rejection on; now from the sending of the rejected request. Its bounds are the same.

--- a/examples/soak/notices.rs
+++ b/examples/soak/notices.rs
@@ -126,8 +126,10 @@
         let reached = deliveries.iter();
         let reached = reached.filter(|d| (from_ms..to_ms).contains(&d.arrival.at_ms));
         let count = reached.count();
-        let is_excused = interruptions.router_between(asked.router, asked.arrival.at_ms, to_ms)
-            || interruptions.upstream_between(asked.upstream, asked.arrival.at_ms, to_ms);
+        // An upstream that resumes answers requests of routers that were started again since.
+        let sent_ms = asked.record.sent_ms;
+        let is_excused = interruptions.router_between(asked.router, sent_ms, to_ms)
+            || interruptions.upstream_between(asked.upstream, sent_ms, to_ms);
         (count > MAX_IN_PUSHBACK && !is_excused).then(|| {
             format!(
                 "{}: upstream {} wanted nothing from router {} for {} ms and got {count} requests",
