Soak: departures that the store records in a disturbance bind nobody; a known failure

Trace: the store was away from -1.6 to +1.8 s, the entries expired in that time (the other at 0.5 s after its end), and the promise counts from an acknowledgement by a store that has been undisturbed for 3 s. The check now asks for that; bounds as before. What is left of it: routers that lacked processor time began the 2.3 s in which entries may be written again only with their own first read, a second after the store was back.

--- a/examples/soak/outages.rs
+++ b/examples/soak/outages.rs
@@ -115,6 +115,13 @@
         })
     }
 
+    /// Whether the store had a fault at `at_ms` or shortly before: what it holds then is no
+    /// acknowledgement from which bounds are measured.
+    pub(crate) fn store_is_unstable(&self, at_ms: u64) -> bool {
+        let from_ms = at_ms.saturating_sub(EXCUSED_AFTER_MS);
+        self.has(Outage::Store, from_ms, at_ms)
+    }
+
     /// Whether a router was suspended or ran only in cycles in this period.
     pub(crate) fn is_short(&self, router: usize, from_ms: u64, to_ms: u64) -> bool {
         let kinds = [Outage::RouterShort(router), Outage::RouterSuspended(router)];
