One death of an upstream counts once against identical requests

What callers saw: all routers refused one common request with 503, quarantined for five minutes, though upstreams answered it thousands of times in between.

--- a/src/path/suspects.rs
+++ b/src/path/suspects.rs
@@ -5,7 +5,7 @@
 //! connections, or its entry is removed. All requests that ran on it at the same time are suspected
 //! too, until one of them is answered.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::decide::quarantine::{Quarantine, QuarantineStatus};
 use crate::schema::peer::Suspicion;
@@ -55,18 +55,17 @@
     pub(crate) fn record_death(&mut self, upstream: &str, now_ms: u64) -> Vec<Suspicion> {
         let is_old = |l: &LostAnswer| now_ms.saturating_sub(l.at_ms) > FOUND_DEAD_MS;
         self.lost.retain(|l| !is_old(l));
-        let (dead, others) = std::mem::take(&mut self.lost)
+        let (dead, others): (VecDeque<_>, _) = std::mem::take(&mut self.lost)
             .into_iter()
             .partition(|l| *l.upstream == *upstream);
         self.lost = others;
-        let dead: VecDeque<LostAnswer> = dead;
+        // One death, however many identical requests it ended.
+        let fingerprints: BTreeSet<u64> = dead.iter().map(|l| l.fingerprint).collect();
         let mut suspicions = Vec::new();
-        for lost in dead {
-            let deaths = self
-                .quarantine
-                .record_death(lost.fingerprint, false, now_ms);
+        for fingerprint in fingerprints {
+            let deaths = self.quarantine.record_death(fingerprint, false, now_ms);
             suspicions.push(Suspicion {
-                fingerprint: lost.fingerprint,
+                fingerprint,
                 deaths,
                 cleared: false,
                 age_ms: 0,
--- a/src/path/suspects_tests.rs
+++ b/src/path/suspects_tests.rs
@@ -21,6 +21,18 @@
     assert!(suspects.quarantine_ms(GOOD, 10).is_none());
 }
 
+/// An upstream dies while it runs many identical requests. It is one death, which must not quarantine
+/// a common request that others answer.
+#[test]
+fn one_death_counts_once_for_identical_requests() {
+    let mut suspects = Suspects::default();
+    for at_ms in 0..20 {
+        suspects.record_lost_answer(&"i-1".into(), GOOD, at_ms);
+    }
+    assert_eq!(suspects.record_death("i-1", 20).len(), 1);
+    assert!(suspects.quarantine_ms(GOOD, 20).is_none());
+}
+
 /// Live upstreams lose answers all the time, which must not quarantine a request.
 #[test]
 fn lost_answers_of_live_upstreams_quarantine_no_request() {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,7 +16,7 @@
 #[test_case(11, 8; "setting knobs of a frozen upstream blocked the soak forever")]
 #[test_case(17, 8; "injecting a fault never finished and blocked the soak; which fault is unknown")]
 #[test_case(5003, 8; "an upstream that resumed answered requests of a former process of the router, which that router never read")]
-#[test_case(5011, 18; "a common request was quarantined after upstreams died of other causes")]
+#[test_case(5011, 18; "one death of an upstream counted for each identical request that it ended, and quarantined a common one")]
 #[test_case(329, 20; "entries of replaced upstreams used up all retries, because each was repeatedly rejected as not run")]
 fn answers_match_upstream_records(seed: u32, seconds: u32) {
     let _shared = FLEETS.read();
