A router that loses an answer checks whether the upstream is dead

Cause: a router learned of a death from a refused connection alone, or when the entry expired. The lost answers eject the upstream, so nobody connects.

Fix: after a lost answer the router opens a connection, 20 ms, 150 ms and 1 s later, one check an upstream at a time. A refusal is a death. A process that crashes closes its connections before its listening socket, therefore three attempts.

--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -180,11 +180,9 @@
                     // Releases the slot at the upstream before another one resumes the stream.
                     drop(reply);
                     let path = &self.attempts.context.path;
-                    let (fingerprint, now_ms) =
-                        (self.attempts.context.fingerprint, path.clock.now_ms());
+                    let now_ms = path.clock.now_ms();
                     path.state.record_failure(&upstream, &reason, now_ms);
-                    path.state
-                        .record_lost_answer(&upstream, fingerprint, now_ms);
+                    self.attempts.record_lost_answer(&upstream);
                     self.attempts
                         .emit(Kind::RequestRetried, &upstream.id, &reason);
                 }
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -17,9 +17,11 @@
 use crate::path::admission_queue::Permit;
 use crate::path::attempts::choice::Choice;
 use crate::path::call::{BufferedReply, Call, CallError, FailureKind, Reply, UpstreamClient};
+use crate::path::death_check;
 use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
 use crate::path::refusal::{Refused, STALE_STATE};
 use crate::path::routes::{Account, Route};
+use crate::path::upstreams::Upstream;
 use crate::util::Name;
 
 /// Maximum number of upstreams tried for one request. Each attempt costs a round trip, and after
@@ -195,9 +197,7 @@
             let state = &self.context.path.state;
             match failed.kind {
                 FailureKind::NotSent => state.record_unreachable(&upstream, now_ms),
-                FailureKind::Lost => {
-                    state.record_lost_answer(&upstream, self.context.fingerprint, now_ms)
-                }
+                FailureKind::Lost => self.record_lost_answer(&upstream),
                 FailureKind::Replaced => state.record_replaced(&upstream, now_ms),
                 FailureKind::Rejected | FailureKind::Withheld => {}
             }
@@ -280,6 +280,17 @@
         Some(attempt_timeout.max(MIN_ATTEMPT_TIMEOUT))
     }
 
+    /// Records that `upstream` lost its answer to this request, and checks whether it is dead.
+    pub(crate) fn record_lost_answer(&self, upstream: &Rc<Upstream>) {
+        let RequestContext {
+            path, fingerprint, ..
+        } = &self.context;
+        let now_ms = path.clock.now_ms();
+        path.state
+            .record_lost_answer(upstream, *fingerprint, now_ms);
+        death_check::spawn(path, upstream.clone());
+    }
+
     /// Whether the request may run again after a run that may have begun.
     pub(crate) fn may_retry(&self) -> bool {
         !self.context.route.repeat.at_most_once() && self.runs < self.context.route.max_attempts
--- /dev/null
+++ b/src/path/death_check.rs
@@ -0,0 +1,52 @@
+//! Checks whether an upstream that lost an answer is dead.
+//!
+//! Failure guarded against: an upstream crashes and its lost answers eject it, so nothing connects to
+//! it and its death is noticed only when its entry expires, seconds later. Meanwhile the request that
+//! crashed it runs at others.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpStream;
+
+use crate::path::RequestPath;
+use crate::path::dialect::Records;
+use crate::path::upstreams::Upstream;
+
+/// Pauses before the attempts to connect. A crashing process closes its connections before its
+/// listening socket and may still accept for a moment, and longer on a loaded host.
+const PAUSES: [Duration; 3] = [
+    Duration::from_millis(20),
+    Duration::from_millis(130),
+    Duration::from_millis(850),
+];
+/// Time limit of an attempt. A host without power doesn't refuse; its entry expires.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Checks `upstream` in the background, unless a check is under way.
+pub(crate) fn spawn<D: Records>(path: &Rc<RequestPath<D>>, upstream: Rc<Upstream>) {
+    if !path.state.begin_death_check(&upstream) {
+        return;
+    }
+    let path = path.clone();
+    compio::runtime::spawn(async move {
+        for pause in PAUSES {
+            compio::time::sleep(pause).await;
+            if refuses(upstream.addr).await {
+                let now_ms = path.clock.now_ms();
+                path.state.record_unreachable(&upstream, now_ms);
+                break;
+            }
+        }
+        path.state.end_death_check(&upstream);
+    })
+    .detach();
+}
+
+/// Whether connections to `addr` are refused, so that no process listens there.
+async fn refuses(addr: SocketAddr) -> bool {
+    let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    matches!(connected, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -17,6 +17,7 @@
 mod changes;
 pub(crate) mod connection;
 pub(crate) mod cursor;
+mod death_check;
 pub mod dialect;
 pub mod evacuations;
 pub mod events;
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -58,6 +58,8 @@
     budgets: RefCell<HashMap<Name, RetryBudget>>,
     running: RefCell<HashMap<Name, u32>>,
     suspects: RefCell<Suspects>,
+    /// Upstreams that are being checked after they lost answers.
+    death_checks: RefCell<HashSet<Incarnation>>,
     suspicions: RefCell<watch::Receiver<Arc<Vec<Suspicion>>>>,
     /// Times at which upstreams appeared after this router's start.
     joined_ms: RefCell<HashMap<Name, u64>>,
@@ -122,6 +124,7 @@
             budgets: RefCell::default(),
             running: RefCell::default(),
             suspects: RefCell::default(),
+            death_checks: RefCell::default(),
             suspicions: RefCell::new(gossip.suspicions()),
             joined_ms: RefCell::default(),
             retry_limit: Cell::new(retry_limit),
@@ -315,6 +318,18 @@
             .record_lost_answer(upstream.incarnation(), fingerprint, now_ms);
     }
 
+    /// Begins a check whether `upstream` is dead, and returns `false` if one is under way.
+    pub(crate) fn begin_death_check(&self, upstream: &Upstream) -> bool {
+        let mut checks = self.death_checks.borrow_mut();
+        checks.insert(upstream.incarnation())
+    }
+
+    /// Ends the check of `upstream`.
+    pub(crate) fn end_death_check(&self, upstream: &Upstream) {
+        let mut checks = self.death_checks.borrow_mut();
+        checks.remove(&upstream.incarnation());
+    }
+
     /// Records that a request was answered, which ends all suspicion against it.
     pub(crate) fn record_answered_request(&self, fingerprint: u64, now_ms: u64) {
         let suspicion = self
