A connection that times out is no death of the upstream

A router that is cut off would count the death of every upstream that it can't reach, against each request whose answers it lost there, and since deaths add up over routers it takes fewer of them than before to quarantine a request.

Only a refused connection is a death now, as the check after a lost answer finds it; the same check follows a connection that can't be opened. A host that lost power doesn't refuse, and counts once its entry is gone. Health is as before. No test of its own: the stand-ins can't let a connection time out.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -196,7 +196,10 @@
             let now_ms = self.context.path.clock.now_ms();
             let state = &self.context.path.state;
             match failed.kind {
-                FailureKind::NotSent => state.record_unreachable(&upstream, now_ms),
+                FailureKind::NotSent => {
+                    state.record_unreachable(&upstream, now_ms);
+                    death_check::spawn(&self.context.path, upstream.clone());
+                }
                 FailureKind::Lost => self.record_lost_answer(&upstream),
                 FailureKind::Replaced => state.record_replaced(&upstream, now_ms),
                 FailureKind::Rejected | FailureKind::Withheld => {}
--- a/src/path/death_check.rs
+++ b/src/path/death_check.rs
@@ -1,4 +1,4 @@
-//! Checks whether an upstream that lost an answer is dead.
+//! Checks whether an upstream that lost an answer or accepts no connection is dead.
 //!
 //! Failure guarded against: an upstream crashes and its lost answers eject it, so nothing connects to
 //! it and its death is noticed only when its entry expires, seconds later. Meanwhile the request that
@@ -36,7 +36,7 @@
             compio::time::sleep(pause).await;
             if refuses(upstream.addr).await {
                 let now_ms = path.clock.now_ms();
-                path.state.record_unreachable(&upstream, now_ms);
+                path.state.record_dead(&upstream, now_ms);
                 break;
             }
         }
--- a/src/path/router_state/outcomes.rs
+++ b/src/path/router_state/outcomes.rs
@@ -39,11 +39,16 @@
         }
     }
 
-    /// Records that an upstream accepts no connections.
+    /// Records that no connection to an upstream could be opened.
     pub(crate) fn record_unreachable(&self, upstream: &Upstream, now_ms: u64) {
         self.health
             .borrow_mut()
             .record_unreachable(&upstream.id, now_ms);
+    }
+
+    /// Records that an upstream refuses connections: no process listens at its address.
+    pub(crate) fn record_dead(&self, upstream: &Upstream, now_ms: u64) {
+        self.record_unreachable(upstream, now_ms);
         self.record_death(&upstream.incarnation(), now_ms);
     }
 
