--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -313,9 +313,11 @@
     /// Records that the answer of `upstream` to a request broke off.
     pub(crate) fn record_lost_answer(&self, upstream: &Upstream, fingerprint: u64, now_ms: u64) {
         log::info!(upstream = &*upstream.id, fingerprint; "an upstream's answer to this request was lost");
-        self.suspects
-            .borrow_mut()
-            .record_lost_answer(upstream.incarnation(), fingerprint, now_ms);
+        let upstream = upstream.incarnation();
+        let mut suspects = self.suspects.borrow_mut();
+        let suspicions = suspects.record_lost_answer(upstream.clone(), fingerprint, now_ms);
+        drop(suspects);
+        self.publish_deaths(&upstream, suspicions);
     }
 
     /// Begins a check whether `upstream` is dead, and returns `false` if one is under way.
@@ -346,6 +348,10 @@
     /// Records the death of an upstream: it refuses connections, or its entry was removed.
     pub(crate) fn record_death(&self, upstream: &Incarnation, now_ms: u64) {
         let suspicions = self.suspects.borrow_mut().record_death(upstream, now_ms);
+        self.publish_deaths(upstream, suspicions);
+    }
+
+    fn publish_deaths(&self, upstream: &Incarnation, suspicions: Vec<Suspicion>) {
         for suspicion in &suspicions {
             log::warn!(
                 upstream = &*upstream.id, fingerprint = suspicion.fingerprint,
--- a/src/path/suspects.rs
+++ b/src/path/suspects.rs
@@ -5,7 +5,7 @@
 //! connections, or its entry is removed. All requests that ran on it at the same time are suspected
 //! too, until one of them is answered.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::decide::Incarnation;
 use crate::decide::quarantine::{Quarantine, QuarantineStatus};
@@ -30,6 +30,8 @@
 pub(crate) struct Suspects {
     quarantine: Quarantine,
     lost: VecDeque<LostAnswer>,
+    /// Upstreams found dead, and when.
+    dead: HashMap<Incarnation, u64>,
 }
 
 impl Suspects {
@@ -41,27 +43,36 @@
         }
     }
 
-    /// Records that the answer of `upstream` to a request broke off.
+    /// Records that the answer of `upstream` to a request broke off. Returns the suspicions to
+    /// publish, if the upstream is known to be dead.
     pub(crate) fn record_lost_answer(
         &mut self,
         upstream: Incarnation,
         fingerprint: u64,
         now_ms: u64,
-    ) {
+    ) -> Vec<Suspicion> {
         if self.lost.len() >= MAX_LOST_ANSWERS {
             self.lost.pop_front();
         }
+        let is_dead = self.dead.contains_key(&upstream);
         self.lost.push_back(LostAnswer {
             at_ms: now_ms,
-            upstream,
+            upstream: upstream.clone(),
             fingerprint,
         });
+        if is_dead {
+            self.record_death(&upstream, now_ms)
+        } else {
+            Vec::new()
+        }
     }
 
     /// Records the death of `upstream`. Returns the suspicions to publish to the other routers.
     pub(crate) fn record_death(&mut self, upstream: &Incarnation, now_ms: u64) -> Vec<Suspicion> {
-        let is_old = |l: &LostAnswer| now_ms.saturating_sub(l.at_ms) > FOUND_DEAD_MS;
-        self.lost.retain(|l| !is_old(l));
+        let is_old = |at_ms: u64| now_ms.saturating_sub(at_ms) > FOUND_DEAD_MS;
+        self.dead.retain(|_, at_ms| !is_old(*at_ms));
+        self.dead.entry(upstream.clone()).or_insert(now_ms);
+        self.lost.retain(|l| !is_old(l.at_ms));
         let (dead, others): (VecDeque<_>, _) = std::mem::take(&mut self.lost)
             .into_iter()
             .partition(|l| l.upstream == *upstream);
--- a/src/path/suspects_tests.rs
+++ b/src/path/suspects_tests.rs
@@ -43,6 +43,20 @@
     assert!(suspects.quarantine_ms(GOOD, 20).is_none());
 }
 
+/// An upstream dies, one router notices, and only then the answer to the harmful request breaks off:
+/// its connection is closed last. The death must count against it.
+#[test]
+fn answer_lost_after_the_death_was_recorded_counts() {
+    let mut suspects = Suspects::default();
+    for i in 0..u64::from(MANY_DEATHS) {
+        suspects.record_lost_answer(upstream(i), GOOD, i);
+        suspects.record_death(&upstream(i), i + 1);
+        let suspicions = suspects.record_lost_answer(upstream(i), BAD, i + 2);
+        assert_eq!(suspicions.len(), 1);
+    }
+    assert!(suspects.quarantine_ms(BAD, 10).is_some());
+}
+
 /// Live upstreams lose answers all the time, which must not quarantine a request.
 #[test]
 fn lost_answers_of_live_upstreams_quarantine_no_request() {
