--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -127,6 +127,7 @@
                         .path
                         .state
                         .record_failure(&upstream, &reason, now_ms);
+                    self.record_lost_answer(&upstream);
                     if !self.may_retry() {
                         return Err(self.refuse(Cause::UpstreamFailed, reason));
                     }
--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -32,6 +32,8 @@
     pub spoilt: u32,
     /// A request whose body contains this text aborts the process, after its run is printed.
     pub crash_marker: String,
+    /// Whether such a request gets half of its answer first.
+    pub crash_in_answer: bool,
     /// Publishes its state as draining.
     pub draining: bool,
     /// Publishes nothing to the store.
@@ -345,6 +347,11 @@
         });
         let knobs = self.knobs.borrow().clone();
         if !knobs.crash_marker.is_empty() && request.body.contains(&knobs.crash_marker) {
+            if knobs.crash_in_answer {
+                let head = self.response_headers(request.header("attempt-id"));
+                let text = format_response("200 OK", &head, &request.body);
+                send(stream, &text[..text.len() - 1]).await;
+            }
             std::process::abort();
         }
         let delay = Duration::from_millis(knobs.delay_ms);
--- a/tests/routed_quarantine.rs
+++ b/tests/routed_quarantine.rs
@@ -181,3 +181,23 @@
         }
     }
 }
+
+/// Upstreams that crash in the middle of an answer with a length, under one request. The answer
+/// broke off after its head had arrived, which must count against the request like any lost answer.
+#[compio::test]
+async fn answers_that_break_off_count_against_the_request() {
+    let size = FleetSize {
+        upstreams: 8,
+        ..FleetSize::default()
+    };
+    let routed = RoutedFleet::start(size).await;
+    let knobs = json!({ "crash_marker": "poison", "crash_in_answer": true });
+    routed.upstream_knobs(knobs).await;
+    for _ in 0..3 {
+        routed.call(0, "/get/1", HARMFUL).await;
+        sleep_ms(300).await;
+    }
+    let (id, received) = routed.call(0, "/get/1", HARMFUL).await;
+    assert_eq!(received.map(|r| r.status), Some(503));
+    assert_eq!(routed.runs_of(&id), 0);
+}
