An error answer clears no suspicion against a request

A request that crashes upstreams was cleared by one upstream that fails what it gets. Only other answers clear it now.

--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -43,10 +43,10 @@
             );
             tally.first_byte();
             tally.ended(true);
-            let context = &attempts.context;
-            let now_ms = context.path.clock.now_ms();
-            let state = &context.path.state;
-            state.record_answered_request(context.fingerprint, now_ms);
+            // An upstream may fail a request that it hasn't begun to run.
+            if !reply.parts.status.is_server_error() {
+                attempts.record_answered();
+            }
             respond(reply.parts, Answer::whole(reply.body))
         }
         UpstreamAnswer::Stream(reply) => stream(attempts, reply, tally),
@@ -156,10 +156,7 @@
                 StreamEnd::Complete => {
                     reply.finish();
                     self.tally.ended(true);
-                    let context = &self.attempts.context;
-                    let now_ms = context.path.clock.now_ms();
-                    let state = &context.path.state;
-                    state.record_answered_request(context.fingerprint, now_ms);
+                    self.attempts.record_answered();
                     self.attempts
                         .emit(Kind::RequestAnswered, &upstream.id, "stream complete");
                     return Ok(());
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -284,6 +284,15 @@
         Some(attempt_timeout.max(MIN_ATTEMPT_TIMEOUT))
     }
 
+    /// Records that this request was answered completely.
+    pub(crate) fn record_answered(&self) {
+        let RequestContext {
+            path, fingerprint, ..
+        } = &self.context;
+        let now_ms = path.clock.now_ms();
+        path.state.record_answered_request(*fingerprint, now_ms);
+    }
+
     /// Records that `upstream` lost its answer to this request, and checks whether it is dead.
     pub(crate) fn record_lost_answer(&self, upstream: &Rc<Upstream>) {
         let RequestContext {
--- a/tests/routed_quarantine.rs
+++ b/tests/routed_quarantine.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 use support::routed::{FleetSize, RoutedFleet};
-use support::{post, sleep_ms, wait_until};
+use support::{post, set_knobs, sleep_ms, wait_until};
 use test_case::test_case;
 
 /// Body of the request that crashes upstreams.
@@ -201,3 +201,29 @@
     assert_eq!(received.map(|r| r.status), Some(503));
     assert_eq!(routed.runs_of(&id), 0);
 }
+
+/// One upstream answers the harmful request with an error, as it fails all requests, and the others
+/// crash. The error says nothing for the request, which must be stopped all the same.
+#[compio::test]
+async fn error_answers_clear_no_suspicion() {
+    let size = FleetSize {
+        upstreams: 8,
+        ..FleetSize::default()
+    };
+    let mut routed = RoutedFleet::start(size).await;
+    routed.upstream_knobs(crash_knobs()).await;
+    let failing = json!({ "spoil": "fail", "spoilt": 1_000 });
+    set_knobs(routed.upstreams[0].addr, &failing).await;
+    let mut crashes = Crashes::default();
+    let mut is_stopped = false;
+    for _ in 0..60 {
+        let (_, received) = routed.call(0, "/ticket/1", HARMFUL).await;
+        is_stopped = received.is_some_and(|r| r.body.contains("quarantined"));
+        if is_stopped {
+            break;
+        }
+        crashes.replace(&mut routed).await;
+        sleep_ms(60).await;
+    }
+    assert!(is_stopped);
+}
