The quarantine is asked before each further attempt of a request

Now each attempt asks again, resumptions of streams too. A request that is suspected already pauses for 100 ms before a further attempt, in which the last death is noticed and other routers' reports arrive; one that no death counts against doesn't wait. A request that ran and is refused so gets 502, as nothing may be promised.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -34,6 +34,9 @@
 const ATTEMPT_TIMEOUT_FACTOR: u64 = 2;
 /// Lower bound of the time until an attempt is abandoned.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause before a further attempt of a request that is suspected of crashing upstreams: the time in
+/// which the last death is noticed and the other routers' reports arrive.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(100);
 /// Lowest priority that upstreams accept.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -154,6 +157,9 @@
     /// next attempt resumes after event `resume_after`.
     pub(crate) async fn next(&mut self, resume_after: Option<u64>) -> Result<Reply, Refused> {
         loop {
+            if self.deliveries > 0 && self.is_suspected() {
+                compio::time::sleep(SUSPECT_PAUSE.min(self.remaining())).await;
+            }
             let upstreams = self.context.path.replica.upstreams_fresh();
             if !upstreams.wait_until_usable().await {
                 return Err(self.refuse(Cause::NoUpstream, STALE_STATE.to_owned()));
@@ -164,6 +170,9 @@
                     "not enough time left until the deadline".to_owned(),
                 ));
             }
+            if let Some(left_ms) = self.quarantine_ms() {
+                return Err(self.refuse_quarantined(left_ms));
+            }
             let Some(choice) = self.choose() else {
                 return Err(self.refuse_without_upstream());
             };
@@ -284,6 +293,19 @@
         Some(attempt_timeout.max(MIN_ATTEMPT_TIMEOUT))
     }
 
+    fn is_suspected(&self) -> bool {
+        let context = &self.context;
+        context.path.state.is_suspected(context.fingerprint)
+    }
+
+    /// Remaining time of the quarantine of this request, which may have begun since it arrived.
+    fn quarantine_ms(&self) -> Option<u64> {
+        let RequestContext {
+            path, fingerprint, ..
+        } = &self.context;
+        path.state.quarantine_ms(*fingerprint, path.clock.now_ms())
+    }
+
     /// Records that this request was answered completely.
     pub(crate) fn record_answered(&self) {
         let RequestContext {
--- a/src/path/attempts/refusal.rs
+++ b/src/path/attempts/refusal.rs
@@ -3,7 +3,7 @@
 use crate::decide::refusal::{Cause, RunState, jittered_ms};
 use crate::path::attempts::Attempts;
 use crate::path::dialect::{Dialect, Records};
-use crate::path::refusal::Refused;
+use crate::path::refusal::{QUARANTINED, Refused};
 
 /// Least base of `Retry-After` if all upstreams of a service are full or unreachable: the duration
 /// of a few requests.
@@ -30,6 +30,17 @@
         )
     }
 
+    /// Returns the refusal of a request that was quarantined after it arrived.
+    pub(super) fn refuse_quarantined(&self, left_ms: u64) -> Refused {
+        let detail = QUARANTINED.to_owned();
+        let refused = self.refuse(Cause::Quarantined, detail);
+        let retry_after_ms = if self.runs > 0 { 0 } else { left_ms };
+        Refused {
+            retry_after_ms,
+            ..refused
+        }
+    }
+
     /// Builds the final refusal. Its run state is "not run" only if no upstream can have run the
     /// request.
     pub(super) fn refuse(&self, cause: Cause, detail: String) -> Refused {
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -12,6 +12,9 @@
 pub(crate) const STALE_STATE: &str =
     "this router has not run for a while, and its state is too old";
 
+/// Detail of a refusal of a quarantined request.
+pub(crate) const QUARANTINED: &str = "identical requests crashed upstreams";
+
 /// Reason why a request ends without an answer of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Refused {
@@ -40,7 +43,9 @@
             Cause::Deadline | Cause::UpstreamFailed | Cause::Quarantined if is_not_run => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
-            Cause::NoUpstream | Cause::Full if !is_not_run => StatusCode::BAD_GATEWAY,
+            Cause::NoUpstream | Cause::Full | Cause::Quarantined if !is_not_run => {
+                StatusCode::BAD_GATEWAY
+            }
             cause => status(cause),
         }
     }
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -20,7 +20,7 @@
 use crate::path::attempts::{Attempts, RequestContext};
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::log_replica::LogReplica;
-use crate::path::refusal::{Refused, STALE_STATE};
+use crate::path::refusal::{QUARANTINED, Refused, STALE_STATE};
 use crate::path::routes::{Account, CallerLimits, Deployment, Route};
 use crate::path::{RequestPath, answer};
 use crate::stats::{self, Tally};
@@ -93,8 +93,7 @@
     let body = body.map_err(|e| malformed(&e))?;
     let fingerprint = fingerprint(account.as_deref(), &parts, &body);
     if let Some(left_ms) = path.state.quarantine_ms(fingerprint, path.clock.now_ms()) {
-        let detail = "identical requests crashed upstreams";
-        return Err(Refused::not_run(Cause::Quarantined, left_ms, detail));
+        return Err(Refused::not_run(Cause::Quarantined, left_ms, QUARANTINED));
     }
     let deadline = started + Duration::from_millis(caller_ms.min(route.timeout_ms));
     let service = route.draw_service(&mut rand::rng()).clone();
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -310,6 +310,11 @@
         quarantine_ms.filter(|_| self.decisions().quarantine)
     }
 
+    /// Whether upstreams died while they ran the request, and no answer clears it.
+    pub(crate) fn is_suspected(&self, fingerprint: u64) -> bool {
+        self.suspects.borrow().is_suspected(fingerprint)
+    }
+
     /// Records that the answer of `upstream` to a request broke off.
     pub(crate) fn record_lost_answer(&self, upstream: &Upstream, fingerprint: u64, now_ms: u64) {
         log::info!(upstream = &*upstream.id, fingerprint; "an upstream's answer to this request was lost");
--- a/src/path/suspects.rs
+++ b/src/path/suspects.rs
@@ -43,6 +43,12 @@
         }
     }
 
+    /// Whether any death counts against the request.
+    pub(crate) fn is_suspected(&self, fingerprint: u64) -> bool {
+        let evidence = self.quarantine.evidence(fingerprint);
+        evidence.is_some_and(|e| e.suspected_ms().is_some())
+    }
+
     /// Records that the answer of `upstream` to a request broke off. Returns the suspicions to
     /// publish, if the upstream is known to be dead.
     pub(crate) fn record_lost_answer(
--- a/tests/routed_quarantine.rs
+++ b/tests/routed_quarantine.rs
@@ -227,3 +227,26 @@
     }
     assert!(is_stopped);
 }
+
+/// A request that has crashed three upstreams crashes the fourth. The attempts that its caller's
+/// request may still make must not be made.
+#[test_case("/get/1"; "retries")]
+#[test_case("/resumed/stream"; "resumptions")]
+#[compio::test]
+async fn quarantine_ends_the_attempts_under_way(path: &str) {
+    let size = FleetSize {
+        upstreams: 10,
+        ..FleetSize::default()
+    };
+    let routed = RoutedFleet::start(size).await;
+    routed.upstream_knobs(crash_knobs()).await;
+    let (first, _) = routed.call(0, path, HARMFUL).await;
+    sleep_ms(300).await;
+    let (second, received) = routed.call(0, path, HARMFUL).await;
+    // It ran, so it may not be promised that it didn't.
+    assert_eq!(received.map(|r| r.status), Some(502));
+    let (third, received) = routed.call(0, path, HARMFUL).await;
+    assert_eq!(received.map(|r| r.status), Some(503));
+    let runs = [first, second, third].map(|id| routed.runs_of(&id));
+    assert_eq!(runs, [3, 1, 0]);
+}
