News about requests are reported to other routers at once, quarantines again and again

Cause: suspicions travelled with the membership's probes alone, two datagrams in 500 ms, four suspicions each, and each death adds all requests that ran there (48 before second 16), in no order. On our processes, with nothing else suspected, a suspicion took up to 1.5 s to reach the ninth router. Once sent often enough it was never sent again: a router that started later, or was cut off meanwhile, didn't know of a quarantine.

Fix: news go out with the next tick of 50 ms, to as many routers as in-flight reports do, those with most deaths first; single deaths once, others three times. Gossip sends those first too, and repeats quarantines when it has nothing newer. Requests are compared with what has arrived, not with what the last 200 ms maintenance took.

Cost: nothing is sent without news; a death costs each router that lost answers one datagram to each of up to 16 others.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,4 +26,6 @@
 #[cfg(test)]
 mod log_reads_tests;
 #[cfg(test)]
+mod suspects_tests;
+#[cfg(test)]
 mod transit_tests;
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -296,6 +296,14 @@
     #[prost(message, repeated, tag = "9")]
     pub leaving: ::prost::alloc::vec::Vec<LeavingUpdate>,
 }
+/// News about requests, sent as soon as there are any.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SuspicionReport {
+    #[prost(message, repeated, tag = "1")]
+    pub suspicions: ::prost::alloc::vec::Vec<Suspicion>,
+}
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -446,7 +454,7 @@
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Datagram {
-    #[prost(oneof = "datagram::Body", tags = "1, 2, 3")]
+    #[prost(oneof = "datagram::Body", tags = "1, 2, 3, 4")]
     pub body: ::core::option::Option<datagram::Body>,
 }
 /// Nested message and enum types in `Datagram`.
@@ -459,6 +467,8 @@
         Ack(super::Ack),
         #[prost(message, tag = "3")]
         Flights(super::InFlightReport),
+        #[prost(message, tag = "4")]
+        Suspicions(super::SuspicionReport),
     }
 }
 /// Requests all members that a router knows; sent by a router that starts.
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -306,6 +306,7 @@
 
     /// Remaining time for which a request is quarantined because it crashed upstreams.
     pub(crate) fn quarantine_ms(&self, fingerprint: u64, now_ms: u64) -> Option<u64> {
+        self.merge_suspicions(now_ms);
         let quarantine_ms = self.suspects.borrow().quarantine_ms(fingerprint, now_ms);
         quarantine_ms.filter(|_| self.decisions().quarantine)
     }
--- a/src/peers/probes/mod.rs
+++ b/src/peers/probes/mod.rs
@@ -95,6 +95,7 @@
             senders,
             liveness: liveness.clone(),
             loads_changed: true,
+            suspects_changed: false,
         };
         compio::runtime::spawn(task.run(rx)).detach();
         Self {
@@ -137,6 +138,7 @@
         Body::Ping(_) => "ping_for_other",
         Body::Ack(_) => "ack",
         Body::Flights(_) => "flights",
+        Body::Suspicions(_) => "suspicions",
     };
     stats::control_bytes(way, kind, bytes);
 }
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -31,6 +31,7 @@
 use crate::schema::peer::datagram::Body;
 use crate::schema::peer::{
     self, Ack, Datagram, InFlightCount, InFlightReport, LogPosition, Ping, ServiceDemand,
+    SuspicionReport,
 };
 use crate::stats;
 use crate::util::{Clock, Name};
@@ -43,6 +44,8 @@
 const MAX_MEMBERS: usize = 2;
 /// Suspicions and their deaths.
 const MAX_SUSPICIONS: usize = 9;
+/// Suspicions and their deaths in a report that contains nothing else.
+const MAX_REPORTED_SUSPICIONS: usize = 24;
 const MAX_LEAVING: usize = 4;
 const MAX_LOADS: usize = 28;
 /// Above this number, simultaneous member changes are reported as counts: a router that starts
@@ -75,6 +78,7 @@
     pub(super) senders: GossipSenders,
     pub(super) liveness: Liveness,
     pub(super) loads_changed: bool,
+    pub(super) suspects_changed: bool,
 }
 
 impl Task {
@@ -119,6 +123,11 @@
                 .loads
                 .send_replace(Arc::new(Loads { by_upstream }));
         }
+        if std::mem::take(&mut self.suspects_changed) {
+            let all = self.suspects.all(now_ms);
+            self.senders.suspicions.send_replace(Arc::new(all));
+        }
+        self.report_suspicions(now_ms).await;
         self.send_all(out).await;
     }
 
@@ -188,18 +197,37 @@
             mark: Some(position),
             wishes: demands,
         });
+        self.publish(&view, live, body).await;
+    }
+
+    /// Reports news about requests. A harmful request that is sent again at once crashes an upstream
+    /// in less time than gossip takes to reach all routers.
+    async fn report_suspicions(&mut self, now_ms: u64) {
+        let suspicions = self.suspects.report(MAX_REPORTED_SUSPICIONS, now_ms);
+        if suspicions.is_empty() {
+            return;
+        }
+        let view = self.view_tx.borrow().clone();
+        let is_live = |m: &&Member| m.state != MemberState::Dead;
+        let live = view.members.iter().filter(is_live).count();
+        let body = Body::Suspicions(SuspicionReport { suspicions });
+        self.publish(&view, live, body).await;
+    }
+
+    /// Sends a datagram to random ones of `live` routers.
+    async fn publish(&mut self, view: &View, live: usize, body: Body) {
         let Ok(payload) = frames::to_vec(&Datagram {
             body: Some(body.clone()),
         }) else {
             return;
         };
         let datagram = self.auth.sign(&payload);
-        for addr in self.report_addrs(&view, in_flight::receivers(live)) {
+        for addr in self.report_addrs(view, in_flight::receivers(live)) {
             count("sent", &body, datagram.len());
             let BufResult(sent, _) = self.socket.send_to(datagram.clone(), addr).await;
             if let Err(e) = sent {
                 // The next publication makes up for it.
-                log::debug!("sending request counts to {addr} failed: {e}");
+                log::debug!("sending a publication to {addr} failed: {e}");
             }
         }
     }
@@ -230,6 +258,7 @@
                 let host = host.into();
                 (gossip, Message::Ack { seq, host })
             }
+            Body::Suspicions(report) => return self.suspect(&report.suspicions, now_ms),
             Body::Flights(mut counts) => {
                 let position = counts.mark.take().unwrap_or_default();
                 let host = counts.from_host.clone();
@@ -271,10 +300,7 @@
     }
 
     fn suspect(&mut self, received: &[peer::Suspicion], now_ms: u64) {
-        if self.suspects.merge(received, now_ms) {
-            let all = self.suspects.all(now_ms);
-            self.senders.suspicions.send_replace(Arc::new(all));
-        }
+        self.suspects_changed |= self.suspects.merge(received, now_ms);
     }
 
     fn record_config(&self, host: &str, offset: u64, digest: u64) {
--- a/tests/routed_quarantine.rs
+++ b/tests/routed_quarantine.rs
@@ -250,3 +250,38 @@
     let runs = [first, second, third].map(|id| routed.runs_of(&id));
     assert_eq!(runs, [3, 1, 0]);
 }
+
+/// A router is killed and started again long after the other ones have told of a quarantine. It
+/// knows nothing of it, and would pass the request on.
+#[compio::test]
+async fn restarted_router_learns_of_a_quarantine() {
+    const RESTARTED: u8 = 2;
+    let size = FleetSize {
+        routers: 3,
+        upstreams: 10,
+        ..FleetSize::default()
+    };
+    let mut routed = RoutedFleet::start(size).await;
+    routed.upstream_knobs(crash_knobs()).await;
+    for _ in 0..2 {
+        routed.call(0, "/get/1", HARMFUL).await;
+        sleep_ms(300).await;
+    }
+    let applies = "another router's suspicion of this request applies";
+    wait_until("the quarantine at all routers", || async {
+        (1..3).all(|i| routed.log(i).contains("\"deaths\":4"))
+    })
+    .await;
+    // Gossip repeats news for some seconds.
+    sleep_ms(8_000).await;
+    routed.routers[usize::from(RESTARTED)].kill();
+    let before = routed.log(RESTARTED).len();
+    routed.spawn_router(RESTARTED);
+    wait_until("the quarantine at the restarted router", || async {
+        routed.log(RESTARTED)[before..].contains(applies)
+    })
+    .await;
+    let (id, received) = routed.call(RESTARTED, "/get/1", HARMFUL).await;
+    assert_eq!(received.map(|r| r.status), Some(503));
+    assert_eq!(routed.runs_of(&id), 0);
+}
