Soak: callers that repeat one harmful request, and no harmless one refused for it

--harmful N: callers that send one request which crashes each upstream that runs it, twice and again after a pause, to routers drawn anew. More than three arrivals later than 3 s after the third death from routers that nothing excuses are a violation, and so is a harmless request that is refused as quarantined (all callers share 112 bodies, so they are common ones). Crashed upstreams are started again. Without the option a seed's faults and load stay as they were, but for upstreams that ended by themselves.

Not seen failing: the soak was not run on the code before the fixes.

--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -142,6 +142,7 @@
             Instant::now(),
         );
         clear_due_knobs(routed, scene, &mut active, Instant::now()).await;
+        replace_crashed(routed, scene, &mut interruptions);
         if rngs.departures.random_bool(DEPARTURE_SHARE) {
             let departure = departure(routed, scene, &mut rngs.departures).await;
             if let Some((description, fault)) = departure {
@@ -207,6 +208,17 @@
     interruptions
 }
 
+/// Starts upstreams again that ended by themselves.
+fn replace_crashed(routed: &mut RoutedFleet, scene: &Scene, interruptions: &mut Interruptions) {
+    for i in 0..routed.upstreams.len() {
+        if routed.upstreams[i].exited().is_some() {
+            scene.upstream_killed(i);
+            routed.spawn_upstream(u8::try_from(i).unwrap_or_default());
+            interruptions.upstream(i);
+        }
+    }
+}
+
 /// Makes an upstream announce its shutdown, or reject requests and ask for a time without any.
 async fn notice(routed: &RoutedFleet, scene: &Scene, rng: &mut SmallRng) -> (String, ActiveFault) {
     let i = rng.random_range(0..routed.upstreams.len());
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -8,6 +8,7 @@
 
 mod callers;
 mod faults;
+mod harmful;
 mod notices;
 mod operator;
 mod outages;
@@ -23,6 +24,7 @@
 
 use crate::callers::Callers;
 use crate::faults::{FaultRngs, Scene};
+use crate::harmful::HarmfulCallers;
 use crate::operator::Operator;
 use crate::outages::{Outage, Outages};
 use crate::probes::Probes;
@@ -35,6 +37,7 @@
 const TRUNCATE_SEED: u64 = 0x7472;
 const SUSPEND_SEED: u64 = 0x7375;
 const PROBE_SEED: u64 = 0x7072;
+const HARMFUL_SEED: u64 = 0x6861;
 
 /// What decides whether a run passes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::EnumString)]
@@ -44,6 +47,8 @@
     Answers,
     /// Configurations and departures are in force in time.
     Promises,
+    /// Requests that crash upstreams are stopped, and no others.
+    Quarantine,
 }
 
 /// Runs a fleet of processes under load and faults, and checks the responses that callers received
@@ -71,7 +76,10 @@
     /// Share of the faults that excuse routers which are injected, from 0 to 1
     #[bpaf(long, argument("SHARE"), fallback(1.0))]
     pub(crate) excusing: f64,
-    /// The only checks that decide, answers or promises; by default both
+    /// Number of callers that repeat one request which crashes each upstream that runs it
+    #[bpaf(long, argument("N"), fallback(0))]
+    pub(crate) harmful: u32,
+    /// The only checks that decide, answers, promises or quarantine; by default all
     #[bpaf(long, argument("CHECKS"), optional)]
     pub(crate) only: Option<Checks>,
 }
@@ -123,19 +131,25 @@
     };
     let callers = Callers::spawn(&routed, args.callers, args.seed);
     let probes = Probes::spawn(&routed, args.probes, args.seed ^ PROBE_SEED);
+    let harmful = HarmfulCallers::spawn(&routed, args.harmful, args.seed ^ HARMFUL_SEED);
     let until = Instant::now() + Duration::from_secs(args.seconds);
     let others = spawn_others(&routed, &scene, args.seed, until);
     let interruptions = faults::inject_until(&mut routed, &mut rngs, &scene, until).await;
     for other in others {
         let _ = other.await;
     }
+    let harmful = harmful.stop().await;
     let recovery = verdict::recovery(&routed).await;
     let records = callers.stop().await;
     let probes = probes.stop().await;
     // Upstreams print a run before they answer it; this waits for the last printed lines.
     support::sleep_ms(300).await;
     let mut violations = Vec::new();
-    if args.only != Some(Checks::Promises) {
+    if args.only.is_none_or(|only| only == Checks::Quarantine) {
+        violations.extend(harmful::check(&routed, &harmful, &scene.outages));
+        violations.extend(harmful::wrongly_refused(&records));
+    }
+    if args.only.is_none_or(|only| only == Checks::Answers) {
         violations.extend(recovery);
         violations.extend(verdict::check(&routed, &records));
         violations.extend(notices::check(&routed, &records, &interruptions));
@@ -157,7 +171,7 @@
     );
     for finding in findings {
         println!("seed {}: {}", args.seed, finding.summary());
-        if args.only != Some(Checks::Answers) {
+        if args.only.is_none_or(|only| only == Checks::Promises) {
             violations.extend(finding.violations);
         }
     }
--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -20,6 +20,10 @@
 /// Interval at which an upstream publishes its entry to the store.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(300);
 
+/// A request whose body contains this text aborts the process whatever its knobs are, after its run is
+/// printed.
+pub const HARMFUL_BODY: &str = "crashes every upstream";
+
 /// Faults that a test can set.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -345,6 +349,9 @@
             after,
             had_key: !request.header("authorization").is_empty(),
         });
+        if request.body.contains(HARMFUL_BODY) {
+            std::process::abort();
+        }
         let knobs = self.knobs.borrow().clone();
         if !knobs.crash_marker.is_empty() && request.body.contains(&knobs.crash_marker) {
             if knobs.crash_in_answer {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -35,6 +35,15 @@
     soak("promises", seed, seconds, more);
 }
 
+/// A request crashes each upstream that runs it and is repeated through all routers. It is stopped
+/// everywhere, and the requests beside it aren't refused as quarantined.
+#[test_case(6001, 10, "--routers 6 --upstreams 8 --excusing 0.1")]
+#[test_case(6003, 10, "--upstreams 8")]
+fn harmful_requests_are_stopped(seed: u32, seconds: u32, more: &str) {
+    let _alone = FLEETS.write();
+    soak("quarantine", seed, seconds, &format!("--harmful 2 {more}"));
+}
+
 fn soak(only: &str, seed: u32, seconds: u32, more: &str) {
     let bin = Path::new(env!("CARGO_BIN_EXE_cassiagrade"));
     let path = bin.parent().unwrap().join("examples/soak");
