Observability of restores of the log from an older copy

No log line or metric told a router that had read on at an old offset from one that is up to date: both say that their state was read a few ms ago by an own read of the log. No decision changes.

Against the hypotheses: offsets given out again show as a restore, or as reads beyond the end, and as an offset in refusals above the log's end; a pause as 'resumed N ms ago'; readers that stopped as an age above the bound, or as 'store lost'.

--- a/src/path/cursor.rs
+++ b/src/path/cursor.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Offset of the next record to be read; 0 if nothing was read.
+    pub(crate) fn next_offset(&self) -> u64 {
+        self.next.unwrap_or(0)
+    }
+
     /// Notes that all records were read; `end` is the offset to continue from.
     pub(crate) fn reset_to(&mut self, end: u64) {
         self.next = Some(end);
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -227,8 +227,9 @@
         let resumed = self.suspend.since_resumed_ms();
         let resumed = resumed.map(|ms| format!(", resumed {ms} ms ago"));
         format!(
-            "configuration {} {}, upstreams at {} {}{}",
+            "configuration {} at {} {}, upstreams at {} {}{}",
             self.state.deployment().version,
+            self.orders_at(),
             self.config_fresh.describe(),
             self.upstreams_at.get(),
             self.upstreams_fresh.describe(),
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -41,6 +41,9 @@
 const HELD_FOR_REFRESH: &str = "cassiagrade_requests_held_for_refresh_total";
 const LOOP_LAG_MS: &str = "cassiagrade_loop_lag_ms";
 const HISTORY_RELOADS: &str = "cassiagrade_history_reloads_total";
+const LOG_RESTORES: &str = "cassiagrade_log_restores_total";
+const READS_BEYOND_END: &str = "cassiagrade_log_reads_beyond_end_total";
+const LOG_ERA: &str = "cassiagrade_log_era";
 const UPSTREAMS_KNOWN: &str = "cassiagrade_upstreams_known";
 
 /// Upper bucket bounds of all `_ms` histograms.
@@ -152,6 +155,15 @@
         STALE_DECISIONS,
         "Decisions by state older than a change may take to be in force, by part of the state"
     );
+    describe_gauge!(LOG_ERA, "Era of the log as last read, by stream");
+    describe_counter!(
+        LOG_RESTORES,
+        "Restores of the log from an older copy that were noticed, by stream"
+    );
+    describe_counter!(
+        READS_BEYOND_END,
+        "Reads from an offset that the log doesn't have, by stream"
+    );
     describe_counter!(
         HISTORY_RELOADS,
         "Reads of a stream whose next records were deleted, so that all of it is loaded"
@@ -196,6 +208,21 @@
     counter!(HISTORY_RELOADS, "stream" => stream).increment(1);
 }
 
+/// Records the era of the log, as read from `stream`.
+pub(crate) fn log_era(stream: &'static str, era: u64) {
+    gauge!(LOG_ERA, "stream" => stream).set(era as f64);
+}
+
+/// Counts a restore of the log from an older copy, noticed in `stream`.
+pub(crate) fn log_restored(stream: &'static str) {
+    counter!(LOG_RESTORES, "stream" => stream).increment(1);
+}
+
+/// Counts a read of `stream` from an offset that the log doesn't have.
+pub(crate) fn read_beyond_end(stream: &'static str) {
+    counter!(READS_BEYOND_END, "stream" => stream).increment(1);
+}
+
 /// Counts a refusal sent to a caller.
 pub(crate) fn refused(cause: &str) {
     counter!(REFUSALS, "cause" => cause.to_owned()).increment(1);
