Failing tests: changes after a restore of the store from an older copy; the stand-in plays it

The stand-in of the store restores all streams from a copy of a given age, names its era in every answer, answers 410 beyond the end of a stream too, and gives offsets out again.

The stand-in's knob is our own code.

--- a/standins/src/keyed.rs
+++ b/standins/src/keyed.rs
@@ -10,7 +10,7 @@
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http::{Method, Response, StatusCode};
+use http::{HeaderValue, Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::sync::watch;
@@ -41,6 +41,10 @@
     pub garble_reads: u32,
     /// Stream of which no newest record is returned.
     pub hidden: String,
+    /// Replace every stream now by a copy of this age, which begins a new era; 0 does nothing.
+    pub restore_age_ms: u64,
+    /// What the header with the era holds instead of it; empty: the era.
+    pub era_header: String,
 }
 
 /// What a request gets instead of a response.
@@ -71,23 +75,64 @@
     pub stored_ms: u64,
 }
 
+/// Header of every response: rises whenever the streams were replaced by an older copy.
+const ERA_HEADER: &str = "store-era";
+
+/// A restore of the streams from an older copy.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Restore {
+    /// Era that it began.
+    pub era: u64,
+    /// Age of the copy.
+    pub age_ms: u64,
+    /// Time of the restore, in Unix milliseconds.
+    pub restored_ms: u64,
+}
+
 /// A running store.
 pub struct Keyed {
     /// Address that it listens on.
     pub addr: SocketAddr,
 }
 
+struct Written {
+    at: Instant,
+    key: String,
+    value: Bytes,
+}
+
 #[derive(Default)]
 struct Stream {
-    first: u64,
-    records: Vec<(String, Bytes)>,
+    /// Offset of the first record that readers get.
+    first: usize,
+    /// Every record since the start, by offset, so that any older state can be restored.
+    records: Vec<Written>,
     newest: BTreeMap<String, (u64, Bytes)>,
     written_at: HashMap<String, Instant>,
 }
 
 impl Stream {
     fn end(&self) -> u64 {
-        self.first + self.records.len() as u64
+        self.records.len() as u64
+    }
+
+    /// Returns to the state as of `then`. Entries count as written now, so that none expires before
+    /// its upstream can write it again.
+    fn restore(&mut self, then: Instant) {
+        let kept = self.records.partition_point(|written| written.at <= then);
+        self.records.truncate(kept);
+        self.first = self.first.min(kept);
+        self.newest.clear();
+        for (at, written) in (0..).zip(&self.records) {
+            let key = written.key.clone();
+            if written.value.is_empty() {
+                self.newest.remove(&key);
+            } else {
+                self.newest.insert(key, (at, written.value.clone()));
+            }
+        }
+        let now = Instant::now();
+        self.written_at = self.newest.keys().map(|key| (key.clone(), now)).collect();
     }
 
     /// Writes a value; appends no record if the value is unchanged. An empty value deletes the key.
@@ -109,14 +154,17 @@
         } else {
             self.newest.insert(key.clone(), (at, value.clone()));
         }
-        self.records.push((key, value));
+        self.records.push(Written {
+            at: Instant::now(),
+            key,
+            value,
+        });
         true
     }
 
     /// Deletes the history; the newest record of each key remains.
     fn truncate(&mut self) {
-        self.first = self.end();
-        self.records.clear();
+        self.first = self.records.len();
     }
 
     fn expire(&mut self, limit: Duration) {
@@ -134,20 +182,24 @@
 
 fn print_entry_change(key: &str, value: &Bytes) {
     let entry: serde_json::Value = serde_json::from_slice(value).unwrap_or_default();
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let stored_ms = since.unwrap_or_default().as_millis();
     print_run(&EntryChange {
         entry: key.to_owned(),
         state: entry["state"].as_str().unwrap_or_default().to_owned(),
-        stored_ms: u64::try_from(stored_ms).unwrap_or(u64::MAX),
+        stored_ms: wall_ms(),
     });
 }
 
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
+
 struct Server {
     knobs: RefCell<Knobs>,
     streams: RefCell<HashMap<String, Stream>>,
     changed: watch::Sender<u64>,
     calls: Cell<u64>,
+    era: Cell<u64>,
 }
 
 impl Keyed {
@@ -161,6 +213,7 @@
             streams: RefCell::default(),
             changed: watch::Sender::new(0),
             calls: Cell::default(),
+            era: Cell::new(1),
         });
         compio::runtime::spawn(server.clone().expire()).detach();
         let addr = serve(addr, server).await?;
@@ -185,19 +238,17 @@
             (knobs.fault, knobs.delay_ms)
         };
         compio::time::sleep(Duration::from_millis(delay_ms)).await;
-        match fault {
-            Fault::None => {}
-            Fault::Busy => return Some(status(StatusCode::SERVICE_UNAVAILABLE)),
-            Fault::Many => return Some(status(StatusCode::TOO_MANY_REQUESTS)),
-            Fault::Cut => return None,
-            Fault::Silent => std::future::pending().await,
-        }
-        match request.path.as_str() {
-            "/log-append" => self.append(&request),
-            "/log-read" => Some(self.read(&request).await),
-            "/log-newest" => Some(self.newest(&request)),
-            _ => Some(status(StatusCode::NOT_FOUND)),
-        }
+        let response = match (fault, request.path.as_str()) {
+            (Fault::Busy, _) => status(StatusCode::SERVICE_UNAVAILABLE),
+            (Fault::Many, _) => status(StatusCode::TOO_MANY_REQUESTS),
+            (Fault::Cut, _) => return None,
+            (Fault::Silent, _) => std::future::pending().await,
+            (Fault::None, "/log-append") => self.append(&request)?,
+            (Fault::None, "/log-read") => self.read(&request).await,
+            (Fault::None, "/log-newest") => self.newest(&request),
+            (Fault::None, _) => status(StatusCode::NOT_FOUND),
+        };
+        Some(self.with_era(response))
     }
 }
 
@@ -211,10 +262,43 @@
                 stream.truncate();
             }
         }
+        if knobs.restore_age_ms > 0 {
+            self.restore(knobs.restore_age_ms);
+        }
         *self.knobs.borrow_mut() = knobs;
         status(StatusCode::OK)
     }
 
+    /// Replaces every stream by a copy of age `age_ms`.
+    fn restore(&self, age_ms: u64) {
+        let now = Instant::now();
+        let then = now.checked_sub(Duration::from_millis(age_ms));
+        let then = then.unwrap_or(now);
+        for stream in self.streams.borrow_mut().values_mut() {
+            stream.restore(then);
+        }
+        self.era.set(self.era.get() + 1);
+        print_run(&Restore {
+            era: self.era.get(),
+            age_ms,
+            restored_ms: wall_ms(),
+        });
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    fn with_era(&self, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+        let set = &self.knobs.borrow().era_header;
+        let era = if set.is_empty() {
+            Ok(self.era.get().into())
+        } else {
+            HeaderValue::from_str(set)
+        };
+        if let Ok(era) = era {
+            response.headers_mut().insert(ERA_HEADER, era);
+        }
+        response
+    }
+
     /// Truncates the stream given in the query, or every stream, whatever fault is set.
     fn truncate(&self, request: &BufferedRequest) -> Response<ResponseBody> {
         let only: Option<String> = request.query("stream_name");
@@ -287,22 +371,22 @@
         let streams = self.streams.borrow();
         streams
             .get(name)
-            .is_some_and(|s| s.end() > from || from < s.first)
+            .is_some_and(|s| s.end() != from || from < s.first as u64)
     }
 
     fn records(&self, name: &str, from: u64) -> Response<ResponseBody> {
         let mut streams = self.streams.borrow_mut();
         let stream = streams.entry(name.to_owned()).or_default();
-        if from < stream.first {
+        if from < stream.first as u64 || from > stream.end() {
             let mut gone = json_reply(&json!({ "start_offset": stream.first }));
             *gone.status_mut() = StatusCode::GONE;
             return gone;
         }
         let mut body = BytesMut::new();
         body.put_u64(stream.end());
-        body.put_u64(stream.first);
-        let at = usize::try_from(from - stream.first).unwrap_or(usize::MAX);
-        for (key, value) in stream.records.iter().skip(at) {
+        body.put_u64(stream.first as u64);
+        let at = usize::try_from(from).unwrap_or(usize::MAX);
+        for Written { key, value, .. } in stream.records.iter().skip(at) {
             body.put_u32(u32::try_from(1 + key.len() + value.len()).unwrap_or_default());
             body.put_u8(u8::try_from(key.len()).unwrap_or_default());
             body.put_slice(key.as_bytes());
--- /dev/null
+++ b/tests/routed_restore.rs
@@ -0,0 +1,199 @@
+//! The store comes back from an older copy: it loses records that it acknowledged, and gives their
+//! offsets out again.
+
+mod support;
+
+use serde_json::{Value, json};
+use standins::backend::id_prefix;
+use support::routed::{FleetSize, RoutedFleet, routes};
+use support::{set_knobs, sleep_ms, wait_until, wall_ms};
+use test_case::test_case;
+
+/// Time within which a change that the store acknowledged must be in force.
+const BOUND_MS: u64 = 2_000;
+/// Time after which the routers have chosen their readers.
+const SETTLE_MS: u64 = 3_500;
+/// Time for which the store is away before it comes back from a copy.
+const AWAY_MS: u64 = 300;
+/// Time after the store's return until operators and upstreams have written again what is lost.
+const REWRITE_MS: u64 = 600;
+const ROUTERS: u8 = 3;
+const SIZE: FleetSize = FleetSize {
+    routers: ROUTERS,
+    upstreams: 3,
+    store_relays: true,
+    max_open_files: 0,
+};
+
+fn routes_of(version: usize) -> Value {
+    let mut all = routes();
+    let mut added = all[0].clone();
+    added["name"] = json!(format!("round-{version}"));
+    added["path_prefix"] = json!(format!("/round-{version}/"));
+    all.push(added);
+    json!(all)
+}
+
+/// Writes a configuration with a route of its own, and returns the time of its acknowledgement.
+async fn write_version(routed: &mut RoutedFleet, version: usize) -> u64 {
+    let routes = routes_of(version);
+    routed.configure(json!({ "routes": routes })).await;
+    wall_ms()
+}
+
+/// Starts a fleet whose routers know one another and have chosen their readers.
+async fn start() -> RoutedFleet {
+    let routed = RoutedFleet::start(SIZE).await;
+    for i in 0..ROUTERS {
+        wait_until("all routers to be known", || async {
+            routed.entry_addresses(i).await.len() == usize::from(ROUTERS)
+        })
+        .await;
+    }
+    sleep_ms(SETTLE_MS).await;
+    routed
+}
+
+/// The store is away for a moment and comes back from a copy that is `age_ms` old. Until
+/// [`reconnect`], it is away for the routers.
+async fn restore(routed: &RoutedFleet, age_ms: u64) {
+    for i in 0..ROUTERS {
+        routed
+            .relay_knobs(i, json!({ "refuse": true, "cut": true }))
+            .await;
+    }
+    sleep_ms(AWAY_MS).await;
+    let age_ms = age_ms + AWAY_MS;
+    routed
+        .store_knobs(json!({ "restore_age_ms": age_ms }))
+        .await;
+}
+
+async fn reconnect(routed: &RoutedFleet) {
+    for i in 0..ROUTERS {
+        routed.relay_knobs(i, json!({})).await;
+    }
+}
+
+/// Asserts that all routers serve the route of `version`, and no longer that of the version before,
+/// once the bound has passed since `acked_ms`.
+async fn assert_in_force(routed: &RoutedFleet, version: usize, acked_ms: u64) {
+    sleep_ms((acked_ms + BOUND_MS).saturating_sub(wall_ms())).await;
+    for i in 0..ROUTERS {
+        for (n, wanted) in [(version, 200), (version - 1, 404)] {
+            let (_, received) = routed.call(i, &format!("/round-{n}/1"), "1").await;
+            let received = received.expect("no answer");
+            assert_eq!(
+                received.status, wanted,
+                "router {i}, version {version} acknowledged, route of version {n}: {}",
+                received.body
+            );
+        }
+    }
+}
+
+/// The number of requests that upstream `i` gets while twelve are sent, four through each router.
+async fn arrivals_of_twelve(routed: &RoutedFleet, i: u8) -> usize {
+    let before = routed.arrivals(i).len();
+    for n in 0..12 {
+        let (_, received) = routed.call(n % ROUTERS, "/get/1", "1").await;
+        assert_eq!(received.expect("no answer").status, 200);
+    }
+    routed.arrivals(i).len() - before
+}
+
+/// Waits until the store holds `state` for upstream `i`; the empty state stands for no entry.
+async fn wait_entry(routed: &RoutedFleet, i: u8, state: &str) -> u64 {
+    let prefix = id_prefix(routed.upstreams[usize::from(i)].addr);
+    wait_until(&format!("the entry of upstream {i}"), || async {
+        let changes = routed.entry_changes();
+        let last = changes.iter().rfind(|c| c.entry.starts_with(&prefix));
+        last.is_some_and(|c| c.state == state)
+    })
+    .await;
+    wall_ms()
+}
+
+/// Replaces upstream `i` by one with another id, and waits until the store has its entry.
+async fn replace_upstream(routed: &mut RoutedFleet, i: u8) {
+    let prefix = id_prefix(routed.upstreams[usize::from(i)].addr);
+    let entries = |routed: &RoutedFleet| {
+        let changes = routed.entry_changes();
+        let all = changes.iter().filter(|c| c.entry.starts_with(&prefix));
+        all.count()
+    };
+    let before = entries(routed);
+    routed.upstreams[usize::from(i)].kill();
+    routed.spawn_upstream(i);
+    wait_until("the entry of an upstream that was replaced", || async {
+        entries(routed) > before
+    })
+    .await;
+}
+
+/// Writes four versions and restores the store to a copy without them.
+async fn lose_four_versions(routed: &mut RoutedFleet) {
+    sleep_ms(1_000).await;
+    let written_ms = wall_ms();
+    for version in 1..=4 {
+        write_version(routed, version).await;
+    }
+    assert_in_force(routed, 4, wall_ms()).await;
+    restore(routed, wall_ms() - written_ms + 500).await;
+}
+
+/// Guards against routers that never read the records whose offsets were given out again: new
+/// routes are refused and dropped ones served.
+#[test_case(true; "written before the routers read again")]
+#[test_case(false; "written one by one")]
+#[compio::test]
+async fn versions_after_a_restore_are_in_force_in_time(is_read_late: bool) {
+    const LAST: usize = 8;
+    let mut routed = start().await;
+    lose_four_versions(&mut routed).await;
+    if !is_read_late {
+        reconnect(&routed).await;
+    }
+    for version in 5..=LAST {
+        let acked_ms = write_version(&mut routed, version).await;
+        if !is_read_late {
+            assert_in_force(&routed, version, acked_ms).await;
+        }
+    }
+    reconnect(&routed).await;
+    assert_in_force(&routed, LAST, wall_ms()).await;
+}
+
+/// Guards against routers that ignore an evacuation as older than what they have read.
+#[compio::test]
+async fn evacuation_after_a_restore_is_in_force_in_time() {
+    let mut routed = start().await;
+    lose_four_versions(&mut routed).await;
+    routed.evacuate("dc-1", true).await;
+    reconnect(&routed).await;
+    sleep_ms(BOUND_MS).await;
+    assert_eq!(arrivals_of_twelve(&routed, 1).await, 0);
+}
+
+/// Guards against routers that never learn that upstreams drain, as the offsets of these records
+/// were read before.
+#[compio::test]
+async fn upstreams_that_drain_after_a_restore_get_nothing_new() {
+    let mut routed = start().await;
+    sleep_ms(1_000).await;
+    let written_ms = wall_ms();
+    for _ in 0..3 {
+        replace_upstream(&mut routed, 2).await;
+    }
+    sleep_ms(BOUND_MS).await;
+    restore(&routed, wall_ms() - written_ms + 500).await;
+    for i in [0, 1] {
+        let upstream = &routed.upstreams[usize::from(i)];
+        set_knobs(upstream.addr, &json!({ "draining": true })).await;
+        wait_entry(&routed, i, "draining").await;
+    }
+    sleep_ms(REWRITE_MS).await;
+    reconnect(&routed).await;
+    sleep_ms(BOUND_MS).await;
+    assert_eq!(arrivals_of_twelve(&routed, 0).await, 0);
+}
