Positions in the log are ordered by era: offsets given out again hide nothing

What callers saw after a restore of the store from an older copy: routes of the newest version refused with 404 and its keys with 401, dropped routes served, requests at upstreams that drain and in evacuated data centres; at all routers alike, until the log was as long as before.

Cause: a higher offset was taken for newer state. A reader went on at the old, higher offset, in its own cursor or the one that peers had told; records that were given lower offsets were never read, and ignored where they were.

A router drops what it holds of the old era when it has the new one whole. The changes kept for peers lead from the end of the old era to the new one, so that routers at or before that end need no load; others that are no readers wait for their turn and for their peers, as at a start.

Messages between routers change: routers of builds before and after don't read each other's state.

--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -26,6 +26,8 @@
         .out_dir(&out)
         .type_attribute(".", "#[derive(serde::Serialize, serde::Deserialize)]")
         .message_attribute(".", "#[serde(default, deny_unknown_fields)]")
+        // The order of the fields makes positions compare by era first.
+        .message_attribute("peer.StreamPosition", "#[derive(PartialOrd, Ord)]")
         .enum_attribute(
             "event.Kind",
             "#[derive(strum::EnumIter, strum::IntoStaticStr, strum::EnumString)]",
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -373,6 +373,18 @@
     #[prost(uint32, tag = "2")]
     pub wanted: u32,
 }
+/// Position in a stream of the platform's log. A log that is restored from an older copy begins a new
+/// era, in which it gives offsets out again.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(PartialOrd, Ord, Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamPosition {
+    /// 0 if the log names none.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+}
 /// Versions of the state that a router has of the platform's log, and the time since each was
 /// confirmed to be current.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -383,14 +395,14 @@
     pub config_version: u64,
     #[prost(uint32, tag = "2")]
     pub config_age_ms: u32,
-    /// Offset up to which the upstreams match the log.
-    #[prost(uint64, tag = "3")]
-    pub upstreams_at: u64,
+    /// Position up to which the upstreams match the log.
+    #[prost(message, optional, tag = "3")]
+    pub upstreams_at: ::core::option::Option<StreamPosition>,
     #[prost(uint32, tag = "4")]
     pub upstreams_age_ms: u32,
-    /// Offset up to which configuration and evacuations match the log.
-    #[prost(uint64, tag = "5")]
-    pub orders_at: u64,
+    /// Position up to which configuration and evacuations match the log.
+    #[prost(message, optional, tag = "5")]
+    pub orders_at: ::core::option::Option<StreamPosition>,
     /// Time of the sender's clock as of which the ages are stated.
     #[prost(uint64, tag = "6")]
     pub at_ms: u64,
@@ -402,23 +414,23 @@
 pub struct LogSyncRequest {
     #[prost(uint64, tag = "1")]
     pub config_version: u64,
-    /// 0: all upstreams.
-    #[prost(uint64, tag = "2")]
-    pub upstreams_at: u64,
+    /// Unset, or at offset 0: all upstreams.
+    #[prost(message, optional, tag = "2")]
+    pub upstreams_at: ::core::option::Option<StreamPosition>,
     /// The reply may list all upstreams if the changes since `upstreams_at` are no longer kept. Set
     /// if the requester can't read the log or isn't ready.
     #[prost(bool, tag = "3")]
     pub takes_all: bool,
-    #[prost(uint64, tag = "4")]
-    pub orders_at: u64,
+    #[prost(message, optional, tag = "4")]
+    pub orders_at: ::core::option::Option<StreamPosition>,
 }
 /// One record of an upstream in the log.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct UpstreamChange {
-    #[prost(uint64, tag = "1")]
-    pub at: u64,
+    #[prost(message, optional, tag = "1")]
+    pub at: ::core::option::Option<StreamPosition>,
     #[prost(string, tag = "2")]
     pub id: ::prost::alloc::string::String,
     /// Empty: the upstream was removed.
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -50,6 +50,8 @@
     AcceptOlderVersion,
     /// Entries that expired while the log was unavailable are removed at once.
     RemoveExpiredAtOnce,
+    /// Offsets are compared without their era.
+    IgnoreEra,
     /// A removal that this router hasn't confirmed isn't sent to peers.
     WithholdUnconfirmedRemovals,
 }
--- a/src/path/change_log.rs
+++ b/src/path/change_log.rs
@@ -2,6 +2,8 @@
 
 use std::cell::Cell;
 
+use crate::path::position::StreamPosition;
+
 /// Changes that are logged one by one between two flushes; the others are counted.
 pub(super) const MAX_LINES: u32 = 16;
 
@@ -33,18 +35,18 @@
 }
 
 impl ChangeLog {
-    /// Logs a change, the one that ends at `offset`, or counts it.
-    pub(super) fn record(&self, id: &str, change: Change, offset: u64) {
+    /// Logs a change, the one that ends at `at`, or counts it.
+    pub(super) fn record(&self, id: &str, change: Change, at: StreamPosition) {
         let lines = self.lines.get();
         if lines >= MAX_LINES {
             return self.count(change);
         }
         self.lines.set(lines + 1);
         match change {
-            Change::Gone => log::info!("upstream {id} is gone, offset {offset}"),
+            Change::Gone => log::info!("upstream {id} is gone, position {at}"),
             _ => {
                 let draining = change == Change::Draining;
-                log::info!("upstream {id} is there, draining: {draining}, offset {offset}");
+                log::info!("upstream {id} is there, draining: {draining}, position {at}");
             }
         }
     }
@@ -59,8 +61,8 @@
         self.counts.set(counts);
     }
 
-    /// Logs the counted changes, of which the last ends at `offset`, and returns them.
-    pub(super) fn flush(&self, offset: u64) -> Counts {
+    /// Logs the counted changes, of which the last ends at `at`, and returns them.
+    pub(super) fn flush(&self, at: StreamPosition) -> Counts {
         self.lines.set(0);
         let counts = self.counts.take();
         let Counts {
@@ -69,7 +71,7 @@
             gone,
         } = counts;
         if counts != Counts::default() {
-            log::info!(ready, draining, gone, offset; "further upstreams changed");
+            log::info!(ready, draining, gone, position:% = at; "further upstreams changed");
         }
         counts
     }
--- a/src/path/evacuations.rs
+++ b/src/path/evacuations.rs
@@ -3,21 +3,27 @@
 use std::collections::BTreeSet;
 
 use crate::mutation::{Mutation, mutated};
+use crate::path::position::StreamPosition;
 use crate::util::Name;
 
-/// Evacuated data centres, as of one offset of the stream that operators write.
+/// Evacuated data centres, as of one position of the stream that operators write.
 ///
 /// ```
 /// use cassiagrade::path::evacuations::Evacuations;
+/// use cassiagrade::path::position::StreamPosition;
+/// let at = |offset| StreamPosition::new(1, offset);
 /// let mut evacuations = Evacuations::default();
-/// assert!(evacuations.set(3, "north", true));
-/// assert!(!evacuations.set(2, "north", false), "older than the applied records");
+/// assert!(evacuations.set(at(3), "north", true));
+/// assert!(!evacuations.set(at(2), "north", false), "older than the applied records");
 /// assert!(evacuations.contains("north"));
+/// // The log is restored from a copy without that record.
+/// evacuations.replace(StreamPosition::new(2, 1), [].into());
+/// assert!(!evacuations.contains("north"));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     data_centers: BTreeSet<Name>,
-    at: u64,
+    at: StreamPosition,
 }
 
 impl Evacuations {
@@ -26,19 +32,19 @@
         self.data_centers.contains(data_center)
     }
 
-    /// Offset up to which the records of operators are applied; 0 if none are.
-    pub fn offset(&self) -> u64 {
+    /// Position up to which the records of operators are applied.
+    pub fn position(&self) -> StreamPosition {
         self.at
     }
 
-    /// Evacuated data centres, in order.
+    /// Data centres that are evacuated by the records up to [`Self::position`], in order.
     pub fn names(&self) -> impl Iterator<Item = &Name> {
         self.data_centers.iter()
     }
 
-    /// Applies the record that ends at offset `at`, and returns whether it changed anything. A
-    /// record older than the applied ones is ignored: it would undo a later one.
-    pub fn set(&mut self, at: u64, data_center: &str, evacuated: bool) -> bool {
+    /// Applies the record that ends at `at`, and returns whether it changed anything. A record older
+    /// than the applied ones is ignored: it would undo a later one.
+    pub fn set(&mut self, at: StreamPosition, data_center: &str, evacuated: bool) -> bool {
         if at <= self.at && !mutated(Mutation::AcceptOldEvacuations) {
             return false;
         }
@@ -50,14 +56,14 @@
         }
     }
 
-    /// Notes that all records before offset `at` were read.
-    pub fn advance_to(&mut self, at: u64) {
+    /// Notes that all records before `at` were read.
+    pub fn advance_to(&mut self, at: StreamPosition) {
         self.at = self.at.max(at);
     }
 
-    /// Replaces the evacuated data centres by those as of offset `at`, and returns whether that
-    /// changed anything.
-    pub fn replace(&mut self, at: u64, data_centers: BTreeSet<Name>) -> bool {
+    /// Replaces the evacuated data centres by those as of `at`, and returns whether that changed
+    /// anything.
+    pub fn replace(&mut self, at: StreamPosition, data_centers: BTreeSet<Name>) -> bool {
         if at <= self.at {
             return false;
         }
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -19,6 +19,7 @@
 use crate::path::cursor::Record;
 use crate::path::dialect::Records;
 use crate::path::freshness::{Evidence, StreamFreshness};
+use crate::path::position::StreamPosition;
 use crate::path::router_state::RouterState;
 use crate::path::suspend::SuspendGuard;
 use crate::peers::compression;
@@ -40,11 +41,11 @@
     pub(crate) upstreams: ReadSchedule,
 }
 
-/// Compressed records, and the offset that they reflect.
+/// Compressed records, and the position that they reflect.
 #[derive(Default)]
 struct Compressed {
     bytes: Bytes,
-    at: u64,
+    at: StreamPosition,
 }
 
 /// Configuration and upstreams, with the data that is sent to other routers.
@@ -56,7 +57,7 @@
     compressed_upstreams: RefCell<Compressed>,
     config_fresh: StreamFreshness,
     upstreams: RefCell<HashMap<Name, Bytes>>,
-    upstreams_at: Cell<u64>,
+    upstreams_at: Cell<StreamPosition>,
     upstreams_fresh: StreamFreshness,
     changes: RefCell<Changes>,
     /// Time until which upstreams with removed entries are assumed to be alive.
@@ -285,19 +286,20 @@
         self.upstreams_fresh.set_schedule(schedules.upstreams);
     }
 
-    /// Offset of the log that the upstreams reflect; 0 if nothing is known.
-    pub(crate) fn upstreams_at(&self) -> u64 {
+    /// Position of the log that the upstreams reflect.
+    pub(crate) fn upstreams_at(&self) -> StreamPosition {
         self.upstreams_at.get()
     }
 
-    /// Applies all upstreams of the log as of offset `end`.
-    pub(crate) fn apply_snapshot(&self, records: Vec<Record>, end: u64, asked_ms: u64) {
+    /// Applies all upstreams of the log as of `end`.
+    pub(crate) fn apply_snapshot(&self, records: Vec<Record>, end: StreamPosition, asked_ms: u64) {
         self.check_clock();
         self.end_silence();
         if end < self.upstreams_at.get() {
             // Peers have sent newer records since.
             return;
         }
+        self.enter_era_at(end, "the store");
         // Records that were written and removed again since the last read are missing from the
         // changes kept here.
         if !mutated(Mutation::KeepChangesAcrossGap) {
@@ -317,11 +319,16 @@
         self.confirm_upstreams(asked_ms, Evidence::Log);
     }
 
-    /// Applies the records of upstreams from offset `from` on: all that the log had at `seen_ms`.
-    pub(crate) fn apply_records(&self, from: u64, records: Vec<Record>, seen_ms: u64) {
+    /// Applies the records of upstreams from `from` on: all that the log had at `seen_ms`. They show
+    /// nothing if peers have told of a newer era meanwhile.
+    pub(crate) fn apply_records(&self, from: StreamPosition, records: Vec<Record>, seen_ms: u64) {
         self.check_clock();
         self.end_silence();
-        for (at, record) in (from + 1..).zip(records) {
+        if from.era < self.upstreams_at.get().era {
+            return;
+        }
+        for (count, record) in (1..).zip(records) {
+            let at = from.after(count);
             if at > self.upstreams_at.get() || mutated(Mutation::AcceptOldRecords) {
                 self.record(at, record);
             }
@@ -329,15 +336,29 @@
         self.confirm_upstreams(seen_ms, Evidence::Log);
     }
 
-    fn record(&self, at: u64, record: Record) {
+    /// Begins to follow the log's new era if `at` is in one.
+    fn enter_era_at(&self, at: StreamPosition, source: &str) {
+        let before = self.upstreams_at.get();
+        if at.era <= before.era {
+            return;
+        }
+        if !before.is_known() {
+            return self.start_at(at);
+        }
+        self.upstreams_at.set(at);
+        self.changes.borrow_mut().enter_era(before, at);
+        log::warn!(before:%, at:%, source; "the log was restored from an older copy");
+    }
+
+    fn record(&self, at: StreamPosition, record: Record) {
         match record.value {
             Some(value) => self.put(at, &record.key, value),
             None => self.remove(at, &record.key),
         }
     }
 
-    /// Applies the record of an upstream; `at` is the offset after it.
-    pub(crate) fn put(&self, at: u64, id: &str, record: Bytes) {
+    /// Applies the record of an upstream; `at` is the position after it.
+    pub(crate) fn put(&self, at: StreamPosition, id: &str, record: Bytes) {
         let upstream = match D::upstream(id, &record) {
             Ok(upstream) => upstream,
             Err(e) => return self.reject(at, id, &e),
@@ -352,7 +373,7 @@
         };
         let restarted = before.filter(is_different);
         let is_restart = restarted.is_some();
-        let is_new = !self.state.has_upstream(id) && self.upstreams_at.get() > 0;
+        let is_new = !self.state.has_upstream(id) && self.upstreams_at.get().is_known();
         self.missing.borrow_mut().remove(id);
         let now_ms = self.clock.now_ms();
         let cold = upstream.clone();
@@ -383,7 +404,7 @@
 
     /// Handles a record that can't be decoded: it names no upstream to use, also if a valid record
     /// had the same key.
-    fn reject(&self, at: u64, id: &str, error: &D::Error) {
+    fn reject(&self, at: StreamPosition, id: &str, error: &D::Error) {
         stats::invalid_record();
         if self.state.has_upstream(id) {
             log::warn!("upstream {id} is removed, its record is invalid: {error}");
@@ -404,7 +425,7 @@
     pub(crate) fn end_silence(&self) {
         let now_ms = self.clock.now_ms();
         let silence_ms = self.upstreams_fresh.age_ms();
-        if self.upstreams_at.get() > 0
+        if self.upstreams_at.get().is_known()
             && silence_ms > ENTRY_EXPIRY_MS
             && self.upstreams_fresh.has_failed()
             && !mutated(Mutation::RemoveExpiredAtOnce)
@@ -418,7 +439,7 @@
     }
 
     /// Handles the removal of the entry of an upstream.
-    pub(crate) fn remove(&self, at: u64, id: &str) {
+    pub(crate) fn remove(&self, at: StreamPosition, id: &str) {
         if self.upstreams.borrow_mut().remove(id).is_none() {
             return;
         }
@@ -443,7 +464,7 @@
         }
     }
 
-    fn drop_upstream(&self, at: u64, id: &str) {
+    fn drop_upstream(&self, at: StreamPosition, id: &str) {
         let Some(incarnation) = self.state.incarnation(id) else {
             return;
         };
@@ -452,9 +473,9 @@
         self.state.record_death(&incarnation, self.clock.now_ms());
     }
 
-    fn log_change(&self, id: &str, change: Change, offset: u64) {
+    fn log_change(&self, id: &str, change: Change, at: StreamPosition) {
         if !self.is_bulk.get() {
-            self.change_log.record(id, change, offset);
+            self.change_log.record(id, change, at);
         }
     }
 
@@ -472,23 +493,23 @@
         self.is_bulk.set(false);
         let known = self.state.upstream_count();
         let missing = self.missing.borrow().len();
-        let offset = self.upstreams_at.get();
-        log::info!(upstreams = known, missing, offset, source; "all upstreams replaced");
+        let position = self.upstreams_at.get();
+        log::info!(upstreams = known, missing, position:%, source; "all upstreams replaced");
         self.notify_loaded();
     }
 
-    /// Notes that all upstreams were read as of offset `at`: earlier changes are unknown here.
-    pub(crate) fn start_at(&self, at: u64) {
+    /// Notes that all upstreams were read as of `at`: earlier changes are unknown here.
+    pub(crate) fn start_at(&self, at: StreamPosition) {
         if at > self.upstreams_at.get() {
             self.upstreams_at.set(at);
             self.changes.borrow_mut().start_at(at);
         }
     }
 
-    fn push_change(&self, at: u64, id: &str, record: Bytes) {
+    fn push_change(&self, at: StreamPosition, id: &str, record: Bytes) {
         self.upstreams_at.set(at.max(self.upstreams_at.get()));
         self.changes.borrow_mut().push(UpstreamChange {
-            at,
+            at: Some(at),
             id: id.to_owned(),
             record: record.into(),
         });
--- a/src/path/log_replica/orders.rs
+++ b/src/path/log_replica/orders.rs
@@ -4,30 +4,44 @@
 
 use crate::path::cursor::Order;
 use crate::path::dialect::Records;
+use crate::path::evacuations::Evacuations;
 use crate::path::freshness::Evidence;
 use crate::path::log_replica::LogReplica;
+use crate::path::position::StreamPosition;
 use crate::util::Name;
 
 impl<D: Records> LogReplica<D> {
-    /// Offset of the log that configuration and evacuations reflect; 0 if nothing is known.
-    pub(crate) fn orders_at(&self) -> u64 {
-        self.state.evacuations().offset()
+    /// Position of the log that configuration and evacuations reflect.
+    pub(crate) fn orders_at(&self) -> StreamPosition {
+        self.state.evacuations().position()
     }
 
-    /// Applies the records of operators from offset `from` on: all that the log had at `seen_ms`.
-    pub(crate) fn apply_orders(&self, from: u64, orders: Vec<Order>, seen_ms: u64) {
+    /// Applies the records of operators from `from` on: all that the log had at `seen_ms`. They show
+    /// nothing if peers have told of a newer era meanwhile.
+    pub(crate) fn apply_orders(&self, from: StreamPosition, orders: Vec<Order>, seen_ms: u64) {
         self.check_clock();
-        let end = from + orders.len() as u64;
-        for (at, order) in (from + 1..).zip(orders) {
-            self.apply_order(at, order);
+        if from.era < self.orders_at().era {
+            return;
+        }
+        let end = from.after(orders.len() as u64);
+        for (count, order) in (1..).zip(orders) {
+            self.apply_order(from.after(count), order);
         }
         self.state.change_evacuations(|e| e.advance_to(end));
         self.confirm_config(seen_ms, Evidence::Log);
     }
 
-    /// Applies the newest records of operators up to offset `end`.
-    pub(crate) fn apply_order_snapshot(&self, orders: Vec<Order>, end: u64, asked_ms: u64) {
+    /// Applies the newest records of operators up to `end`.
+    pub(crate) fn apply_order_snapshot(
+        &self,
+        orders: Vec<Order>,
+        end: StreamPosition,
+        asked_ms: u64,
+    ) {
         self.check_clock();
+        if end.era < self.orders_at().era {
+            return;
+        }
         let mut evacuated = BTreeSet::new();
         for order in orders {
             match order {
@@ -42,7 +56,7 @@
         self.confirm_config(asked_ms, Evidence::Log);
     }
 
-    fn apply_order(&self, at: u64, order: Order) {
+    fn apply_order(&self, at: StreamPosition, order: Order) {
         let (data_center, is_evacuated) = match order {
             Order::Configure(record) => return self.configure(record, "the store"),
             Order::Evacuate(data_center) => (data_center, true),
@@ -53,16 +67,22 @@
             .state
             .change_evacuations(|e| e.set(at, &data_center, is_evacuated))
         {
-            log::info!(data_center:%, evacuated = is_evacuated, offset = at; "evacuation from the store");
+            log::info!(data_center:%, evacuated = is_evacuated, position:% = at; "evacuation from the store");
         }
     }
 
-    pub(super) fn replace_evacuated(&self, at: u64, evacuated: BTreeSet<Name>, source: &str) {
-        if self.state.change_evacuations(|e| e.replace(at, evacuated)) {
+    pub(super) fn replace_evacuated(
+        &self,
+        at: StreamPosition,
+        evacuated: BTreeSet<Name>,
+        source: &str,
+    ) {
+        let is_change = |e: &mut Evacuations| e.replace(at, evacuated);
+        if self.state.change_evacuations(is_change) {
             let evacuations = self.state.evacuations();
             let names: Vec<&str> = evacuations.names().map(|n| &**n).collect();
             let evacuated = names.join(",");
-            log::info!(evacuated, offset = at, source; "evacuations");
+            log::info!(evacuated, position:% = at, source; "evacuations");
         }
     }
 }
--- a/src/path/log_replica/sync.rs
+++ b/src/path/log_replica/sync.rs
@@ -9,6 +9,7 @@
 use crate::path::dialect::Records;
 use crate::path::freshness::{Evidence, StreamFreshness};
 use crate::path::log_replica::LogReplica;
+use crate::path::position::StreamPosition;
 use crate::peers::{compression, frames};
 use crate::schema::peer::{LogPosition, LogSyncReply, LogSyncRequest, UpstreamChange};
 use crate::util::Name;
@@ -18,6 +19,18 @@
 /// Age of state that the sender does not have: older than any clock, so that it confirms nothing.
 const UNKNOWN_MS: u32 = u32::MAX - 1;
 
+impl LogPosition {
+    /// Position up to which the upstreams match the log.
+    pub(crate) fn upstreams(&self) -> StreamPosition {
+        self.upstreams_at.unwrap_or_default()
+    }
+
+    /// Position up to which configuration and evacuations match the log.
+    pub(crate) fn orders(&self) -> StreamPosition {
+        self.orders_at.unwrap_or_default()
+    }
+}
+
 impl<D: Records> LogReplica<D> {
     /// Returns the versions, offsets and ages of the state of this router.
     pub(crate) fn position(&self) -> LogPosition {
@@ -26,9 +39,9 @@
         LogPosition {
             config_version: self.state.deployment().version,
             config_age_ms: age(&self.config_fresh),
-            upstreams_at: self.upstreams_at.get(),
+            upstreams_at: Some(self.upstreams_at.get()),
             upstreams_age_ms: age(&self.upstreams_fresh),
-            orders_at: self.orders_at(),
+            orders_at: Some(self.orders_at()),
             at_ms: now_ms,
         }
     }
@@ -36,8 +49,8 @@
     /// Whether a router that published `position` has newer state.
     pub(crate) fn is_behind(&self, position: &LogPosition) -> bool {
         position.config_version > self.state.deployment().version
-            || position.upstreams_at > self.upstreams_at.get()
-            || position.orders_at > self.orders_at()
+            || position.upstreams() > self.upstreams_at.get()
+            || position.orders() > self.orders_at()
     }
 
     /// Handles the state that another router published by gossip; its ages are as of `as_of_ms`.
@@ -54,11 +67,11 @@
     /// has nothing newer.
     fn confirm(&self, position: &LogPosition, as_of_ms: u64, evidence: Evidence) {
         let at = |age_ms: u32| as_of_ms.saturating_sub(age_ms.into());
-        let has_orders = position.orders_at == self.orders_at();
+        let has_orders = position.orders() == self.orders_at();
         if has_orders && position.config_version == self.state.deployment().version {
             self.confirm_config(at(position.config_age_ms), evidence);
         }
-        if position.upstreams_at == self.upstreams_at.get() {
+        if position.upstreams() == self.upstreams_at.get() {
             self.confirm_upstreams(at(position.upstreams_age_ms), evidence);
         }
     }
@@ -66,7 +79,8 @@
     /// Returns the state that the requester lacks.
     pub(crate) fn reply_to(&self, request: &LogSyncRequest) -> LogSyncReply {
         let has_newer = self.state.deployment().version > request.config_version;
-        let missed = self.changes.borrow().since(request.upstreams_at);
+        let known = request.upstreams_at.unwrap_or_default();
+        let missed = self.changes.borrow().since(known);
         if missed.is_none() && !request.takes_all {
             return self.reply_config_only(request, has_newer);
         }
@@ -123,7 +137,7 @@
 
     fn evacuated(&self, request: &LogSyncRequest) -> Vec<String> {
         let evacuations = self.state.evacuations();
-        if evacuations.offset() <= request.orders_at {
+        if evacuations.position() <= request.orders_at.unwrap_or_default() {
             return Vec::new();
         }
         evacuations.names().map(ToString::to_string).collect()
@@ -147,7 +161,7 @@
     fn compress_upstreams(&self) -> Vec<u8> {
         let upstreams = self.upstreams.borrow();
         let change = |(id, record): (&Name, &Bytes)| UpstreamChange {
-            at: self.upstreams_at.get(),
+            at: Some(self.upstreams_at.get()),
             id: id.to_string(),
             record: record.to_vec(),
         };
@@ -162,12 +176,12 @@
         if !reply.config.is_empty() {
             self.configure_compressed(&reply.config, source);
         }
-        if position.orders_at > self.orders_at() {
+        if position.orders() > self.orders_at() {
             let evacuated = reply.evacuated.iter().map(|name| name.as_str().into());
-            self.replace_evacuated(position.orders_at, evacuated.collect(), source);
+            self.replace_evacuated(position.orders(), evacuated.collect(), source);
         }
-        if position.upstreams_at > self.upstreams_at.get() {
-            if !self.apply_upstreams(reply, position.upstreams_at, source) {
+        if position.upstreams() > self.upstreams_at.get() {
+            if !self.apply_upstreams(reply, position.upstreams(), source) {
                 return;
             }
         } else if position.upstreams_age_ms == NOT_SENT_MS {
@@ -177,7 +191,7 @@
     }
 
     /// Applies the upstreams of an answer, and returns whether they could be decoded.
-    fn apply_upstreams(&self, reply: LogSyncReply, at: u64, source: &str) -> bool {
+    fn apply_upstreams(&self, reply: LogSyncReply, at: StreamPosition, source: &str) -> bool {
         let is_all = !reply.all_upstreams.is_empty();
         let compressed = if is_all {
             &reply.all_upstreams
@@ -195,31 +209,35 @@
         if is_all {
             self.apply_all(changes, at, source);
         } else {
-            self.apply_changes(changes);
+            self.apply_changes(changes, source);
+            self.enter_era_at(at, source);
             self.upstreams_at.set(at);
         }
         true
     }
 
-    fn apply_all(&self, all: Vec<UpstreamChange>, at: u64, source: &str) {
+    fn apply_all(&self, all: Vec<UpstreamChange>, at: StreamPosition, source: &str) {
         self.is_bulk.set(true);
+        self.enter_era_at(at, source);
         self.start_at(at);
         let listed: HashSet<&str> = all.iter().map(|u| u.id.as_str()).collect();
         let known: Vec<Name> = self.upstreams.borrow().keys().cloned().collect();
         for id in known.iter().filter(|id| !listed.contains(&***id)) {
             self.remove(at, id);
         }
-        self.apply_changes(all);
+        self.apply_changes(all, source);
         self.upstreams_at.set(at);
         self.finish_bulk_update(source);
     }
 
-    fn apply_changes(&self, changes: Vec<UpstreamChange>) {
+    fn apply_changes(&self, changes: Vec<UpstreamChange>, source: &str) {
         for change in changes {
+            let at = change.position();
+            self.enter_era_at(at, source);
             if change.record.is_empty() {
-                self.remove(change.at, &change.id);
+                self.remove(at, &change.id);
             } else {
-                self.put(change.at, &change.id, change.record.into());
+                self.put(at, &change.id, change.record.into());
             }
         }
     }
--- a/src/path/log_replica_fake_tests.rs
+++ b/src/path/log_replica_fake_tests.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::path::cursor::{Order, ReadRange, Record};
+use crate::path::position::StreamPosition;
 use crate::util::Name;
 
 /// Entries expire after an outage of three write intervals of an upstream.
@@ -24,8 +25,8 @@
 /// Answer to a reader: records of upstreams or of operators.
 #[derive(Clone, Debug)]
 pub(super) enum Answer<T> {
-    All(Vec<T>, u64),
-    Changes(u64, Vec<T>),
+    All(Vec<T>, StreamPosition),
+    Changes(StreamPosition, Vec<T>),
     Expired,
 }
 
@@ -165,10 +166,10 @@
                 let version = self.newest_version(u64::MAX).to_string();
                 let evacuated = self.evacuated(end).into_iter().map(Order::Evacuate);
                 let config = std::iter::once(Order::Configure(version.into()));
-                Answer::All(config.chain(evacuated).collect(), end as u64)
+                Answer::All(config.chain(evacuated).collect(), position(end))
             }
             ReadRange::From(from) => {
-                let at = usize::try_from(from).unwrap();
+                let at = usize::try_from(from.offset).unwrap();
                 if at < self.first_order_kept {
                     return Answer::Expired;
                 }
@@ -190,10 +191,10 @@
                     key,
                     value: Some(encode(entry)),
                 });
-                Answer::All(records.collect(), self.log.len() as u64)
+                Answer::All(records.collect(), position(self.log.len()))
             }
             ReadRange::From(from) => {
-                let at = usize::try_from(from).unwrap();
+                let at = usize::try_from(from.offset).unwrap();
                 if at < self.first_kept {
                     return Answer::Expired;
                 }
@@ -261,6 +262,10 @@
     Leave,
 }
 
+fn position(end: usize) -> StreamPosition {
+    StreamPosition::new(1, end as u64)
+}
+
 fn encode(draining: Entry) -> bytes::Bytes {
     let text: &[u8] = if draining { b"draining" } else { b"ready" };
     bytes::Bytes::from_static(text)
--- a/src/path/log_replica_fleet_tests.rs
+++ b/src/path/log_replica_fleet_tests.rs
@@ -128,9 +128,9 @@
         let replica = &self.hosts[at].router.replica;
         let request = LogSyncRequest {
             config_version: self.hosts[at].router.state.deployment().version,
-            upstreams_at: replica.upstreams_at(),
+            upstreams_at: Some(replica.upstreams_at()),
             takes_all: false,
-            orders_at: replica.orders_at(),
+            orders_at: Some(replica.orders_at()),
         };
         let reply = self.hosts[peer].router.replica.reply_to(&request);
         replica.apply_reply(reply, "a peer", asked_ms);
--- a/src/path/log_replica_tests.rs
+++ b/src/path/log_replica_tests.rs
@@ -3,6 +3,7 @@
 use super::dialect::Records;
 use super::freshness::Evidence;
 use super::log_replica::{LogReplica, ReadSchedules};
+use super::position::StreamPosition;
 use super::regions::Regions;
 use super::router_state::{RetryLimit, RouterState};
 use super::routes::{Deployment, Draft};
@@ -85,9 +86,9 @@
     fn learn_from(&self, other: &Self) {
         let request = LogSyncRequest {
             config_version: self.state.deployment().version,
-            upstreams_at: self.replica.upstreams_at(),
+            upstreams_at: Some(self.replica.upstreams_at()),
             takes_all: true,
-            orders_at: self.replica.orders_at(),
+            orders_at: Some(self.replica.orders_at()),
         };
         let asked_ms = self.replica.now_ms();
         self.replica
@@ -95,8 +96,15 @@
     }
 }
 
-fn put(router: &Router, at: u64, id: &str) {
-    router.replica.put(at, id, Bytes::from_static(b"ready"));
+/// Position in the era in which most tests play.
+pub(super) fn at(offset: u64) -> StreamPosition {
+    StreamPosition::new(1, offset)
+}
+
+fn put(router: &Router, offset: u64, id: &str) {
+    router
+        .replica
+        .put(at(offset), id, Bytes::from_static(b"ready"));
 }
 
 /// A reader that returns after a long silence of the log delays the removal of an upstream. Routers
@@ -115,7 +123,7 @@
     let now_ms = reader.replica.now_ms();
     reader.replica.upstreams_fresh().record_failure(now_ms);
     reader.replica.end_silence();
-    reader.replica.remove(3, "i-1");
+    reader.replica.remove(at(3), "i-1");
     put(&reader, 4, "i-3");
     assert!(reader.state.has_upstream("i-1"), "removal is delayed");
     other.learn_from(&reader);
@@ -140,7 +148,7 @@
         key: "i-1".to_owned(),
         value: None,
     };
-    router.replica.apply_records(2, vec![removal], 16_000);
+    router.replica.apply_records(at(2), vec![removal], 16_000);
     router.state.has_upstream("i-1")
 }
 
@@ -173,7 +181,7 @@
     other.learn_from(&reader);
     assert!(!other.state.has_upstream("i-old"));
     assert_eq!(other.state.upstream_count(), MAX_CHANGES + 99);
-    assert_eq!(other.replica.upstreams_at(), last);
+    assert_eq!(other.replica.upstreams_at(), at(last));
 }
 
 /// Routers that start at once must not confirm their state by one another's empty state: none would
@@ -250,12 +258,12 @@
 fn restart_is_detected_when_the_clock_steps_back(restarted: &str) {
     let router = Router::new();
     let ready = |started: &str| Bytes::from(format!("ready@{started}"));
-    router.replica.put(1, "i-1", ready("5000"));
+    router.replica.put(at(1), "i-1", ready("5000"));
     let listed = |u: &mut Upstreams| u.get("i-1").cloned();
     let started = router.state.change_upstreams(listed).unwrap();
     router.state.record_replaced(&started, 10);
     assert_eq!(router.state.slots_open("s", 20), None);
-    router.replica.put(2, "i-1", ready(restarted));
+    router.replica.put(at(2), "i-1", ready(restarted));
     assert_eq!(router.state.slots_open("s", 20), Some(1));
 }
 
@@ -270,21 +278,21 @@
     put(&earlier, 4, "i-1");
     put(&later, 6, "i-1");
     put(&later, 6, "i-2");
-    later.replica.start_at(7);
+    later.replica.start_at(at(7));
     later
         .replica
         .configure(Bytes::from_static(b"7"), "the store");
     let request = LogSyncRequest {
         config_version: 0,
-        upstreams_at: 4,
+        upstreams_at: Some(at(4)),
         takes_all: false,
-        orders_at: 0,
+        orders_at: None,
     };
     let reply = later.replica.reply_to(&request);
     assert!(reply.changes.is_empty() && reply.all_upstreams.is_empty());
     earlier.replica.apply_reply(reply, "later", 1_000);
     assert_eq!(earlier.state.deployment().version, 7);
-    assert_eq!(earlier.replica.upstreams_at(), 4);
+    assert_eq!(earlier.replica.upstreams_at(), at(4));
     assert_eq!(earlier.replica.upstreams_confirmed_ms(), 0, "not confirmed");
     assert!(earlier.replica.awaits_log());
     earlier.learn_from(&later);
@@ -300,14 +308,14 @@
 fn late_record_does_not_restore_a_withdrawn_evacuation() {
     let (reader, late) = (Router::new(), Router::new());
     let evacuate = || Order::Evacuate("north".into());
-    reader.replica.apply_orders(0, vec![evacuate()], 1);
+    reader.replica.apply_orders(at(0), vec![evacuate()], 1);
     assert!(reader.state.evacuations().contains("north"));
     let readmit = vec![Order::Readmit("north".into())];
-    reader.replica.apply_orders(1, readmit, 2);
+    reader.replica.apply_orders(at(1), readmit, 2);
     late.learn_from(&reader);
-    late.replica.apply_orders(0, vec![evacuate()], 3);
+    late.replica.apply_orders(at(0), vec![evacuate()], 3);
     assert!(!late.state.evacuations().contains("north"));
-    assert_eq!(late.replica.orders_at(), 2);
+    assert_eq!(late.replica.orders_at(), at(2));
 }
 
 /// A router that starts while a data centre is evacuated and the log is unavailable gets the
@@ -320,11 +328,11 @@
         Order::Other,
         Order::Evacuate("north".into()),
     ];
-    reader.replica.apply_order_snapshot(orders, 9, 1);
+    reader.replica.apply_order_snapshot(orders, at(9), 1);
     starter.learn_from(&reader);
     assert_eq!(starter.state.deployment().version, 7);
     assert!(starter.state.evacuations().contains("north"));
-    assert_eq!(starter.replica.orders_at(), 9);
+    assert_eq!(starter.replica.orders_at(), at(9));
 }
 
 /// Another writer overwrites the record of an upstream. It must not get requests by its former
@@ -335,8 +343,8 @@
     put(&router, 1, "i-1");
     put(&router, 2, "i-2");
     let invalid = Bytes::from_static(b"ready@soon");
-    router.replica.put(3, "i-1", invalid.clone());
-    router.replica.put(4, "stranger", invalid);
+    router.replica.put(at(3), "i-1", invalid.clone());
+    router.replica.put(at(4), "stranger", invalid);
     let listed = |router: &Router| router.replica.listed().into_keys().collect::<Vec<_>>();
     assert_eq!(listed(&router), ["i-2"]);
     assert!(!router.state.has_upstream("i-1"));
--- a/src/path/log_replica_world_tests.rs
+++ b/src/path/log_replica_world_tests.rs
@@ -148,9 +148,9 @@
         let router = &self.hosts[at].router;
         let request = LogSyncRequest {
             config_version: router.state.deployment().version,
-            upstreams_at: router.replica.upstreams_at(),
+            upstreams_at: Some(router.replica.upstreams_at()),
             takes_all: true,
-            orders_at: router.replica.orders_at(),
+            orders_at: Some(router.replica.orders_at()),
         };
         let reply = self.hosts[peer].router.replica.reply_to(&request);
         self.hosts[at].peer = Some((self.now_ms(), reply));
@@ -249,7 +249,7 @@
     fn check_evacuations(&self, at: usize) {
         let router = &self.hosts[at].router;
         let evacuated: BTreeSet<Name> = router.state.evacuations().names().cloned().collect();
-        let end = usize::try_from(router.replica.orders_at()).unwrap();
+        let end = usize::try_from(router.replica.orders_at().offset).unwrap();
         let written = self.store.evacuated(end);
         assert_eq!(evacuated, written, "{at}: differs from the log at {end}");
         let confirmed = self
@@ -267,7 +267,7 @@
     fn check_upstreams(&self, at: usize) {
         let router = &self.hosts[at].router;
         let listed: BTreeMap<String, Entry> = router.replica.listed();
-        let end = usize::try_from(router.replica.upstreams_at()).unwrap();
+        let end = usize::try_from(router.replica.upstreams_at().offset).unwrap();
         assert_eq!(
             listed,
             self.store.entries(end),
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) mod leaving;
 pub(crate) mod log_replica;
 pub(crate) mod peers;
+pub mod position;
 pub(crate) mod refusal;
 pub mod regions;
 pub(crate) mod request;
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -82,7 +82,7 @@
         path.replica
             .receive_position(&received.position, received.as_of_ms);
         if path.replica.is_behind(&received.position)
-            && !(waits_for_log(&path) || path.replica.awaits_log())
+            && !(waits_for_log(&path) || awaits_log(&path))
             && let Some(addr) = path.peer_addr(&received.host)
             && requests.start(&received.host, path.clock.now_ms())
         {
@@ -193,6 +193,11 @@
     path.unready_reason().is_some() && !has_started && !path.replica.log_fails()
 }
 
+/// Whether this router reads from the log what its peers cannot send.
+fn awaits_log<D: Dialect + Records>(path: &RequestPath<D>) -> bool {
+    path.replica.awaits_log() && !path.replica.awaits_peers()
+}
+
 async fn request_members<D>(path: &RequestPath<D>, client: &PeerClient, addr: &Name) -> bool {
     match client
         .query::<_, MembersReply>(addr, MEMBERS, &MembersRequest {})
@@ -217,9 +222,11 @@
 ) {
     let request = LogSyncRequest {
         config_version: path.state.deployment().version,
-        upstreams_at: path.replica.upstreams_at(),
-        takes_all: path.replica.log_fails() || path.unready_reason().is_some(),
-        orders_at: path.replica.orders_at(),
+        upstreams_at: Some(path.replica.upstreams_at()),
+        takes_all: path.replica.log_fails()
+            || path.replica.awaits_peers()
+            || path.unready_reason().is_some(),
+        orders_at: Some(path.replica.orders_at()),
     };
     let asked_ms = path.clock.now_ms();
     match client
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use super::dialect::AnswerHead;
+use super::position::StreamPosition;
 use super::regions::{AllowedRegions, Regions};
 use super::router_state::{RetryLimit, RouterState, RunningGuard, Tried};
 use super::upstreams::Upstream;
@@ -112,13 +113,13 @@
             ..upstream(0)
         })
     });
-    state.change_evacuations(|e| e.set(1, "north", true));
+    state.change_evacuations(|e| e.set(StreamPosition::new(1, 1), "north", true));
     assert_eq!(open(&state), 1);
     assert_eq!(state.slots_open("s", 1), Some(SLOTS));
-    state.change_evacuations(|e| e.set(2, "south", true));
+    state.change_evacuations(|e| e.set(StreamPosition::new(1, 2), "south", true));
     assert_eq!(open(&state), 0);
     assert_eq!(state.slots_open("s", 1), None);
-    state.change_evacuations(|e| e.set(3, "north", false));
+    state.change_evacuations(|e| e.set(StreamPosition::new(1, 3), "north", false));
     assert_eq!(open(&state), 5);
 }
 
@@ -206,7 +207,7 @@
     assert_eq!(pushback_ms(&[]), Some(2_900), "two are gone");
     let abroad = Some(["abroad".into()].into());
     assert_eq!(pushback_ms(&[&abroad]), None, "no upstream is there");
-    state.change_evacuations(|e| e.set(1, "north", true));
+    state.change_evacuations(|e| e.set(StreamPosition::new(1, 1), "north", true));
     assert_eq!(pushback_ms(&[]), None, "no upstream may be used");
 }
 
@@ -347,7 +348,7 @@
         &|state| state.record_notices(&upstream(0), &pushback(100), 1),
         &|state| state.record_replaced(&upstream(0), 1),
         &|state| {
-            state.change_evacuations(|e| e.set(1, "north", true));
+            state.change_evacuations(|e| e.set(StreamPosition::new(1, 1), "north", true));
         },
         &|state| {
             state.change_upstreams(|upstreams| upstreams.remove("i-0"));
@@ -429,7 +430,7 @@
     for _ in 0..FAILURES {
         state.record_failure(&of(9), "connection reset", 1);
     }
-    state.change_evacuations(|e| e.set(1, "south", true));
+    state.change_evacuations(|e| e.set(StreamPosition::new(1, 1), "south", true));
     let _running: Vec<_> = (0..3).map(|_| state.start_request(&of(10), 1)).collect();
     let tried = Tried {
         upstreams: &[id(11)],
