What a restore loses stays in force until it is written again

What callers saw once positions were ordered by era: the router believed the restored copy at once. Requests reached an upstream that had drained or left before, as the copy lists it as ready, and a data centre whose evacuation the copy lacks; callers were refused with 503 while the copy lists no upstream that is alive, until these had written their entries again.

Cause: the newest era was taken for the newest knowledge. A copy is older than what the log had acknowledged; operators and upstreams repeat it, within seconds.

A removed one that writes its entry after the load is alive and used at once.

--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -52,6 +52,10 @@
     RemoveExpiredAtOnce,
     /// Offsets are compared without their era.
     IgnoreEra,
+    /// A restore of the log ends the departures of upstreams that it lost.
+    ForgetDeparturesOnRestore,
+    /// A restore of the log ends the evacuations that it lost.
+    ForgetOrdersOnRestore,
     /// A removal that this router hasn't confirmed isn't sent to peers.
     WithholdUnconfirmedRemovals,
 }
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -17,6 +17,7 @@
 use crate::path::change_log::{Change, ChangeLog};
 use crate::path::changes::Changes;
 use crate::path::cursor::Record;
+use crate::path::departures::{Departure, Departures};
 use crate::path::dialect::Records;
 use crate::path::freshness::{Evidence, StreamFreshness};
 use crate::path::position::StreamPosition;
@@ -63,6 +64,7 @@
     /// Time until which upstreams with removed entries are assumed to be alive.
     removals_delayed_until_ms: Cell<u64>,
     missing: RefCell<HashSet<Name>>,
+    departures: RefCell<Departures>,
     /// Whether all upstreams are being replaced at once, which is logged as counts.
     is_bulk: Cell<bool>,
     change_log: ChangeLog,
@@ -94,6 +96,7 @@
             changes: RefCell::default(),
             removals_delayed_until_ms: Cell::default(),
             missing: RefCell::default(),
+            departures: RefCell::default(),
             is_bulk: Cell::default(),
             change_log: ChangeLog::default(),
             log_fails: Cell::default(),
@@ -336,7 +339,12 @@
         self.confirm_upstreams(seen_ms, Evidence::Log);
     }
 
-    /// Begins to follow the log's new era if `at` is in one.
+    /// Begins to follow the log's new era if `at` is in one. What the log lost stays in force for a
+    /// while: upstreams that left stay unused, and those that are no longer listed stay in use.
+    ///
+    /// Failure guarded against: the log is restored from a copy that is some seconds old. A router
+    /// that believed it would send requests to upstreams that are leaving, and refuse requests as
+    /// the upstreams that started since have yet to write their entries again.
     fn enter_era_at(&self, at: StreamPosition, source: &str) {
         let before = self.upstreams_at.get();
         if at.era <= before.era {
@@ -347,7 +355,15 @@
         }
         self.upstreams_at.set(at);
         self.changes.borrow_mut().enter_era(before, at);
-        log::warn!(before:%, at:%, source; "the log was restored from an older copy");
+        let now_ms = self.clock.now_ms();
+        self.removals_delayed_until_ms
+            .set(now_ms + REMOVAL_DELAY_MS);
+        let draining = self.state.change_upstreams(|u| u.draining());
+        let held = self.departures.borrow_mut().hold(draining, now_ms);
+        log::warn!(
+            before:%, at:%, held, source;
+            "the log was restored from an older copy; departures of upstreams are held"
+        );
     }
 
     fn record(&self, at: StreamPosition, record: Record) {
@@ -359,10 +375,16 @@
 
     /// Applies the record of an upstream; `at` is the position after it.
     pub(crate) fn put(&self, at: StreamPosition, id: &str, record: Bytes) {
-        let upstream = match D::upstream(id, &record) {
+        let mut upstream = match D::upstream(id, &record) {
             Ok(upstream) => upstream,
             Err(e) => return self.reject(at, id, &e),
         };
+        let held = self.held_departure(&upstream.incarnation(), at);
+        match held {
+            Some(Departure::Gone) => return self.list(at, id, record),
+            Some(Departure::Draining) => upstream.draining = true,
+            None => self.departures.borrow_mut().forget(&upstream.incarnation()),
+        }
         let draining = upstream.draining;
         let started_ms = upstream.started_ms;
         let before = self.state.incarnation(id);
@@ -379,7 +401,7 @@
         let cold = upstream.clone();
         let is_change = self.state.change_upstreams(|u| u.put(upstream));
         let was_listed = self.upstreams.borrow().contains_key(id);
-        if !is_change && was_listed {
+        if !is_change && was_listed && held.is_none() {
             return;
         }
         self.state.report_cold(&cold, now_ms);
@@ -396,12 +418,47 @@
             Change::Ready
         };
         self.log_change(id, change, at);
+        self.list(at, id, record);
+    }
+
+    /// Lists the record of an upstream as the log has it, for other routers.
+    fn list(&self, at: StreamPosition, id: &str, record: Bytes) {
         self.upstreams
             .borrow_mut()
             .insert(id.into(), record.clone());
         self.push_change(at, id, record);
     }
 
+    /// Returns how `upstream` departed before the log was restored, if that still counts. One that
+    /// was removed and has written its entry after the router loaded the restored log is alive.
+    fn held_departure(&self, upstream: &Incarnation, at: StreamPosition) -> Option<Departure> {
+        let mut departures = self.departures.borrow_mut();
+        let held = departures.held(upstream)?;
+        let is_rewritten = at > self.changes.borrow().base();
+        if held == Departure::Gone && is_rewritten {
+            departures.forget(upstream);
+            return None;
+        }
+        (!mutated(Mutation::ForgetDeparturesOnRestore)).then_some(held)
+    }
+
+    /// Ends the departures that no longer count: from now on, what the log says of these upstreams
+    /// holds.
+    pub(crate) fn release_departures(&self) {
+        let now_ms = self.clock.now_ms();
+        let released = self.departures.borrow_mut().release(now_ms);
+        for upstream in released {
+            let record = self.upstreams.borrow().get(&upstream.id).cloned();
+            if let Some(record) = record {
+                self.put(self.upstreams_at.get(), &upstream.id, record);
+            }
+        }
+        let readmitted = self.state.change_evacuations(|e| e.release(now_ms));
+        for data_center in readmitted {
+            log::warn!(data_center:%; "the evacuation that a restored log lost was not written again and ends");
+        }
+    }
+
     /// Handles a record that can't be decoded: it names no upstream to use, also if a valid record
     /// had the same key.
     fn reject(&self, at: StreamPosition, id: &str, error: &D::Error) {
@@ -468,9 +525,12 @@
         let Some(incarnation) = self.state.incarnation(id) else {
             return;
         };
+        let now_ms = self.clock.now_ms();
         self.state.change_upstreams(|u| u.remove(id));
         self.log_change(id, Change::Gone, at);
-        self.state.record_death(&incarnation, self.clock.now_ms());
+        self.state.record_death(&incarnation, now_ms);
+        let mut departures = self.departures.borrow_mut();
+        departures.record_gone(incarnation, now_ms);
     }
 
     fn log_change(&self, id: &str, change: Change, at: StreamPosition) {
--- a/src/path/log_replica/orders.rs
+++ b/src/path/log_replica/orders.rs
@@ -77,7 +77,8 @@
         evacuated: BTreeSet<Name>,
         source: &str,
     ) {
-        let is_change = |e: &mut Evacuations| e.replace(at, evacuated);
+        let now_ms = self.clock.now_ms();
+        let is_change = |e: &mut Evacuations| e.replace(at, evacuated, now_ms);
         if self.state.change_evacuations(is_change) {
             let evacuations = self.state.evacuations();
             let names: Vec<&str> = evacuations.names().map(|n| &**n).collect();
--- a/src/path/log_replica_tests.rs
+++ b/src/path/log_replica_tests.rs
@@ -352,3 +352,61 @@
     assert_eq!(listed(&router), ["i-1", "i-2"]);
     assert!(router.state.has_upstream("i-1"));
 }
+
+fn entry(id: &str, state: &'static str) -> Record {
+    Record {
+        key: id.to_owned(),
+        value: Some(Bytes::from_static(state.as_bytes())),
+    }
+}
+
+/// A log of two upstreams, of which the second drains, is restored from a copy in which it is ready.
+fn restored() -> Router {
+    let router = Router::new();
+    put(&router, 1, "i-1");
+    put(&router, 2, "i-2");
+    router
+        .replica
+        .put(at(3), "i-2", Bytes::from_static(b"draining"));
+    let copy = vec![entry("i-1", "ready"), entry("i-2", "ready")];
+    let end = StreamPosition::new(2, 2);
+    router.replica.apply_snapshot(copy, end, 1);
+    router
+}
+
+fn drains(router: &Router, id: &str) -> bool {
+    let draining = router.state.change_upstreams(|u| u.draining());
+    draining.iter().any(|u| *u.id == *id)
+}
+
+/// Guards against routers that take an entry of the restored log for newer than what it lost, and
+/// against peers that are told so.
+#[test]
+fn restored_entry_ends_no_drain_at_readers_and_peers() {
+    let reader = restored();
+    assert!(drains(&reader, "i-2") && !drains(&reader, "i-1"));
+    let peer = Router::new();
+    put(&peer, 1, "i-1");
+    put(&peer, 2, "i-2");
+    peer.replica
+        .put(at(3), "i-2", Bytes::from_static(b"draining"));
+    peer.learn_from(&reader);
+    assert_eq!(peer.replica.upstreams_at(), StreamPosition::new(2, 2));
+    assert!(drains(&peer, "i-2"));
+    assert_eq!(peer.replica.listed(), reader.replica.listed());
+}
+
+/// Guards against routers that return to the state of a peer which hasn't learned of the restore,
+/// though its offsets are higher.
+#[test]
+fn peer_of_an_earlier_era_is_not_believed() {
+    let (reader, old) = (restored(), Router::new());
+    for offset in 1..=9 {
+        put(&old, offset, &format!("old-{offset}"));
+    }
+    assert!(!reader.replica.is_behind(&old.replica.position()));
+    assert!(old.replica.is_behind(&reader.replica.position()));
+    reader.learn_from(&old);
+    assert_eq!(reader.replica.upstreams_at(), StreamPosition::new(2, 2));
+    assert!(!reader.state.has_upstream("old-9"));
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod connection;
 pub(crate) mod cursor;
 mod death_check;
+mod departures;
 pub mod dialect;
 pub mod evacuations;
 pub mod events;
@@ -47,6 +48,8 @@
 #[cfg(test)]
 mod connection_tests;
 #[cfg(test)]
+mod departures_tests;
+#[cfg(test)]
 mod health_tests;
 #[cfg(test)]
 mod leaving_tests;
@@ -234,6 +237,7 @@
         publishes = publishes.wrapping_add(1);
         path.replica.check_clock();
         path.replica.remove_missing();
+        path.replica.release_departures();
         path.replica.flush_change_log();
         path.state.merge_suspicions(path.clock.now_ms());
         path.state.exchange_leaving(&path.fleet.borrow().leaving);
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -310,6 +310,12 @@
         self.by_id.keys().cloned().collect()
     }
 
+    /// Upstreams whose records say that they drain.
+    pub(crate) fn draining(&self) -> Vec<Incarnation> {
+        let draining = self.by_id.values().filter(|u| u.draining);
+        draining.map(|u| u.incarnation()).collect()
+    }
+
     /// Number of known upstreams.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/tests/routed_restore.rs
+++ b/tests/routed_restore.rs
@@ -197,3 +197,75 @@
     sleep_ms(BOUND_MS).await;
     assert_eq!(arrivals_of_twelve(&routed, 0).await, 0);
 }
+
+/// Makes upstream 0 drain or withdraw its entry, and restores the store to a copy from before, which
+/// the upstream doesn't correct.
+async fn lose_departure(routed: &RoutedFleet, knobs: Value, state: &str) {
+    let departed_ms = wall_ms();
+    set_knobs(routed.upstreams[0].addr, &knobs).await;
+    wait_entry(routed, 0, state).await;
+    sleep_ms(BOUND_MS).await;
+    let mut muted = knobs;
+    muted["mute"] = json!(true);
+    set_knobs(routed.upstreams[0].addr, &muted).await;
+    restore(routed, wall_ms() - departed_ms + 500).await;
+    reconnect(routed).await;
+}
+
+/// Guards against routers that send requests to upstreams which had left, as the restored store
+/// still lists them.
+#[test_case(&json!({ "draining": true }), "draining"; "draining")]
+#[test_case(&json!({ "withdrawn": true }), ""; "removed")]
+#[compio::test]
+async fn upstream_that_left_before_a_restore_gets_nothing_new(knobs: &Value, state: &str) {
+    let routed = start().await;
+    sleep_ms(1_000).await;
+    lose_departure(&routed, knobs.clone(), state).await;
+    for _ in 0..10 {
+        assert_eq!(arrivals_of_twelve(&routed, 0).await, 0);
+        sleep_ms(300).await;
+    }
+}
+
+/// Guards against routers that end an evacuation which the restored store doesn't have.
+#[compio::test]
+async fn evacuation_before_a_restore_stays_in_force() {
+    let routed = start().await;
+    sleep_ms(1_000).await;
+    let evacuated_ms = wall_ms();
+    routed.evacuate("dc-1", true).await;
+    sleep_ms(BOUND_MS).await;
+    restore(&routed, wall_ms() - evacuated_ms + 500).await;
+    reconnect(&routed).await;
+    for _ in 0..6 {
+        assert_eq!(arrivals_of_twelve(&routed, 1).await, 0);
+        sleep_ms(300).await;
+    }
+    routed.evacuate("dc-1", true).await;
+    sleep_ms(BOUND_MS).await;
+    assert_eq!(arrivals_of_twelve(&routed, 1).await, 0);
+    routed.evacuate("dc-1", false).await;
+    wait_until("work in dc-1 again", || async {
+        arrivals_of_twelve(&routed, 1).await > 0
+    })
+    .await;
+}
+
+/// Guards against routers that refuse requests as the restored store doesn't list their upstreams,
+/// until these have written their entries again.
+#[compio::test]
+async fn upstreams_that_a_restore_lost_stay_in_use() {
+    const ALL_MS: u64 = 3_600_000;
+    let routed = start().await;
+    routed.upstream_knobs(json!({ "mute": true })).await;
+    restore(&routed, ALL_MS).await;
+    reconnect(&routed).await;
+    for round in 0..12 {
+        // Fails on any answer but 200.
+        arrivals_of_twelve(&routed, 0).await;
+        if round == 6 {
+            routed.upstream_knobs(json!({})).await;
+        }
+        sleep_ms(200).await;
+    }
+}
