Routers register again after a restore of the log

What was seen: after a restore from a copy older than the routers' start no router's record was in the store, for as long as the fleet ran (36 s in the test): a router registers once and then only reads. Routers that start later, and whose seeds don't run, would find no member.

--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::decide::Incarnation;
 use crate::fleet::log_reads::ReadSchedule;
@@ -73,6 +73,8 @@
     suspend: Rc<SuspendGuard>,
     refresh_wanted: Rc<Notify>,
     load_settled: Rc<Notify>,
+    /// Era of the log, 0 before it is known.
+    era: watch::Sender<u64>,
     records: PhantomData<D>,
 }
 
@@ -104,6 +106,7 @@
             suspend,
             refresh_wanted,
             load_settled: Rc::default(),
+            era: watch::Sender::new(0),
             records: PhantomData,
         }
     }
@@ -207,6 +210,11 @@
         self.load_settled.clone()
     }
 
+    /// The newest era of the log that the upstreams reflect.
+    pub(crate) fn era(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     /// Confirms that the configuration was the newest one at `at_ms`.
     pub(crate) fn confirm_config(&self, at_ms: u64, evidence: Evidence) {
         self.config_fresh.confirm(at_ms, evidence);
@@ -353,6 +361,7 @@
         if !before.is_known() {
             return self.start_at(at);
         }
+        self.era.send_replace(at.era);
         self.upstreams_at.set(at);
         self.changes.borrow_mut().enter_era(before, at);
         let now_ms = self.clock.now_ms();
@@ -561,6 +570,7 @@
     /// Notes that all upstreams were read as of `at`: earlier changes are unknown here.
     pub(crate) fn start_at(&self, at: StreamPosition) {
         if at > self.upstreams_at.get() {
+            self.era.send_replace(at.era);
             self.upstreams_at.set(at);
             self.changes.borrow_mut().start_at(at);
         }
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -93,7 +93,13 @@
         let platform = settings.platform.clone().unwrap_or_default();
         let store = parse("platform.addr", &platform.addr)?;
         let open = move || Store::open(store);
-        let fleet = RouterRegistry::new(open(), me, probes.gossip, path.fleet.clone());
+        let fleet = RouterRegistry::new(
+            open(),
+            me,
+            probes.gossip,
+            path.fleet.clone(),
+            path.replica.era(),
+        );
         let key: Name = policy.key.as_str().into();
         let bound = peers::bind(peer_addr, key, path.clone()).await;
         bound.context(BindSnafu { field: "peer_addr" })?;
--- a/tests/routed_restore.rs
+++ b/tests/routed_restore.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use standins::backend::id_prefix;
 use support::routed::{FleetSize, RoutedFleet, routes};
-use support::{set_knobs, sleep_ms, wait_until, wall_ms};
+use support::{get, set_knobs, sleep_ms, wait_until, wall_ms};
 use test_case::test_case;
 
 /// Time within which a change that the store acknowledged must be in force.
@@ -269,3 +269,20 @@
         sleep_ms(200).await;
     }
 }
+
+/// Guards against routers that a restore erased from the list of routers, and that routers which
+/// start later don't find.
+#[compio::test]
+async fn routers_register_again_after_a_restore() {
+    const ALL_MS: u64 = 3_600_000;
+    let routed = start().await;
+    restore(&routed, ALL_MS).await;
+    reconnect(&routed).await;
+    let target = "/log-newest?stream_name=keyed.routers&part=0";
+    wait_until("the records of all routers", || async {
+        let page = get(routed.store.addr, target).await.unwrap_or_default();
+        let page: Value = serde_json::from_str(&page).unwrap_or_default();
+        page["entries"].as_array().map_or(0, Vec::len) == usize::from(ROUTERS)
+    })
+    .await;
+}
