Model of routers that follow the log: restores from older copies

The state machine had one era: offsets only rose, so it could not show what a restore does. The fake log now has eras, with the history of each, and its restores lose the newest records of both streams; live upstreams write again within 2 s, operators after 1.5 s, entries of upstreams that left expire after 3.6 s. The reader of the model decides as the product does (StreamCursor, AnswerEra::compare), with a load as a second round trip whose pages may be of two eras.

Checks are by (era, offset), against the records of the router's own era; new: positions never go back, and what operators and upstreams last wrote is in force after a calm time. Changed checks: a confirmed version is compared with the log as of the confirmation, or as of the beginning of the router's era if that is later, as a load that follows a read counts from the time of the read; a version that decides requests must be at least the oldest of the newest ones that the log had in the last 2 s, as a restore may have lost a newer one. Without a restore both are what they were.

--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -52,6 +52,12 @@
     RemoveExpiredAtOnce,
     /// Offsets are compared without their era.
     IgnoreEra,
+    /// A peer's state with a higher offset is taken for newer, whatever its era.
+    CompareOffsetsOnly,
+    /// The changes kept for peers begin before a restore of the log.
+    KeepChangesAcrossEras,
+    /// A load whose pages are of different eras is accepted.
+    LoadAcrossEras,
     /// A removal that this router hasn't confirmed isn't sent to peers.
     WithholdUnconfirmedRemovals,
 }
--- a/src/path/changes.rs
+++ b/src/path/changes.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::ops::RangeInclusive;
 
+use crate::mutation::{Mutation, mutated};
 use crate::path::position::StreamPosition;
 use crate::schema::peer::UpstreamChange;
 
@@ -43,7 +44,11 @@
     /// it at the same time, though little has changed.
     pub(super) fn enter_era(&mut self, before: StreamPosition, at: StreamPosition) {
         self.former = Some(self.base..=before);
-        self.base = at;
+        self.base = if mutated(Mutation::KeepChangesAcrossEras) {
+            self.base
+        } else {
+            at
+        };
     }
 
     pub(super) fn push(&mut self, change: UpstreamChange) {
--- a/src/path/cursor.rs
+++ b/src/path/cursor.rs
@@ -54,6 +54,11 @@
             _ => Self::Outdated,
         }
     }
+
+    /// Whether a page of a load that names `page` continues one whose first page named `first`.
+    pub(crate) fn is_same_load(first: Option<u64>, page: Option<u64>) -> bool {
+        first == page || mutated(Mutation::LoadAcrossEras)
+    }
 }
 
 /// Position of one reader in one stream.
--- a/src/path/log_replica/sync.rs
+++ b/src/path/log_replica/sync.rs
@@ -180,7 +180,7 @@
             let evacuated = reply.evacuated.iter().map(|name| name.as_str().into());
             self.replace_evacuated(position.orders(), evacuated.collect(), source);
         }
-        if position.upstreams() > self.upstreams_at.get() {
+        if is_newer(position.upstreams(), self.upstreams_at.get()) {
             if !self.apply_upstreams(reply, position.upstreams(), source) {
                 return;
             }
@@ -243,6 +243,10 @@
     }
 }
 
+fn is_newer(at: StreamPosition, than: StreamPosition) -> bool {
+    at > than || (mutated(Mutation::CompareOffsetsOnly) && at.offset > than.offset)
+}
+
 fn age_ms(fresh: Freshness, now_ms: u64) -> u32 {
     if fresh.confirmed_ms() == 0 {
         return UNKNOWN_MS;
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -45,6 +45,8 @@
 #[cfg(test)]
 mod change_log_tests;
 #[cfg(test)]
+mod changes_tests;
+#[cfg(test)]
 mod connection_tests;
 #[cfg(test)]
 mod health_tests;
@@ -57,6 +59,8 @@
 #[cfg(test)]
 mod log_replica_fuzz_tests;
 #[cfg(test)]
+mod log_replica_reader_tests;
+#[cfg(test)]
 mod log_replica_tests;
 #[cfg(test)]
 mod log_replica_world_tests;
