--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -58,6 +58,10 @@
     KeepChangesAcrossEras,
     /// A load whose pages are of different eras is accepted.
     LoadAcrossEras,
+    /// A restore of the log ends the departures of upstreams that it lost.
+    ForgetDeparturesOnRestore,
+    /// A restore of the log ends the evacuations that it lost.
+    ForgetOrdersOnRestore,
     /// A removal that this router hasn't confirmed isn't sent to peers.
     WithholdUnconfirmedRemovals,
 }
--- a/src/path/log_replica_fuzz_tests.rs
+++ b/src/path/log_replica_fuzz_tests.rs
@@ -166,6 +166,8 @@
 #[test_case(Mutation::CompareOffsetsOnly)]
 #[test_case(Mutation::KeepChangesAcrossEras)]
 #[test_case(Mutation::LoadAcrossEras)]
+#[test_case(Mutation::ForgetDeparturesOnRestore)]
+#[test_case(Mutation::ForgetOrdersOnRestore)]
 fn mutation_is_found(mutation: Mutation) {
     check_mutation_detected::<Fleet>("beliefs", mutation);
 }
