A load in the restored log's era ends no departures

An upstream that had left before the restore was used.

Cause: the base of the changes stays where the era was entered if the load ends at the known position, so each listed entry lay after it and counted as written again since.

--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -434,7 +434,7 @@
     fn held_departure(&self, upstream: &Incarnation, at: StreamPosition) -> Option<Departure> {
         let mut departures = self.departures.borrow_mut();
         let held = departures.held(upstream)?;
-        let is_rewritten = at > self.changes.borrow().base();
+        let is_rewritten = at > self.changes.borrow().base() && !self.is_bulk.get();
         if held == Departure::Gone && is_rewritten {
             departures.forget(upstream);
             return None;
--- a/src/path/log_replica_tests.rs
+++ b/src/path/log_replica_tests.rs
@@ -410,3 +410,23 @@
     assert_eq!(reader.replica.upstreams_at(), StreamPosition::new(2, 2));
     assert!(!reader.state.has_upstream("old-9"));
 }
+
+/// Guards against a load in the restored log's era that counts as if an upstream that left had
+/// written its entry again.
+#[test]
+fn load_at_a_known_position_ends_no_departure() {
+    let router = Router::new();
+    put(&router, 1, "i-1");
+    put(&router, 2, "i-2");
+    router.replica.remove(at(3), "i-2");
+    let copy = || vec![entry("i-1", "ready"), entry("i-2", "ready")];
+    let restored_at = |offset| StreamPosition::new(2, offset);
+    router.replica.apply_snapshot(copy(), restored_at(2), 1);
+    let started = entry("i-3", "ready");
+    let further = vec![started.clone()];
+    router.replica.apply_records(restored_at(2), further, 2);
+    assert!(!router.state.has_upstream("i-2"));
+    let listed = [copy(), vec![started]].concat();
+    router.replica.apply_snapshot(listed, restored_at(3), 3);
+    assert!(!router.state.has_upstream("i-2"));
+}
