Cost of a restore at 9, 71 and 300 routers, in virtual time

Three readers load what was restored and pass it on; positions and replies travel as in the fleet model, which now also confirms state by them.

--- a/src/path/log_replica_fleet_tests.rs
+++ b/src/path/log_replica_fleet_tests.rs
@@ -18,7 +18,7 @@
 const FANOUT: usize = 16;
 const TICK_MS: u64 = 20;
 const PUBLISH_INTERVAL_MS: u64 = 200;
-const READERS: usize = 3;
+pub(super) const READERS: usize = 3;
 /// Time limit for an answer.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 /// 10 Mbit/s, half of it used by callers.
@@ -27,8 +27,8 @@
 /// reads and the answer time of the log.
 const PROPAGATION_LIMIT_MS: u64 = 1_800;
 
-struct Host {
-    router: Router,
+pub(super) struct Host {
+    pub(super) router: Router,
     is_dead: bool,
     /// Time until which its link is busy with answers.
     busy_until_ms: u64,
@@ -42,16 +42,16 @@
     arrives_ms: u64,
 }
 
-struct Fleet {
+pub(super) struct Fleet {
     now_ms: &'static AtomicU64,
-    hosts: Vec<Host>,
-    rng: SmallRng,
+    pub(super) hosts: Vec<Host>,
+    pub(super) rng: SmallRng,
     /// Size of a configuration on a link.
     config_bytes: u64,
 }
 
 impl Fleet {
-    fn new(routers: usize, config_bytes: u64) -> Self {
+    pub(super) fn new(routers: usize, config_bytes: u64) -> Self {
         let now_ms: &'static AtomicU64 = Box::leak(Box::new(AtomicU64::new(10_000)));
         let host = |_| Host {
             router: Router::with_clock(Clock::set_by(now_ms)),
@@ -67,7 +67,7 @@
         }
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.now_ms.load(Ordering::Relaxed)
     }
 
@@ -87,6 +87,8 @@
         let fanout = FANOUT.min(self.hosts.len());
         for to in index::sample(&mut self.rng, self.hosts.len(), fanout) {
             let host = &self.hosts[to];
+            let replica = &host.router.replica;
+            replica.receive_position(&position, position.at_ms);
             let is_free = to != from && !host.is_dead && host.pending.is_none();
             if is_free && host.router.replica.is_behind(&position) {
                 self.send_request(to, from);
@@ -136,7 +138,7 @@
         replica.apply_reply(reply, "a peer", asked_ms);
     }
 
-    fn tick(&mut self) {
+    pub(super) fn tick(&mut self) {
         let now_ms = self.now_ms.fetch_add(TICK_MS, Ordering::Relaxed) + TICK_MS;
         for at in 0..self.hosts.len() {
             if self.hosts[at].is_dead {
--- a/src/path/log_replica_reader_tests.rs
+++ b/src/path/log_replica_reader_tests.rs
@@ -55,7 +55,11 @@
         });
     }
 
-    /// Era of the pending answer to a load, if there is one.
+    pub(super) fn is_pending(&self) -> bool {
+        self.pending.is_some()
+    }
+
+    /// The pending answer to a load, if there is one.
     pub(super) fn pending_load(&mut self) -> Option<&mut Answer<T>> {
         let answer = &mut self.pending.as_mut()?.answer;
         matches!(answer.content, Content::All(..)).then_some(answer)
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -66,6 +66,8 @@
 #[cfg(test)]
 mod log_replica_reader_tests;
 #[cfg(test)]
+mod log_replica_restore_cost_tests;
+#[cfg(test)]
 mod log_replica_tests;
 #[cfg(test)]
 mod log_replica_world_tests;
