The end of a hold is passed on to no peer as a new record

An upstream that had left before the restore was used at once.

Cause: when a hold ends, the router lists the record again at its newest position. A peer that enters the era by its changes takes the record for one that was written after the load, and the upstream for alive.

Fix: it is listed at the position at which the era was entered. end_of_a_hold_at_peers_is_no_new_record, made of the minimal steps, fails before and passes now, one run each.

--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -456,10 +456,12 @@
     pub(crate) fn release_departures(&self) {
         let now_ms = self.clock.now_ms();
         let released = self.departures.borrow_mut().release(now_ms);
+        // At a later position, it would look to peers as if the upstream had written it again.
+        let listed_at = self.changes.borrow().base();
         for upstream in released {
             let record = self.upstreams.borrow().get(&upstream.id).cloned();
             if let Some(record) = record {
-                self.put(self.upstreams_at.get(), &upstream.id, record);
+                self.put(listed_at, &upstream.id, record);
             }
         }
         let readmitted = self.state.change_evacuations(|e| e.release(now_ms));
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -68,6 +68,8 @@
 #[cfg(test)]
 mod log_replica_restore_cost_tests;
 #[cfg(test)]
+mod log_replica_restore_tests;
+#[cfg(test)]
 mod log_replica_tests;
 #[cfg(test)]
 mod log_replica_world_tests;
