--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -46,6 +46,8 @@
 #[cfg(test)]
 mod change_log_tests;
 #[cfg(test)]
+mod changes_tests;
+#[cfg(test)]
 mod connection_tests;
 #[cfg(test)]
 mod departures_tests;
@@ -60,6 +62,14 @@
 #[cfg(test)]
 mod log_replica_fuzz_tests;
 #[cfg(test)]
+mod log_replica_hold_tests;
+#[cfg(test)]
+mod log_replica_reader_tests;
+#[cfg(test)]
+mod log_replica_restore_cost_tests;
+#[cfg(test)]
+mod log_replica_restore_tests;
+#[cfg(test)]
 mod log_replica_tests;
 #[cfg(test)]
 mod log_replica_world_tests;
