Review of the fix: changes between eras, holds while the log is away, a second restore

Five faults in one commit, as they share enter_era_at and the messages: - a reply that leads from (1, k) to a new era was applied though the router had entered that era elsewhere meanwhile (two peers asked at once, or its own load): an upstream that was gone stayed in use for 60 s and more, confirmed as fresh. Such a reply is dropped and confirms nothing, and the peer is asked again (changes_between_eras_..., own_load_overtakes_...); - holds ended by the clock while the log was away again, in which nobody can write: time counts only while the copies are no older than their bound (holds_last_while_the_log_is_not_read); - a live upstream that wrote again was unused for up to 6 s at peers that learned of it together with the restore: answers carry the position at which the era was loaded (upstream_that_wrote_again_is_used_by_late_peers); - an evacuation written again and then undone stayed for up to 10 s at routers that learn from peers (evacuation_undone_after_a_restore_ends_at_peers); - a second restore ended an evacuation held by the first, and after a copy without any record neither removals nor departures were held: (era, 0) is a position like others (second_restore_prolongs_holds).

--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -379,6 +379,7 @@
 #[serde(default, deny_unknown_fields)]
 #[derive(PartialOrd, Ord, Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct StreamPosition {
+    /// Positions are ordered by their fields in this order.
     /// 0 if the log names none.
     #[prost(uint64, tag = "1")]
     pub era: u64,
@@ -459,6 +460,10 @@
     /// The evacuated data centres, if `mark.orders_at` is beyond the requester's.
     #[prost(string, repeated, tag = "5")]
     pub evacuated: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Position at which the log's era was loaded by the router that read it: later records were written
+    /// since.
+    #[prost(message, optional, tag = "6")]
+    pub loaded_at: ::core::option::Option<StreamPosition>,
 }
 /// On the wire, eight bytes of a keyed digest come first, so that datagrams from outside the fleet
 /// are dropped.
--- a/src/path/changes.rs
+++ b/src/path/changes.rs
@@ -30,11 +30,6 @@
 }
 
 impl Changes {
-    /// Position as of which the log's era was loaded, or later if changes were evicted since.
-    pub(super) fn base(&self) -> StreamPosition {
-        self.base
-    }
-
     /// Restarts at `at` after a full read: earlier changes are unknown here.
     pub(super) fn start_at(&mut self, at: StreamPosition) {
         self.base = at;
--- a/src/path/departures.rs
+++ b/src/path/departures.rs
@@ -59,6 +59,11 @@
         self.held.len()
     }
 
+    /// Prolongs the hold by its whole time from `now_ms` on.
+    pub(crate) fn defer(&mut self, now_ms: u64) {
+        self.held_until_ms = now_ms + HOLD_MS;
+    }
+
     /// Returns the departure of `upstream` if it is held.
     pub(crate) fn held(&self, upstream: &Incarnation) -> Option<Departure> {
         self.held.get(upstream).copied()
--- a/src/path/evacuations.rs
+++ b/src/path/evacuations.rs
@@ -87,13 +87,23 @@
         let is_change = self.data_centers != data_centers;
         let before = std::mem::replace(&mut self.data_centers, data_centers);
         if is_restored && !mutated(Mutation::ForgetOrdersOnRestore) {
-            let lost = before.difference(&self.data_centers);
-            let until_ms = now_ms + HOLD_MS;
-            self.held.extend(lost.map(|name| (name.clone(), until_ms)));
+            let held = before.into_iter().map(|name| (name, now_ms + HOLD_MS));
+            self.held.extend(held);
+            self.defer(now_ms);
         }
+        // Those that were written again hold by themselves.
+        let written = &self.data_centers;
+        self.held.retain(|name, _| !written.contains(name));
         is_change
     }
 
+    /// Prolongs all that is held by its whole time from `now_ms` on.
+    pub fn defer(&mut self, now_ms: u64) {
+        for until_ms in self.held.values_mut() {
+            *until_ms = now_ms + HOLD_MS;
+        }
+    }
+
     /// Ends the evacuations that were held until `now_ms`, and returns them.
     pub fn release(&mut self, now_ms: u64) -> Vec<Name> {
         let due = self.held.extract_if(.., |_, until_ms| *until_ms <= now_ms);
--- a/src/path/freshness.rs
+++ b/src/path/freshness.rs
@@ -106,6 +106,11 @@
         self.fresh.get().age_ms(self.clock.now_ms())
     }
 
+    /// Whether the copy is older than a change may take to be in force.
+    pub(crate) fn is_old(&self) -> bool {
+        self.age_ms() > self.schedule.get().bound_ms()
+    }
+
     /// Confirms that the copy was complete at `at_ms`.
     pub(crate) fn confirm(&self, at_ms: u64, evidence: Evidence) {
         let mut fresh = self.fresh.get();
@@ -206,7 +211,7 @@
         if has_stalled && !self.is_usable() {
             return false;
         }
-        if self.age_ms() > self.schedule.get().bound_ms() {
+        if self.is_old() {
             stats::stale_decision(self.name);
         }
         true
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -59,6 +59,8 @@
     config_fresh: StreamFreshness,
     upstreams: RefCell<HashMap<Name, Bytes>>,
     upstreams_at: Cell<StreamPosition>,
+    /// Position at which the log's era was loaded, by this router or the one that it learned from.
+    era_loaded_at: Cell<StreamPosition>,
     upstreams_fresh: StreamFreshness,
     changes: RefCell<Changes>,
     /// Time until which upstreams with removed entries are assumed to be alive.
@@ -94,6 +96,7 @@
             config_fresh: fresh("configuration", schedules.config),
             upstreams: RefCell::default(),
             upstreams_at: Cell::default(),
+            era_loaded_at: Cell::default(),
             upstreams_fresh: fresh("upstreams", schedules.upstreams),
             changes: RefCell::default(),
             removals_delayed_until_ms: Cell::default(),
@@ -310,7 +313,7 @@
             // Peers have sent newer records since.
             return;
         }
-        self.enter_era_at(end, "the store");
+        self.enter_era_at(end, end, "the store");
         // Records that were written and removed again since the last read are missing from the
         // changes kept here.
         if !mutated(Mutation::KeepChangesAcrossGap) {
@@ -353,11 +356,12 @@
     /// Failure guarded against: the log is restored from a copy that is some seconds old. A router
     /// that believed it would send requests to upstreams that are leaving, and refuse requests as
     /// the upstreams that started since have yet to write their entries again.
-    fn enter_era_at(&self, at: StreamPosition, source: &str) {
+    fn enter_era_at(&self, at: StreamPosition, loaded_at: StreamPosition, source: &str) {
         let before = self.upstreams_at.get();
         if at.era <= before.era {
             return;
         }
+        self.era_loaded_at.set(loaded_at);
         if !before.is_known() {
             return self.start_at(at);
         }
@@ -443,7 +447,7 @@
     fn held_departure(&self, upstream: &Incarnation, at: StreamPosition) -> Option<Departure> {
         let mut departures = self.departures.borrow_mut();
         let held = departures.held(upstream)?;
-        let is_rewritten = at > self.changes.borrow().base() && !self.is_bulk.get();
+        let is_rewritten = at > self.era_loaded_at.get() && !self.is_bulk.get();
         if held == Departure::Gone && is_rewritten {
             departures.forget(upstream);
             return None;
@@ -451,13 +455,19 @@
         (!mutated(Mutation::ForgetDeparturesOnRestore)).then_some(held)
     }
 
-    /// Ends the departures that no longer count: from now on, what the log says of these upstreams
-    /// holds.
-    pub(crate) fn release_departures(&self) {
+    /// Ends the departures and evacuations that no longer count: from now on, what the log says
+    /// holds. Time in which the log isn't read doesn't count, as nobody can write again in it.
+    pub(crate) fn release_holds(&self) {
         let now_ms = self.clock.now_ms();
+        if self.upstreams_fresh.is_old() {
+            self.departures.borrow_mut().defer(now_ms);
+        }
+        if self.config_fresh.is_old() {
+            self.state.change_evacuations(|e| e.defer(now_ms));
+        }
         let released = self.departures.borrow_mut().release(now_ms);
         // At a later position, it would look to peers as if the upstream had written it again.
-        let listed_at = self.changes.borrow().base();
+        let listed_at = self.era_loaded_at.get();
         for upstream in released {
             let record = self.upstreams.borrow().get(&upstream.id).cloned();
             if let Some(record) = record {
--- a/src/path/log_replica/sync.rs
+++ b/src/path/log_replica/sync.rs
@@ -88,6 +88,7 @@
             config: self.compressed_config(has_newer),
             mark: Some(self.position()),
             evacuated: self.evacuated(request),
+            loaded_at: Some(self.era_loaded_at.get()),
             ..LogSyncReply::default()
         };
         let Some(changes) = missed else {
@@ -169,8 +170,14 @@
         compress(&all)
     }
 
-    /// Applies the answer of another router to a request sent at `asked_ms`.
-    pub(crate) fn apply_reply(&self, reply: LogSyncReply, source: &str, asked_ms: u64) {
+    /// Applies the answer of another router to `request`, sent at `asked_ms`.
+    pub(crate) fn apply_reply(
+        &self,
+        request: &LogSyncRequest,
+        reply: LogSyncReply,
+        source: &str,
+        asked_ms: u64,
+    ) {
         self.check_clock();
         let position = reply.mark.unwrap_or_default();
         if !reply.config.is_empty() {
@@ -181,7 +188,9 @@
             self.replace_evacuated(position.orders(), evacuated.collect(), source);
         }
         if is_newer(position.upstreams(), self.upstreams_at.get()) {
-            if !self.apply_upstreams(reply, position.upstreams(), source) {
+            if self.is_overtaken(request, &reply)
+                || !self.apply_upstreams(reply, position.upstreams(), source)
+            {
                 return;
             }
         } else if position.upstreams_age_ms == NOT_SENT_MS {
@@ -190,6 +199,17 @@
         self.confirm(&position, asked_ms, Evidence::Reply);
     }
 
+    /// Whether an answer leads from the requested position to a new era, and this router is elsewhere by
+    /// now. The changes between eras are those from the one state to the other: applied to a third
+    /// state, they would leave what differs there for good.
+    fn is_overtaken(&self, request: &LogSyncRequest, reply: &LogSyncReply) -> bool {
+        let asked_at = request.upstreams_at.unwrap_or_default();
+        let at = reply.mark.unwrap_or_default().upstreams();
+        reply.all_upstreams.is_empty()
+            && at.era > asked_at.era
+            && self.upstreams_at.get() != asked_at
+    }
+
     /// Applies the upstreams of an answer, and returns whether they could be decoded.
     fn apply_upstreams(&self, reply: LogSyncReply, at: StreamPosition, source: &str) -> bool {
         let is_all = !reply.all_upstreams.is_empty();
@@ -206,11 +226,12 @@
             }
         };
         self.end_silence();
+        let loaded_at = reply.loaded_at.unwrap_or(at);
         if is_all {
             self.apply_all(changes, at, source);
         } else {
-            self.apply_changes(changes, source);
-            self.enter_era_at(at, source);
+            self.apply_changes(changes, loaded_at, source);
+            self.enter_era_at(at, loaded_at, source);
             self.upstreams_at.set(at);
         }
         true
@@ -218,22 +239,22 @@
 
     fn apply_all(&self, all: Vec<UpstreamChange>, at: StreamPosition, source: &str) {
         self.is_bulk.set(true);
-        self.enter_era_at(at, source);
+        self.enter_era_at(at, at, source);
         self.start_at(at);
         let listed: HashSet<&str> = all.iter().map(|u| u.id.as_str()).collect();
         let known: Vec<Name> = self.upstreams.borrow().keys().cloned().collect();
         for id in known.iter().filter(|id| !listed.contains(&***id)) {
             self.remove(at, id);
         }
-        self.apply_changes(all, source);
+        self.apply_changes(all, at, source);
         self.upstreams_at.set(at);
         self.finish_bulk_update(source);
     }
 
-    fn apply_changes(&self, changes: Vec<UpstreamChange>, source: &str) {
+    fn apply_changes(&self, changes: Vec<UpstreamChange>, loaded_at: StreamPosition, source: &str) {
         for change in changes {
             let at = change.position();
-            self.enter_era_at(at, source);
+            self.enter_era_at(at, loaded_at, source);
             if change.record.is_empty() {
                 self.remove(at, &change.id);
             } else {
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -56,6 +56,8 @@
 #[cfg(test)]
 mod leaving_tests;
 #[cfg(test)]
+mod log_replica_eras_tests;
+#[cfg(test)]
 mod log_replica_fake_tests;
 #[cfg(test)]
 mod log_replica_fleet_tests;
@@ -247,7 +249,7 @@
         publishes = publishes.wrapping_add(1);
         path.replica.check_clock();
         path.replica.remove_missing();
-        path.replica.release_departures();
+        path.replica.release_holds();
         path.replica.flush_change_log();
         path.state.merge_suspicions(path.clock.now_ms());
         path.state.exchange_leaving(&path.fleet.borrow().leaving);
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -233,7 +233,7 @@
         .query::<_, LogSyncReply>(addr, LOG_SYNC, &request)
         .await
     {
-        Ok(reply) => path.replica.apply_reply(reply, addr, asked_ms),
+        Ok(reply) => path.replica.apply_reply(&request, reply, addr, asked_ms),
         Err(e) => log::debug!("{addr}: request for log state failed: {e}"),
     }
 }
--- a/src/path/position.rs
+++ b/src/path/position.rs
@@ -23,9 +23,9 @@
         Self::new(self.era, self.offset + count)
     }
 
-    /// Whether any record is known up to this position.
+    /// Whether this is a position of the log, as opposed to none.
     pub fn is_known(self) -> bool {
-        self.offset > 0
+        self != Self::default()
     }
 }
 
