Failing tests: the own log comes back from an older copy; the stand-in plays it

The stand-in of the platform restores its streams from a copy of a given age (restore_age_ms), names the number of restores in the header log-era and prints a line. The client of the log decodes the header, logs a warning and counts when it rises, and refuses reads from before a restore; nothing else follows from it yet.

Seen on this code (debug build, three routers, two tests at a time, 1 run of each): - changes_after_a_restore_are_in_force_at_all_routers: the operator gets 'outcome unknown: the appended record wasn't found in the stream'; - key_whose_claim_was_lost_does_not_run_twice: 2 runs of one idempotency key, the second one at router 0, with status 200.

--- a/src/log/fake_tests.rs
+++ b/src/log/fake_tests.rs
@@ -210,6 +210,8 @@
         let shown = stream.records.iter().zip(stream.first..next);
         let entries = shown.filter(|(_, offset)| *offset >= from).take(max);
         Ok(Batch {
+            era: 0,
+            era_seen_ms: 0,
             first: stream.first,
             next,
             entries: entries
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -47,6 +47,11 @@
 /// A contiguous range of records.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Batch {
+    /// The number of times that the log was restored from an older copy. Each restore loses the
+    /// newest records and gives their offsets out again.
+    pub era: u64,
+    /// Wall time at which this router had seen the era; zero if it was never restored.
+    pub era_seen_ms: u64,
     /// The oldest offset the log still keeps.
     pub first: u64,
     /// The offset the next append will get.
--- a/src/log/platform.rs
+++ b/src/log/platform.rs
@@ -1,11 +1,19 @@
 //! HTTP client of the platform's log and host list.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
 use crate::log::{Batch, Entry, Log, LogError};
 use crate::stats;
+use crate::util::wall_ms;
+
+/// Label of the log's metrics that concern all its streams.
+const STATS_NAME: &str = "all";
+/// Header of the log's responses: the number of times that it was restored from an older copy.
+const ERA_HEADER: &str = "log-era";
 
 /// A client of the platform.
 #[derive(Clone, Debug)]
@@ -13,6 +21,21 @@
     http: cyper::Client,
     base: String,
     timeout: Duration,
+    era: Rc<Cell<SeenEra>>,
+}
+
+/// The newest era seen in a response.
+#[derive(Clone, Copy, Debug, Default)]
+struct SeenEra {
+    era: u64,
+    /// Wall time after that response; zero for the first era.
+    seen_ms: u64,
+}
+
+/// A successful response.
+struct Answer {
+    era: u64,
+    body: Vec<u8>,
 }
 
 /// The kind of a listed host.
@@ -82,6 +105,7 @@
             http,
             base: format!("http://{addr}"),
             timeout,
+            era: Rc::default(),
         })
     }
 
@@ -90,26 +114,45 @@
     /// # Errors
     /// When the platform can't be reached.
     pub async fn hosts(&self) -> Result<Vec<ListedHost>, LogError> {
-        let text = self.get(&format!("{}/hosts", self.base)).await?;
-        serde_json::from_slice(&text).map_err(|e| unavailable(&e))
+        let answer = self.get(&format!("{}/hosts", self.base)).await?;
+        serde_json::from_slice(&answer.body).map_err(|e| unavailable(&e))
     }
 
-    async fn get(&self, url: &str) -> Result<Vec<u8>, LogError> {
+    /// Records the era of a response of the log.
+    fn observe(&self, era: u64) {
+        let seen = self.era.get();
+        if era <= seen.era {
+            return;
+        }
+        log::warn!(
+            "the platform's log was restored from an older copy: era {era} after {}; records that \
+             it acknowledged may be lost",
+            seen.era
+        );
+        stats::log_restored(STATS_NAME);
+        stats::log_era(STATS_NAME, era);
+        let seen_ms = wall_ms();
+        self.era.set(SeenEra { era, seen_ms });
+    }
+
+    async fn get(&self, url: &str) -> Result<Answer, LogError> {
         let call = async {
             let request = self.http.get(url).map_err(|e| unavailable(&e))?;
             let response = request.send().await.map_err(|e| unavailable(&e))?;
             if !response.status().is_success() {
                 return Err(unavailable(&response.status()));
             }
+            let era = era(response.headers());
             let body = response.bytes().await.map_err(|e| unavailable(&e))?;
-            Ok(body.to_vec())
+            let body = body.to_vec();
+            Ok(Answer { era, body })
         };
         compio::time::timeout(self.timeout, call)
             .await
             .map_err(|e| unavailable(&e))?
     }
 
-    async fn post(&self, url: &str, body: String) -> Result<Vec<u8>, LogError> {
+    async fn post(&self, url: &str, body: String) -> Result<Answer, LogError> {
         let call = async {
             let request = self.http.post(url).map_err(|e| unavailable(&e))?;
             let response = request
@@ -123,8 +166,10 @@
             if !response.status().is_success() {
                 return Err(indeterminate(&response.status()));
             }
+            let era = era(response.headers());
             let body = response.bytes().await.map_err(|e| indeterminate(&e))?;
-            Ok(body.to_vec())
+            let body = body.to_vec();
+            Ok(Answer { era, body })
         };
         compio::time::timeout(self.timeout, call)
             .await
@@ -137,22 +182,33 @@
         let url = format!("{}/log/{stream}", self.base);
         let body = serde_json::to_string(&AppendBody { records }).map_err(|e| unavailable(&e))?;
         let started = Instant::now();
-        let reply = self.post(&url, body).await?;
+        let answer = self.post(&url, body).await?;
         stats::log_append(started.elapsed());
-        let reply: AppendReply = serde_json::from_slice(&reply).map_err(|e| indeterminate(&e))?;
+        self.observe(answer.era);
+        let reply: AppendReply =
+            serde_json::from_slice(&answer.body).map_err(|e| indeterminate(&e))?;
         Ok(reply.offset)
     }
 
     async fn read(&self, stream: &str, from: u64, max: usize) -> Result<Batch, LogError> {
         let url = format!("{}/log/{stream}?from={from}&max={max}", self.base);
-        let reply = self.get(&url).await?;
-        let reply: ReadReply = serde_json::from_slice(&reply).map_err(|e| unavailable(&e))?;
+        let answer = self.get(&url).await?;
+        self.observe(answer.era);
+        let seen = self.era.get();
+        if answer.era < seen.era {
+            return Err(unavailable(
+                &"the response is from before a restore of the log",
+            ));
+        }
+        let reply: ReadReply = serde_json::from_slice(&answer.body).map_err(|e| unavailable(&e))?;
         stats::log_read_lag(stream, reply.next.saturating_sub(from));
         let entries = reply.records.into_iter().map(|r| Entry {
             offset: r.offset,
             text: r.text,
         });
         Ok(Batch {
+            era: seen.era,
+            era_seen_ms: seen.seen_ms,
             first: reply.first,
             next: reply.next,
             entries: entries.collect(),
@@ -160,6 +216,11 @@
     }
 }
 
+fn era(headers: &http::HeaderMap) -> u64 {
+    let era = headers.get(ERA_HEADER).and_then(|v| v.to_str().ok());
+    era.and_then(|text| text.parse().ok()).unwrap_or_default()
+}
+
 fn unavailable(detail: &impl ToString) -> LogError {
     LogError::Unavailable {
         detail: detail.to_string(),
--- a/standins/src/keyed.rs
+++ b/standins/src/keyed.rs
@@ -189,7 +189,7 @@
     });
 }
 
-fn wall_ms() -> u64 {
+pub(crate) fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
 }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -7,10 +7,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http::{Method, Response, StatusCode};
+use http::{HeaderValue, Method, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
-use crate::http::{BufferedRequest, Handler, ResponseBody, json, serve, status};
+use crate::http::{BufferedRequest, Handler, ResponseBody, json, print_run, serve, status};
+use crate::keyed::{Restore, wall_ms};
 use crate::weights::WeightStore;
 
 /// Faults that a test can set.
@@ -31,8 +32,13 @@
     pub appends_per_s: u32,
     /// Fetches per second above which the weight store answers 429; 0 sets no limit.
     pub weights_per_s: u32,
+    /// Replace every stream now by a copy of this age, which begins a new era; 0 does nothing.
+    pub restore_age_ms: u64,
 }
 
+/// Header of every response to a log request: the number of restores so far.
+const ERA_HEADER: &str = "log-era";
+
 /// One entry of the host list.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -67,6 +73,16 @@
     records: VecDeque<StoredRecord>,
 }
 
+impl Stream {
+    /// Returns to the state as of `then`; the offsets after it will be given out again.
+    fn restore(&mut self, then: Instant) {
+        while self.records.back().is_some_and(|r| r.at > then) {
+            self.records.pop_back();
+            self.next -= 1;
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct Append {
     records: Vec<String>,
@@ -92,6 +108,7 @@
     appends: VecDeque<Instant>,
     append_count: u64,
     weights: WeightStore,
+    era: u64,
 }
 
 /// A running platform.
@@ -142,8 +159,14 @@
             (&Method::GET, "/counts", _) => Some(json(&state.append_count)),
             (&Method::GET, "/weights", _) => Some(json(&state.weights.fetched)),
             (_, _, Some(_)) if state.knobs.outage => Some(status(StatusCode::SERVICE_UNAVAILABLE)),
-            (&Method::POST, _, Some(stream)) => state.append(&stream, &request),
-            (&Method::GET, _, Some(stream)) => Some(state.read(&stream, &request)),
+            (&Method::POST, _, Some(stream)) => {
+                let response = state.append(&stream, &request)?;
+                Some(state.with_era(response))
+            }
+            (&Method::GET, _, Some(stream)) => {
+                let response = state.read(&stream, &request);
+                Some(state.with_era(response))
+            }
             _ => Some(status(StatusCode::NOT_FOUND)),
         }
     }
@@ -151,13 +174,35 @@
 
 impl State {
     fn set_knobs(&mut self, request: &BufferedRequest) -> Response<ResponseBody> {
-        match serde_json::from_slice(&request.body) {
-            Ok(knobs) => {
-                self.knobs = knobs;
-                status(StatusCode::OK)
-            }
-            Err(_) => status(StatusCode::BAD_REQUEST),
+        let Ok(knobs) = serde_json::from_slice::<Knobs>(&request.body) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        if knobs.restore_age_ms > 0 {
+            self.restore(knobs.restore_age_ms);
+        }
+        self.knobs = knobs;
+        status(StatusCode::OK)
+    }
+
+    /// Replaces every stream by a copy of age `age_ms`.
+    fn restore(&mut self, age_ms: u64) {
+        let now = Instant::now();
+        let then = now.checked_sub(Duration::from_millis(age_ms));
+        for stream in self.streams.values_mut() {
+            stream.restore(then.unwrap_or(now));
         }
+        self.era += 1;
+        print_run(&Restore {
+            era: self.era,
+            age_ms,
+            restored_ms: wall_ms(),
+        });
+    }
+
+    fn with_era(&self, mut response: Response<ResponseBody>) -> Response<ResponseBody> {
+        let era = HeaderValue::from(self.era);
+        response.headers_mut().insert(ERA_HEADER, era);
+        response
     }
 
     fn put_host(&mut self, host: Host) {
