Configuration of the own log: positions are ordered by era, the state is derived again after a restore

Cause: Follower read on from its offset; after a restore it saw the end of the stream behind it, counted as current, and never read the changes whose offsets were given out again. An operator got 'outcome unknown', readers differed for good once the offsets overtook theirs.

Peers exchange (era, offset). Records carry the era of their appender, left out of JSON while it is zero.

--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -32,6 +32,19 @@
             "event.Kind",
             "#[derive(strum::EnumIter, strum::IntoStaticStr, strum::EnumString)]",
         )
+        // A log that was never restored gets records that builds without eras can parse.
+        .field_attribute(
+            ".config.Record.era",
+            "#[serde(skip_serializing_if = \"crate::util::is_zero\")]",
+        )
+        .field_attribute(
+            ".records.ClaimRecord.era",
+            "#[serde(skip_serializing_if = \"crate::util::is_zero\")]",
+        )
+        .field_attribute(
+            ".records.Lease.era",
+            "#[serde(skip_serializing_if = \"crate::util::is_zero\")]",
+        )
         .field_attribute(".peer.Forward.body", "#[serde(with = \"serde_bytes\")]")
         .field_attribute(".peer.Header.value", "#[serde(with = \"serde_bytes\")]")
         .field_attribute(
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -15,6 +15,7 @@
 use crate::fleet::in_flight::FleetInFlight;
 use crate::fleet::member::Member;
 use crate::fleet::swim::Listed;
+use crate::path::position::StreamPosition;
 use crate::schema::peer::{InFlightCount, Load, LogPosition, ServiceDemand, Suspicion, datagram};
 use crate::util::Name;
 
@@ -72,9 +73,9 @@
 /// The newest configuration that another router has announced.
 #[derive(Clone, Debug)]
 pub struct NewestConfig {
-    /// Offset of the last configuration record applied.
-    pub offset: u64,
-    /// Digest of the state at that offset.
+    /// Position up to which the configuration stream was applied.
+    pub at: StreamPosition,
+    /// Digest of the state at that position.
     pub digest: u64,
     /// Peer address of the router that has it.
     pub peer_addr: Name,
@@ -83,7 +84,7 @@
 impl Default for NewestConfig {
     fn default() -> Self {
         Self {
-            offset: 0,
+            at: StreamPosition::default(),
             digest: 0,
             peer_addr: "".into(),
         }
--- a/src/gen/config.rs
+++ b/src/gen/config.rs
@@ -209,6 +209,10 @@
     pub id: ::prost::alloc::string::String,
     #[prost(uint32, tag = "2")]
     pub schema: u32,
+    /// Era of the log as its appender knew it.
+    #[prost(uint64, tag = "5")]
+    #[serde(skip_serializing_if = "crate::util::is_zero")]
+    pub era: u64,
     #[prost(oneof = "record::Body", tags = "3, 4")]
     pub body: ::core::option::Option<record::Body>,
 }
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -166,10 +166,10 @@
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigRequest {
-    #[prost(uint64, tag = "1")]
-    pub have_offset: u64,
     #[prost(uint64, tag = "2")]
     pub have_digest: u64,
+    #[prost(message, optional, tag = "3")]
+    pub have_at: ::core::option::Option<StreamPosition>,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -180,8 +180,8 @@
     /// Set when it is newer than the requester's.
     #[prost(message, optional, tag = "2")]
     pub state: ::core::option::Option<super::config::State>,
-    #[prost(uint64, tag = "3")]
-    pub offset: u64,
+    #[prost(message, optional, tag = "4")]
+    pub at: ::core::option::Option<StreamPosition>,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -281,8 +281,6 @@
     pub from_host: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub from_incarnation: u64,
-    #[prost(uint64, tag = "3")]
-    pub config_offset: u64,
     #[prost(uint64, tag = "4")]
     pub config_digest: u64,
     #[prost(message, repeated, tag = "5")]
@@ -295,6 +293,8 @@
     pub stamp: ::core::option::Option<Stamp>,
     #[prost(message, repeated, tag = "9")]
     pub leaving: ::prost::alloc::vec::Vec<LeavingUpdate>,
+    #[prost(message, optional, tag = "10")]
+    pub config_at: ::core::option::Option<StreamPosition>,
 }
 /// News about requests, sent as soon as there are any.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/gen/records.rs
+++ b/src/gen/records.rs
@@ -64,6 +64,10 @@
     /// were stored before this time.
     #[prost(uint64, tag = "3")]
     pub read_at_ms: u64,
+    /// Era of the log at that read; `read_to` is an offset in it.
+    #[prost(uint64, tag = "7")]
+    #[serde(skip_serializing_if = "crate::util::is_zero")]
+    pub era: u64,
     #[prost(oneof = "claim_record::Body", tags = "4, 5, 6")]
     pub body: ::core::option::Option<claim_record::Body>,
 }
@@ -99,4 +103,8 @@
     /// Ends the lease with this fencing number early; zero acquires a lease.
     #[prost(uint64, tag = "6")]
     pub ends: u64,
+    /// Era of the log in which `read_to` is an offset.
+    #[prost(uint64, tag = "7")]
+    #[serde(skip_serializing_if = "crate::util::is_zero")]
+    pub era: u64,
 }
--- a/src/log/config.rs
+++ b/src/log/config.rs
@@ -9,6 +9,7 @@
 use crate::log::Entry;
 use crate::log::check::check;
 use crate::mutation::{Mutation, mutated};
+use crate::path::position::StreamPosition;
 use crate::schema::config::change::Op;
 use crate::schema::config::record::Body;
 use crate::schema::config::{Change, Record, State};
@@ -53,6 +54,7 @@
 /// The state after applying the records of the configuration stream up to an offset.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigFold {
+    era: u64,
     state: State,
 }
 
@@ -68,12 +70,25 @@
         &self.state
     }
 
+    /// Creates a fold that has applied nothing of the stream in `era`.
+    pub fn of_era(era: u64) -> Self {
+        Self {
+            era,
+            ..Self::default()
+        }
+    }
+
     /// Returns the offset to read from next.
     pub fn next_offset(&self) -> u64 {
         self.state.offset
     }
 
-    /// Returns a digest of the state, equal on all routers that have read up to the same offset.
+    /// Returns the position to read from next.
+    pub fn position(&self) -> StreamPosition {
+        StreamPosition::new(self.era, self.state.offset)
+    }
+
+    /// Returns a digest of the state, equal on all routers that have read up to the same position.
     pub fn digest(&self) -> u64 {
         digest(&self.state)
     }
@@ -112,9 +127,11 @@
     }
 
     /// Replaces the state by that of a peer or a snapshot if that is newer; returns whether it was.
-    pub fn restore(&mut self, state: State) -> bool {
-        let newer = state.offset > self.state.offset || mutated(Mutation::AcceptOlderState);
+    pub fn restore(&mut self, era: u64, state: State) -> bool {
+        let at = StreamPosition::new(era, state.offset);
+        let newer = at > self.position() || mutated(Mutation::AcceptOlderState);
         if newer {
+            self.era = era;
             self.state = state;
         }
         newer
--- a/src/log/config_fuzz_tests.rs
+++ b/src/log/config_fuzz_tests.rs
@@ -15,6 +15,7 @@
 use crate::log::fuzz_tests::{check_mutation_detected, check_no_failure, count_step, pick};
 use crate::log::timer::{Now, Timer};
 use crate::mutation::Mutation;
+use crate::path::position::StreamPosition;
 use crate::schema::config::change::Op;
 use crate::schema::config::record::Body;
 use crate::schema::config::{Change, HostMark, State};
@@ -58,6 +59,10 @@
         router: u8,
     },
     Outage(bool),
+    /// The log comes back from an older copy, without its newest records.
+    Restore {
+        lost: u8,
+    },
     /// A delayed append takes effect.
     DeliverDelayed(u8),
     Advance(u8),
@@ -97,6 +102,7 @@
             2 => prop::option::of(pick()).prop_map(Step::Peer),
             1 => pick().prop_map(|router| Step::Crash { router }),
             1 => prop::bool::weighted(0.3).prop_map(Step::Outage),
+            1 => (0..6_u8).prop_map(|lost| Step::Restore { lost }),
             2 => pick().prop_map(Step::DeliverDelayed),
             3 => pick().prop_map(Step::Advance),
         ]
@@ -144,7 +150,7 @@
 /// Peers that answer with any state that some router has had.
 #[derive(Clone, Default)]
 struct FakePeers {
-    states: Rc<RefCell<Vec<State>>>,
+    states: Rc<RefCell<Vec<(u64, State)>>>,
     answer: Rc<Cell<Option<u8>>>,
 }
 
@@ -152,10 +158,10 @@
     async fn fetch(&self, _: ConfigRequest) -> Option<ConfigReply> {
         let states = self.states.borrow();
         let at = usize::from(self.answer.get()?);
-        let state = states.get(at % states.len().max(1))?;
+        let (era, state) = states.get(at % states.len().max(1))?;
         Some(ConfigReply {
             digest: config::digest(state),
-            offset: state.offset,
+            at: Some(StreamPosition::new(*era, state.offset)),
             state: Some(state.clone()),
         })
     }
@@ -183,8 +189,9 @@
 struct Router {
     follower: Option<FakeFollower>,
     work: Option<Script<(FakeFollower, Option<Reported>)>>,
-    /// Offset and version after the last completed operation.
-    last: (u64, u64),
+    is_writing_snapshot: bool,
+    /// Position and version after the last completed operation.
+    last: (StreamPosition, u64),
 }
 
 struct Simulation {
@@ -192,7 +199,8 @@
     peers: FakePeers,
     now_ms: u64,
     routers: Vec<Router>,
-    oracle: Oracle,
+    /// The result in each era of the log.
+    oracles: Vec<Oracle>,
     changes: u64,
     reported_not_applied: BTreeSet<String>,
 }
@@ -204,7 +212,7 @@
             peers: FakePeers::default(),
             now_ms: 0,
             routers: Vec::new(),
-            oracle: Oracle::new(),
+            oracles: vec![Oracle::new()],
             changes: 0,
             reported_not_applied: BTreeSet::new(),
         };
@@ -217,7 +225,8 @@
         Router {
             follower: Some(follower),
             work: None,
-            last: (0, 0),
+            is_writing_snapshot: false,
+            last: (StreamPosition::default(), 0),
         }
     }
 
@@ -237,10 +246,16 @@
             return;
         };
         self.routers[at].work = Some(Box::pin(async move {
+            // As the task does: a router that can't read the log writes none.
+            follower.poll(&mut |_, _| {}).await;
+            if *follower.status() != FollowStatus::Current {
+                return (follower, None);
+            }
             // A failed snapshot is written by a later step.
             let _ = follower.write_snapshot().await;
             (follower, None)
         }));
+        self.routers[at].is_writing_snapshot = true;
         self.advance(at);
     }
 
@@ -294,39 +309,65 @@
             return;
         };
         self.routers[at].work = None;
+        self.routers[at].is_writing_snapshot = false;
         self.update_oracle();
         self.check(at, &follower);
         if let Some(reported) = reported {
-            self.check_report(reported);
+            self.check_report(reported, follower.position().era);
         }
         self.peers
             .states
             .borrow_mut()
-            .push(follower.state().clone());
+            .push((follower.position().era, follower.state().clone()));
         self.routers[at].follower = Some(follower);
     }
 
     fn update_oracle(&mut self) {
-        let known = self.oracle.states.len() - 1;
+        let oracle = self.oracles.last_mut().unwrap();
+        let known = oracle.states.len() - 1;
         for text in self.log.archive(STREAM, known) {
-            self.oracle.apply_record(&text);
+            oracle.apply_record(&text);
         }
     }
 
+    /// Restores the log. No snapshot is in transit then: if the copy has no usable one, readers
+    /// could take a snapshot from before the restore that is appended after it.
+    fn restore(&mut self, lost: usize) {
+        let is_snapshot = |text: &str| {
+            let body = config::parse(text).and_then(|r| r.body);
+            matches!(body, Some(Body::Snapshot(_)))
+        };
+        self.log.drop_delayed(is_snapshot);
+        for at in 0..self.routers.len() {
+            if self.routers[at].is_writing_snapshot {
+                self.complete(at, 0, Fault::None);
+            }
+        }
+        self.update_oracle();
+        self.log.restore(lost);
+        self.oracles.push(Oracle::new());
+        self.update_oracle();
+    }
+
+    fn oracle(&self, era: u64) -> &Oracle {
+        &self.oracles[usize::try_from(era).unwrap()]
+    }
+
     fn check(&mut self, at: usize, follower: &FakeFollower) {
         let state = follower.state();
-        let now = (state.offset, state.version);
+        let position = follower.position();
+        let now = (position, state.version);
         assert!(now >= self.routers[at].last, "router {at} went back");
         self.routers[at].last = now;
         let offset = usize::try_from(state.offset).unwrap();
-        let (version, marks) = &self.oracle.states[offset];
+        let (version, marks) = &self.oracle(position.era).states[offset];
         let of_router = state.hosts.iter().map(|m| (m.host.clone(), m.draining));
-        assert_eq!(state.version, *version, "router {at} at offset {offset}");
+        assert_eq!(state.version, *version, "router {at} at {position}");
         assert_eq!(&of_router.collect::<BTreeMap<_, _>>(), marks);
     }
 
-    fn check_report(&mut self, reported: Reported) {
-        let verdict = self.oracle.changes.get(&reported.author).copied();
+    fn check_report(&mut self, reported: Reported, era: u64) {
+        let verdict = self.oracle(era).changes.get(&reported.author).copied();
         match reported.outcome {
             Ok(ApplyOutcome {
                 applied: Applied::Accepted { version },
@@ -342,7 +383,7 @@
                     "reported as raced"
                 );
                 let at = usize::try_from(offset).unwrap();
-                let (version, _) = self.oracle.states[at];
+                let (version, _) = self.oracle(era).states[at];
                 assert_ne!(
                     version, reported.against_version,
                     "reported as raced, but no change won"
@@ -370,15 +411,18 @@
             self.poll(at);
             self.complete(at, 0, Fault::None);
         }
-        let end = self.oracle.states.len() as u64 - 1;
+        let era = self.oracles.len() as u64 - 1;
+        let end = self.oracle(era).states.len() as u64 - 1;
         for router in &self.routers {
             let follower = router.follower.as_ref().unwrap();
             if *follower.status() == FollowStatus::Current {
-                assert_eq!(follower.state().offset, end, "read to the end");
+                let end = StreamPosition::new(era, end);
+                assert_eq!(follower.position(), end, "read to the end");
             }
         }
         for author in &self.reported_not_applied {
-            let found = self.oracle.changes.contains_key(author);
+            let mut oracles = self.oracles.iter();
+            let found = oracles.any(|o| o.changes.contains_key(author));
             assert!(
                 !found,
                 "{author} was reported as not applied and is in the log"
@@ -426,6 +470,7 @@
                 sim.routers[at(router)] = sim.router(at(router) as u64);
             }
             Step::Outage(outage) => sim.log.set_outage(outage),
+            Step::Restore { lost } => sim.restore(lost.into()),
             Step::DeliverDelayed(n) => sim.log.deliver_delayed(n.into()),
             Step::Advance(n) => {
                 sim.now_ms += u64::from(n);
@@ -441,7 +486,7 @@
 }
 
 /// Operators make concurrent changes while the log loses replies, duplicates and delays appends,
-/// expires records and becomes unavailable, and while routers pause, are replaced, and fetch states
+/// expires records, becomes unavailable and comes back from older copies, and while routers pause, are replaced, and fetch states
 /// from peers.
 #[test]
 fn accepted_configuration_never_reverts() {
@@ -454,6 +499,7 @@
 #[test_case(Mutation::LostReplyIsNotApplied)]
 #[test_case(Mutation::ApplyAcrossGap)]
 #[test_case(Mutation::SnapshotCoversOwnOffset)]
+#[test_case(Mutation::KeepOffsetAcrossEras)]
 fn mutation_is_detected(fault: Mutation) {
     check_mutation_detected::<Configuration>("config", fault);
 }
--- a/src/log/config_task.rs
+++ b/src/log/config_task.rs
@@ -12,6 +12,7 @@
 use crate::log::follow::{ApplyError, ApplyOutcome, ConfigPeers, FollowStatus, Follower};
 use crate::log::timer::SystemTimer;
 use crate::log::view::ConfigView;
+use crate::path::position::StreamPosition;
 use crate::schema::config::{Change, State};
 use crate::schema::peer::{ConfigReply, ConfigRequest};
 use crate::util::{self, Clock};
@@ -65,7 +66,7 @@
             last_snapshot: Instant::now(),
             snapshot: None,
             events,
-            published: (0, 0),
+            published: <(StreamPosition, u64)>::default(),
             publish,
             publish_status,
         };
@@ -132,8 +133,8 @@
     last_snapshot: Instant,
     snapshot: Option<u64>,
     events: Events,
-    /// Offset and version of the last published state.
-    published: (u64, u64),
+    /// Position and version of the last published state.
+    published: (StreamPosition, u64),
     publish: watch::Sender<Arc<ConfigView>>,
     publish_status: watch::Sender<FollowStatus>,
 }
@@ -161,10 +162,11 @@
 
     fn publish(&mut self) {
         let state = self.follower.state();
-        let at = (state.offset, state.version);
+        let position = self.follower.position();
+        let at = (position, state.version);
         if at != self.published {
             self.published = at;
-            let view = ConfigView::new(state.clone(), self.follower.digest());
+            let view = ConfigView::of_era(position.era, state.clone(), self.follower.digest());
             self.publish.send_replace(Arc::new(view));
         }
         let status = self.follower.status();
--- a/src/log/config_tests.rs
+++ b/src/log/config_tests.rs
@@ -13,6 +13,7 @@
     let record = Record {
         id: id.to_owned(),
         schema: 1,
+        era: 0,
         body: Some(Body::Change(change)),
     };
     let text = serde_json::to_string(&record).unwrap();
--- a/src/log/fake_tests.rs
+++ b/src/log/fake_tests.rs
@@ -55,13 +55,16 @@
 #[derive(Default)]
 struct State {
     now_ms: u64,
+    era: u64,
+    /// When the log was restored last.
+    restored_ms: u64,
     outage: bool,
     retention_ms: u64,
     streams: BTreeMap<String, Stream>,
     calls: BTreeMap<u64, Call>,
     replies: BTreeMap<u64, Reply>,
     delayed: Vec<(String, Vec<String>)>,
-    /// Every record ever stored, including expired ones.
+    /// Every record stored in this era or in the copy that it began with, including expired ones.
     archive: BTreeMap<String, Vec<String>>,
 }
 
@@ -70,6 +73,8 @@
 pub(crate) struct FakeLog {
     state: Rc<RefCell<State>>,
     actor: u64,
+    /// How far the actor's wall clock is ahead.
+    ahead_ms: i64,
 }
 
 impl FakeLog {
@@ -81,9 +86,15 @@
         Self {
             state: Rc::new(RefCell::new(state)),
             actor: 0,
+            ahead_ms: 0,
         }
     }
 
+    /// Sets how far the actor's wall clock is ahead.
+    pub(crate) fn with_clock_ahead(self, ahead_ms: i64) -> Self {
+        Self { ahead_ms, ..self }
+    }
+
     /// Returns a handle for another actor and drops the actor's earlier calls.
     pub(crate) fn actor(&self, actor: u64) -> Self {
         let mut state = self.state.borrow_mut();
@@ -92,6 +103,7 @@
         Self {
             state: self.state.clone(),
             actor,
+            ahead_ms: 0,
         }
     }
 
@@ -112,6 +124,28 @@
         }
     }
 
+    /// Replaces every stream by a copy without the newest `lost` records.
+    pub(crate) fn restore(&self, lost: usize) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        for (name, stream) in &mut state.streams {
+            let kept = stream.records.len().saturating_sub(lost);
+            stream.records.truncate(kept);
+            if let Some(archive) = state.archive.get_mut(name) {
+                archive.truncate(usize::try_from(stream.next()).unwrap());
+            }
+        }
+        state.era += 1;
+        state.restored_ms = state.now_ms;
+    }
+
+    /// Drops the delayed appends of records that `is_dropped`.
+    pub(crate) fn drop_delayed(&self, is_dropped: impl Fn(&str) -> bool) {
+        let mut state = self.state.borrow_mut();
+        let dropped = |records: &Vec<String>| records.iter().any(|text| is_dropped(text));
+        state.delayed.retain(|(_, records)| !dropped(records));
+    }
+
     /// Executes one delayed append.
     pub(crate) fn deliver_delayed(&self, which: usize) {
         let mut state = self.state.borrow_mut();
@@ -131,7 +165,12 @@
         };
         let reply = match call {
             Call::Append(stream, records) => Reply::Append(state.append(&stream, records, fault)),
-            Call::Read(stream, from, max) => Reply::Read(state.read(&stream, from, max, fault)),
+            Call::Read(stream, from, max) => {
+                Reply::Read(state.read(&stream, from, max, fault).map(|batch| Batch {
+                    era_seen_ms: batch.era_seen_ms.saturating_add_signed(self.ahead_ms),
+                    ..batch
+                }))
+            }
         };
         state.replies.insert(actor, reply);
         true
@@ -210,8 +249,8 @@
         let shown = stream.records.iter().zip(stream.first..next);
         let entries = shown.filter(|(_, offset)| *offset >= from).take(max);
         Ok(Batch {
-            era: 0,
-            era_seen_ms: 0,
+            era: self.era,
+            era_seen_ms: self.restored_ms,
             first: stream.first,
             next,
             entries: entries
--- a/src/log/follow.rs
+++ b/src/log/follow.rs
@@ -3,6 +3,7 @@
 //!
 //! All sleeping goes through [`Timer`], so that tests can suspend any step.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use snafu::Snafu;
@@ -12,6 +13,7 @@
 use crate::log::timer::Timer;
 use crate::log::{Batch, Entry, Log, LogError, invariant};
 use crate::mutation::{Mutation, mutated};
+use crate::path::position::StreamPosition;
 use crate::schema::config::record::Body;
 use crate::schema::config::{Change, Record, State};
 use crate::schema::peer::{ConfigReply, ConfigRequest};
@@ -73,6 +75,14 @@
     },
 }
 
+/// How far the stream was read.
+enum Reading {
+    /// As far as this router can; holds the result of the change that was looked for.
+    Done(Option<ApplyOutcome>),
+    /// The log was restored from an older copy, which began this era.
+    Restored(u64),
+}
+
 /// One router's reader and writer of the configuration stream.
 #[derive(Debug)]
 pub struct Follower<L, S, P> {
@@ -103,6 +113,11 @@
         self.fold.state()
     }
 
+    /// Returns the position up to which the state was derived.
+    pub fn position(&self) -> StreamPosition {
+        self.fold.position()
+    }
+
     /// Returns a digest of the state.
     pub fn digest(&self) -> u64 {
         self.fold.digest()
@@ -197,6 +212,7 @@
         let record = Record {
             id: id.to_owned(),
             schema: SCHEMA,
+            era: self.fold.position().era,
             body: Some(body),
         };
         let text = serde_json::to_string(&record).map_err(|e| LogError::Unavailable {
@@ -222,19 +238,49 @@
         Err(ApplyError::Unknown { detail })
     }
 
-    /// Reads to the end of the stream; returns the result of the change with record id `id`.
+    /// Reads to the end of the stream; returns the result of the change with record id `id`. After a
+    /// restore of the log, the state is derived again from the start of the stream.
     async fn follow(
         &mut self,
         id: Option<&str>,
         on_record: &mut impl FnMut(&Applied, &State),
     ) -> Result<Option<ApplyOutcome>, LogError> {
+        let era = match self.read_to_end(id, on_record).await? {
+            Reading::Done(found) => return Ok(found),
+            Reading::Restored(era) => era,
+        };
+        // The last state stays in force until the whole stream has been read.
+        let before = std::mem::replace(&mut self.fold, ConfigFold::of_era(era));
+        let read = self.read_to_end(id, on_record).await;
+        match read {
+            Ok(Reading::Done(found)) if self.status != FollowStatus::Gap => return Ok(found),
+            _ => self.fold = before,
+        }
+        match read? {
+            Reading::Done(_) => Ok(None),
+            Reading::Restored(_) => Err(restored()),
+        }
+    }
+
+    async fn read_to_end(
+        &mut self,
+        id: Option<&str>,
+        on_record: &mut impl FnMut(&Applied, &State),
+    ) -> Result<Reading, LogError> {
         let mut found = None;
         loop {
             let from = self.fold.next_offset();
             let batch = self.log.read(STREAM, from, READ_MAX).await?;
+            match batch.era.cmp(&self.fold.position().era) {
+                Ordering::Less => return Err(restored()),
+                Ordering::Greater if !mutated(Mutation::KeepOffsetAcrossEras) => {
+                    return Ok(Reading::Restored(batch.era));
+                }
+                _ => {}
+            }
             if batch.first > from && !self.restore_snapshot(&batch).await? {
                 self.status = FollowStatus::Gap;
-                return Ok(found);
+                return Ok(Reading::Done(found));
             }
             if batch.first > from {
                 continue;
@@ -243,7 +289,7 @@
                 let applied = self.apply_entry(entry, on_record);
                 if let Applied::Newer { schema } = applied {
                     self.status = FollowStatus::Newer { schema };
-                    return Ok(found);
+                    return Ok(Reading::Done(found));
                 }
                 let own = id.is_some_and(|id| has_id(&entry.text, id));
                 if own && found.is_none() {
@@ -253,7 +299,7 @@
             }
             if self.fold.next_offset() == from || self.fold.next_offset() >= batch.next {
                 self.status = FollowStatus::Current;
-                return Ok(found);
+                return Ok(Reading::Done(found));
             }
         }
     }
@@ -284,24 +330,43 @@
                 offset: batch.first,
                 ..self.fold.state().clone()
             };
-            return Ok(self.fold.restore(state));
+            return Ok(self.fold.restore(batch.era, state));
         }
+        let era = batch.era;
         let mut from = batch.first;
         let mut best: Option<State> = None;
+        let mut newest_era = 0;
         loop {
             let batch = self.log.read(STREAM, from, READ_MAX).await?;
+            if batch.era != era {
+                return Err(restored());
+            }
             if batch.first > from {
                 // More records expired meanwhile, so a gap may now follow the snapshot found.
                 best = best.filter(|s| s.offset >= batch.first);
             }
             for entry in &batch.entries {
                 let joined = |s: &State| s.offset >= batch.first && s.offset <= entry.offset;
-                let newer = |s: &State| best.as_ref().is_none_or(|b| s.offset > b.offset);
-                let mut snapshot = snapshot(&entry.text);
+                let Some(record) = config::parse(&entry.text) else {
+                    continue;
+                };
+                let record_era = record.era;
+                newest_era = newest_era.max(record_era);
+                let Some(mut state) = snapshot(record) else {
+                    continue;
+                };
                 if mutated(Mutation::SnapshotCoversOwnOffset) {
-                    snapshot.iter_mut().for_each(|s| s.offset = entry.offset);
+                    state.offset = entry.offset;
                 }
-                if let Some(state) = snapshot.filter(joined).filter(newer) {
+                if state.offset > entry.offset {
+                    // It was written before a restore and appended after it.
+                    newest_era = newest_era.max(record_era + 1);
+                }
+                // Of the snapshots from before a restore, the oldest is the least likely to have
+                // been appended after it.
+                let replaces = |b: &State| record_era == era && state.offset > b.offset;
+                let newer = best.as_ref().is_none_or(replaces);
+                if record_era >= newest_era && newer && joined(&state) {
                     best = Some(state);
                 }
             }
@@ -310,31 +375,32 @@
                 None => break,
             }
         }
-        Ok(best.is_some_and(|state| self.fold.restore(state)))
+        Ok(best.is_some_and(|state| self.fold.restore(era, state)))
     }
 
     /// Fetches a peer's state and takes it if it is newer and matches its digest.
     async fn fetch_from_peer(&mut self) {
         let request = ConfigRequest {
-            have_offset: self.fold.next_offset(),
+            have_at: Some(self.fold.position()),
             have_digest: self.fold.digest(),
         };
-        let same_offset = request.have_offset;
+        let same_at = self.fold.position();
         let Some(reply) = self.peers.fetch(request).await else {
             return;
         };
         match reply.state {
             Some(state) if config::digest(&state) == reply.digest => {
-                self.fold.restore(state);
+                let era = reply.at.unwrap_or_default().era;
+                self.fold.restore(era, state);
             }
             Some(_) => log::warn!(
-                "a peer's configuration doesn't match its digest; keeping the state at offset {same_offset}"
+                "a peer's configuration doesn't match its digest; keeping the state at {same_at}"
             ),
             // A router that has read nothing has no digest to compare.
-            None if reply.offset == same_offset && same_offset > 0 => {
+            None if reply.at == Some(same_at) && same_at.is_known() => {
                 invariant(
                     reply.digest == self.fold.digest(),
-                    "two routers differ at one offset of the configuration",
+                    "two routers differ at one position of the configuration",
                 );
             }
             None => {}
@@ -342,16 +408,22 @@
     }
 }
 
+fn restored() -> LogError {
+    LogError::Unavailable {
+        detail: "the log was restored from an older copy during the read".to_owned(),
+    }
+}
+
 fn has_id(text: &str, id: &str) -> bool {
     config::parse(text).is_some_and(|r| r.id == id)
 }
 
 fn is_snapshot(text: &str) -> bool {
-    snapshot(text).is_some()
+    config::parse(text).and_then(snapshot).is_some()
 }
 
-fn snapshot(text: &str) -> Option<State> {
-    match config::parse(text)?.body? {
+fn snapshot(record: Record) -> Option<State> {
+    match record.body? {
         Body::Snapshot(state) => Some(state),
         Body::Change(_) => None,
     }
--- a/src/log/lease.rs
+++ b/src/log/lease.rs
@@ -197,6 +197,7 @@
             read_to: self.next,
             term_ms: TERM_MS,
             ends,
+            era: 0,
         }
     }
 
--- a/src/log/slot.rs
+++ b/src/log/slot.rs
@@ -199,6 +199,7 @@
             schema: SCHEMA,
             read_to: self.next,
             read_at_ms: self.read_at_ms,
+            era: 0,
             body: Some(body),
         };
         serde_json::to_string(&record).unwrap_or_default()
--- a/src/log/view.rs
+++ b/src/log/view.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::path::position::StreamPosition;
 use crate::schema::config::{Account, Policy, Service, State, Upstream};
 use crate::util::Name;
 
@@ -20,7 +21,9 @@
 pub struct ConfigView {
     /// The state from which the indexes were built.
     pub state: State,
-    /// Digest of the state; equal on all routers that have read up to the same offset.
+    /// Position in the stream up to which the state was derived.
+    pub at: StreamPosition,
+    /// Digest of the state; equal on all routers that have read up to the same position.
     pub digest: u64,
     accounts_by_key: HashMap<String, Arc<Account>>,
     accounts_by_name: HashMap<Name, Arc<Account>>,
@@ -33,6 +36,12 @@
 impl ConfigView {
     /// Builds the indexes of `state`.
     pub fn new(state: State, digest: u64) -> Self {
+        Self::of_era(0, state, digest)
+    }
+
+    /// Builds the indexes of `state`, which was derived from the stream in `era`.
+    pub fn of_era(era: u64, state: State, digest: u64) -> Self {
+        let at = StreamPosition::new(era, state.offset);
         let accounts: Vec<Arc<Account>> = state.accounts.iter().cloned().map(Arc::new).collect();
         let by_key = |a: &Arc<Account>| (a.key_sha256.clone(), a.clone());
         let by_name = |a: &Arc<Account>| (Name::from(a.name.as_str()), a.clone());
@@ -51,6 +60,7 @@
                 .map(|p| (p.service.as_str().into(), Arc::new(p.clone())))
                 .collect(),
             pools: pools(&state),
+            at,
             digest,
             state,
         }
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -52,6 +52,8 @@
     RemoveExpiredAtOnce,
     /// Offsets are compared without their era.
     IgnoreEra,
+    /// A reader of the project's own log reads on from its offset after a restore.
+    KeepOffsetAcrossEras,
     /// A removal that this router hasn't confirmed isn't sent to peers.
     WithholdUnconfirmedRemovals,
 }
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -24,6 +24,7 @@
 use crate::fleet::swim::{Message, Outgoing, Swim};
 use crate::fleet::transit::TransitTimes;
 use crate::log::view::ConfigView;
+use crate::path::position::StreamPosition;
 use crate::peers::frames;
 use crate::peers::probes::auth::{DatagramAuth, TAG_BYTES};
 use crate::peers::probes::count;
@@ -294,7 +295,7 @@
         self.suspect(&gossip.suspicions, now_ms);
         self.record_config(
             &gossip.from_host,
-            gossip.config_offset,
+            gossip.config_at.unwrap_or_default(),
             gossip.config_digest,
         );
     }
@@ -303,8 +304,8 @@
         self.suspects_changed |= self.suspects.merge(received, now_ms);
     }
 
-    fn record_config(&self, host: &str, offset: u64, digest: u64) {
-        if offset <= self.senders.config.borrow().offset {
+    fn record_config(&self, host: &str, at: StreamPosition, digest: u64) {
+        if at <= self.senders.config.borrow().at {
             return;
         }
         let view = self.view_tx.borrow();
@@ -313,7 +314,7 @@
         };
         let peer_addr = member.peer_addr.clone();
         self.senders.config.send_replace(Arc::new(NewestConfig {
-            offset,
+            at,
             digest,
             peer_addr,
         }));
@@ -450,7 +451,7 @@
         peer::Gossip {
             from_host,
             from_incarnation,
-            config_offset: config.state.offset,
+            config_at: Some(config.at),
             config_digest: config.digest,
             members: updates.iter().map(peer::Member::from).collect(),
             loads: self.loads.sample(MAX_LOADS, now_ms, &mut self.rng),
--- a/src/serve/peers/mod.rs
+++ b/src/serve/peers/mod.rs
@@ -70,13 +70,13 @@
     }
 }
 
-/// Returns the configuration's offset and digest, and its state if newer than the requester's.
+/// Returns the configuration's position and digest, and its state if newer than the requester's.
 fn handle_config(ctx: &SharedCtx, request: &ConfigRequest) -> ConfigReply {
     let config = ctx.config();
-    let newer = config.state.offset > request.have_offset;
+    let newer = config.at > request.have_at.unwrap_or_default();
     ConfigReply {
         digest: config.digest,
-        offset: config.state.offset,
+        at: Some(config.at),
         state: newer.then(|| config.state.clone()),
     }
 }
--- a/src/serve/peers/states.rs
+++ b/src/serve/peers/states.rs
@@ -43,9 +43,7 @@
             .query::<_, ConfigReply>(&member.peer_addr, CONFIG, &request)
             .await
         {
-            Ok(reply) if best.as_ref().is_none_or(|b| reply.offset > b.offset) => {
-                best = Some(reply)
-            }
+            Ok(reply) if best.as_ref().is_none_or(|b| reply.at > b.at) => best = Some(reply),
             Ok(_) => {}
             Err(e) => log::debug!(
                 "fetching the configuration from {} failed: {e}",
--- a/src/util.rs
+++ b/src/util.rs
@@ -98,3 +98,12 @@
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     z ^ (z >> 31)
 }
+
+/// Whether `value` is zero; for fields that are left out of JSON then.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+pub(crate) fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
