Claims of the own log: a key that may have been claimed before a restore is never won again

Cause: after a restore, a claim that was acknowledged and read back is gone; a router that didn't have it in memory found the key free, claimed it and ran the request again. A reader whose offset was beyond the end found none of its new claims until the offsets overtook it.

Now a slot's reader notices the era, reads again from where the key requires, keeps what it had read (a stored answer or a holder still answers), and refuses every other key that may have been claimed before the restore as log_unavailable / unknown. 'Not run' would be false: a lost claim may have run. A record appended in the new era proves by its read time that the restore was before it; records carry their era, and offsets named by a record of an earlier era are not followed.

Run keys and requests without a key need no claim.

In the fuzz test, keys that may have lost a claim are exempt from 'can be claimed if none ran'; the others aren't, which found that a claim appended across a restore was abandoned: its confirmation now reads back as well.

--- a/src/log/claims.rs
+++ b/src/log/claims.rs
@@ -117,6 +117,44 @@
         }
     }
 
+    /// Applies a release or an outcome of a claim that holds its key here.
+    pub fn apply_end(&mut self, record: &ClaimRecord, now_ms: u64) {
+        let is_held = |key: &str, id: &str| match self.status(key) {
+            KeyStatus::Held(holder) => holder.id == id,
+            _ => false,
+        };
+        match &record.body {
+            Some(Body::Release(v)) if is_held(&v.key, &v.id) => self.apply_release(v, now_ms),
+            Some(Body::Outcome(v)) if is_held(&v.key, &v.id) => {
+                self.apply_outcome(v.clone(), now_ms);
+            }
+            _ => {}
+        }
+    }
+
+    /// Adds the keys of `other`, which were read from the log before it was restored. What ran or may
+    /// be running stays so.
+    pub fn merge(&mut self, other: Self) {
+        let Self {
+            mut keys,
+            first_seen,
+        } = other;
+        for (at, name) in first_seen {
+            let Some(entry) = keys.remove(&name) else {
+                continue;
+            };
+            let Some(known) = self.keys.get_mut(&name) else {
+                self.first_seen.push_back((at, name.clone()));
+                self.keys.insert(name, entry);
+                continue;
+            };
+            let is_done = matches!(known.status, KeyStatus::Done(..));
+            if entry.status != KeyStatus::Free && !is_done {
+                known.status = entry.status;
+            }
+        }
+    }
+
     /// Removes keys first seen before `before_ms`. They must be too old to be claimed again.
     pub fn remove_older_than(&mut self, before_ms: u64) {
         while let Some((at, _)) = self.first_seen.front()
--- a/src/log/claims_fuzz_tests.rs
+++ b/src/log/claims_fuzz_tests.rs
@@ -81,6 +81,10 @@
         sends: bool,
     },
     Outage(bool),
+    /// The log comes back from an older copy, without its newest records.
+    Restore {
+        lost: u8,
+    },
     /// A delayed append takes effect.
     DeliverDelayed(u8),
     Advance(u8),
@@ -125,6 +129,7 @@
                 |(host, key, after, fault, sends)| Step::Serve { host, key, after, fault, sends }
             ),
             1 => prop::bool::weighted(0.3).prop_map(Step::Outage),
+            1 => (0..6_u8).prop_map(|lost| Step::Restore { lost }),
             2 => pick().prop_map(Step::DeliverDelayed),
             2 => pick().prop_map(Step::Advance),
         ]
@@ -256,6 +261,8 @@
     requests: Vec<Request>,
     oracle: Oracle,
     crashed: bool,
+    /// When the log was restored last.
+    restored_ms: Option<u64>,
 }
 
 impl Simulation {
@@ -270,6 +277,7 @@
             requests: Vec::new(),
             oracle: Oracle::default(),
             crashed: false,
+            restored_ms: None,
         };
         sim.readers = (0..HOSTS).map(|host| sim.reader(host)).collect();
         sim
@@ -284,7 +292,9 @@
     }
 
     fn reader(&self, host: u64) -> Reader {
-        Reader::new(self.log.actor(host), self.clock(host))
+        let clock = self.clock(host);
+        let ahead_ms = clock.ahead_ms.cast_signed() - (CLOCK_MARGIN_MS / 2).cast_signed();
+        Reader::new(self.log.actor(host).with_clock_ahead(ahead_ms), clock)
     }
 
     fn usable(&self, request: usize) -> bool {
@@ -437,12 +447,21 @@
         }
     }
 
+    /// Whether readers must assume that a claim of the key was lost in a restore.
+    fn may_have_lost_claim(&self, key: u64) -> bool {
+        let latest_ms = self.restored_ms.map(|ms| ms + 3 * CLOCK_MARGIN_MS);
+        latest_ms.is_some_and(|ms| key_ms(key) <= ms)
+    }
+
     /// Checks that a key can be claimed if no request of it ran or may be running.
     fn assert_free_keys_can_run(&mut self) {
         for key in 0..KEYS {
             let of_key = |r: &&Request| r.key == key;
             let ended = |r: &Request| matches!(r.stage, Stage::Ended | Stage::New);
             let all_ended = self.requests.iter().filter(of_key).all(ended);
+            if self.may_have_lost_claim(key) {
+                continue;
+            }
             if !all_ended || self.oracle.ran.contains_key(&key) {
                 continue;
             }
@@ -529,6 +548,10 @@
                 sends,
             } => sim.serve(reader(host), u64::from(key) % KEYS, after, fault, sends),
             Step::Outage(outage) => sim.log.set_outage(outage),
+            Step::Restore { lost } => {
+                sim.log.restore(lost.into());
+                sim.restored_ms = Some(sim.now_ms.get());
+            }
             Step::DeliverDelayed(n) => sim.log.deliver_delayed(n.into()),
             Step::Advance(n) => {
                 let now_ms = sim.now_ms.get() + u64::from(n) * CLOCK_MARGIN_MS / 64;
@@ -548,7 +571,7 @@
 }
 
 /// Callers retry keys through any router, while the log loses replies, duplicates and delays
-/// appends and becomes unavailable, and while readers pause, crash and restart.
+/// appends, becomes unavailable and comes back from older copies, and while readers pause, crash and restart.
 #[test]
 fn non_idempotent_requests_run_at_most_once() {
     check_no_failure::<Claims>("claims");
@@ -560,6 +583,7 @@
 #[test_case(Mutation::AbandonWithoutRelease)]
 #[test_case(Mutation::SkipReadBack)]
 #[test_case(Mutation::NoRetentionMargin)]
+#[test_case(Mutation::TrustLogAfterRestore)]
 fn mutation_is_detected(fault: Mutation) {
     check_mutation_detected::<Claims>("claims", fault);
 }
--- a/src/log/group.rs
+++ b/src/log/group.rs
@@ -160,6 +160,11 @@
             let status = self.slot.status(&pending.claim.key);
             match (verdict, status) {
                 (Some(verdict), _) => pending.answer(Ok(verdict)),
+                // Nothing was appended, but an earlier claim of the key may have run.
+                (None, KeyStatus::Free) if self.slot.may_have_lost_claim(pending.key_ms) => {
+                    metrics::counter!("claims_refused_after_restore_total").increment(1);
+                    pending.answer(Err(LogDown));
+                }
                 (None, KeyStatus::Free) => undecided.push(pending),
                 (None, status) => pending.answer(Ok(Verdict::Lost(status))),
             }
@@ -182,8 +187,7 @@
             if round > 0 {
                 self.timer.sleep(CONFIRM_PAUSE).await;
             }
-            let timer = &self.timer;
-            let read = self.slot.catch_up(&|| timer.now()).await;
+            let read = self.read_on(&undecided).await;
             self.down = read.is_err();
             if read.is_err() {
                 continue;
@@ -199,6 +203,18 @@
         }
     }
 
+    /// Reads to the end of the stream, and as far back as the claims need: after a restore of the log
+    /// nothing that was read before covers them.
+    async fn read_on(&mut self, undecided: &[PendingClaim]) -> Result<(), LogError> {
+        let timer = &self.timer;
+        self.slot.catch_up(&|| timer.now()).await?;
+        let oldest_ms = undecided.iter().map(|p| p.key_ms).min();
+        match oldest_ms.filter(|ms| !self.slot.covers(*ms)) {
+            Some(oldest_ms) => self.slot.ensure_covered(oldest_ms, || timer.now()).await,
+            None => Ok(()),
+        }
+    }
+
     fn answer_confirmed(&self, undecided: Vec<PendingClaim>) -> Vec<PendingClaim> {
         let mut remaining = Vec::new();
         for pending in undecided {
--- a/src/log/slot.rs
+++ b/src/log/slot.rs
@@ -4,6 +4,10 @@
 //! carries the offset up to which its appender had read and the time of that read: all records
 //! below that offset were appended before that time. The time of the append itself would give no
 //! such bound, because the appender may pause between taking the time and appending.
+//!
+//! A log that is restored from an older copy loses the newest claims. A key that may have been
+//! claimed before the restore is not given to a new claim any more, unless a record of the new era
+//! proves that the key is younger.
 
 use uuid::Uuid;
 
@@ -26,6 +30,12 @@
     log: L,
     stream: String,
     claims: Claims,
+    /// What was read before the log was restored.
+    earlier: Claims,
+    /// Era in which the offsets were read.
+    era: u64,
+    /// The log was restored before this wall time; zero if it never was.
+    restored_before_ms: u64,
     next: u64,
     /// Every record appended after this wall time has been read.
     covered_from_ms: u64,
@@ -42,6 +52,9 @@
             log,
             stream,
             claims: Claims::default(),
+            earlier: Claims::default(),
+            era: 0,
+            restored_before_ms: 0,
             next: 0,
             covered_from_ms: u64::MAX,
             start: 0,
@@ -52,14 +65,30 @@
 
     /// Returns the status of `key` after the records read so far.
     pub fn status(&self, key: &str) -> KeyStatus {
-        self.claims.status(key)
+        match self.earlier.status(key) {
+            KeyStatus::Free => self.claims.status(key),
+            status @ KeyStatus::Done(..) => status,
+            status @ KeyStatus::Held(_) => match self.claims.status(key) {
+                done @ KeyStatus::Done(..) => done,
+                _ => status,
+            },
+        }
+    }
+
+    /// Whether a claim of a key with time `key_ms` may have been lost in a restore of the log.
+    pub fn may_have_lost_claim(&self, key_ms: u64) -> bool {
+        self.restored_before_ms > 0
+            && earliest_claim_ms(key_ms) <= self.restored_before_ms
+            && !mutated(Mutation::TrustLogAfterRestore)
     }
 
     /// Returns the verdict on `claim` of a key with time `key_ms`, or `None` until the claim and
-    /// every record that may precede it have been read.
+    /// every record that may precede it have been read. No claim wins a key of which a claim may
+    /// have been lost.
     pub fn verdict(&self, claim: &Claim, key_ms: u64) -> Option<Verdict> {
         let covered = self.covers(key_ms);
-        covered.then(|| self.claims.verdict(claim)).flatten()
+        let verdict = covered.then(|| self.claims.verdict(claim)).flatten();
+        verdict.filter(|v| *v != Verdict::Won || !self.may_have_lost_claim(key_ms))
     }
 
     /// Returns the offset to read from next.
@@ -70,6 +99,7 @@
     /// Removes keys first seen before `before_ms` on the monotonic clock.
     pub fn remove_older_than(&mut self, before_ms: u64) {
         self.claims.remove_older_than(before_ms);
+        self.earlier.remove_older_than(before_ms);
     }
 
     /// Reads to the end of the stream, and backwards until every claim of a key with time `key_ms`
@@ -126,6 +156,11 @@
         loop {
             let batch = self.log.read(&self.stream, self.next, READ_MAX).await?;
             let at = now();
+            if self.check_era(&batch)? {
+                self.read_at_ms = at.wall_ms;
+                self.reset(batch.next, at.wall_ms);
+                return Ok(());
+            }
             if may_skip && batch.next.saturating_sub(self.next) > MAX_LAG_RECORDS {
                 self.reset(batch.next, at.wall_ms);
                 return Ok(());
@@ -137,8 +172,30 @@
         }
     }
 
+    /// Takes over the era of a batch; returns whether it is a new one, whose offsets are others.
+    ///
+    /// # Errors
+    /// When the batch is from before a restore.
+    fn check_era(&mut self, batch: &Batch) -> Result<bool, LogError> {
+        if batch.era < self.era {
+            return Err(LogError::Unavailable {
+                detail: "the response is from before a restore of the log".to_owned(),
+            });
+        }
+        if batch.era == self.era {
+            return Ok(false);
+        }
+        self.era = batch.era;
+        self.restored_before_ms = batch.era_seen_ms;
+        let read = std::mem::take(&mut self.claims);
+        self.earlier.merge(read);
+        Ok(true)
+    }
+
     async fn open(&mut self, now: &impl Fn() -> Now) -> Result<(), LogError> {
         let batch = self.log.read(&self.stream, u64::MAX, 0).await?;
+        self.check_era(&batch)?;
+        self.read_at_ms = now().wall_ms;
         let empty = batch.first >= batch.next;
         self.reset(batch.next, if empty { 0 } else { now().wall_ms });
         self.opened = true;
@@ -165,12 +222,18 @@
     async fn probe(&self, step: u64, need_ms: u64) -> Result<(u64, u64), LogError> {
         let from = self.start.saturating_sub(step);
         let batch = self.log.read(&self.stream, from, 1).await?;
+        if batch.era != self.era {
+            return Err(LogError::Unavailable {
+                detail: "the log was restored during a read".to_owned(),
+            });
+        }
         if from <= batch.first {
             return Ok((batch.first, 0));
         }
         let record = batch.entries.first().and_then(|e| parse(&e.text));
         match record {
-            Some(r) if r.read_at_ms < need_ms => Ok((r.read_to, r.read_at_ms)),
+            // An offset from before a restore says nothing about the records after it.
+            Some(r) if r.era == self.era && r.read_at_ms < need_ms => Ok((r.read_to, r.read_at_ms)),
             _ => Ok((from, u64::MAX)),
         }
     }
@@ -188,18 +251,26 @@
             }
             self.next = entry.offset + 1;
             if let Some(record) = parse(&entry.text) {
-                self.claims.apply(record, mono_ms);
+                self.apply_record(record, mono_ms);
             }
         }
         self.next > before && self.next < batch.next
     }
 
+    fn apply_record(&mut self, record: ClaimRecord, mono_ms: u64) {
+        if record.era == self.era && record.read_at_ms > 0 {
+            self.restored_before_ms = self.restored_before_ms.min(record.read_at_ms);
+        }
+        self.earlier.apply_end(&record, mono_ms);
+        self.claims.apply(record, mono_ms);
+    }
+
     fn encode(&self, body: Body) -> String {
         let record = ClaimRecord {
             schema: SCHEMA,
             read_to: self.next,
             read_at_ms: self.read_at_ms,
-            era: 0,
+            era: self.era,
             body: Some(body),
         };
         serde_json::to_string(&record).unwrap_or_default()
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -54,6 +54,8 @@
     IgnoreEra,
     /// A reader of the project's own log reads on from its offset after a restore.
     KeepOffsetAcrossEras,
+    /// After a restore of the log, a key without a claim in it counts as never claimed.
+    TrustLogAfterRestore,
     /// A removal that this router hasn't confirmed isn't sent to peers.
     WithholdUnconfirmedRemovals,
 }
