Leases of the own log: fencing numbers grow across eras, lost leases are waited for

Cause: after a restore a manager read on from its offset and saw no grants; one that started new saw none of the lost leases and took over at once, with a fencing number that had been given out before.

Now grants are ordered by (era, offset), which the fencing number combines (era * 2^40 + offset; the offset alone while the log was never restored). A manager that reads a new era forgets its grants and grants nothing until a term, with the drift of clocks, has passed since; a lease whose append and confirmation fall into different eras isn't held; the first lease of an upstream in an era counts as taken over, so that its orders wait for the longest pause.

Cost: 15.2 s without orders at a router from when it first reads the leases in a new era, which is at its first order, also for each router that starts after a restore.

Before, the fuzz test with restores: 'the fencing number didn't grow' after 199 steps. After: 8000 cases (873832 steps) without failure; the planted SkipRestoreWait found after 753 steps.

--- a/src/log/lease.rs
+++ b/src/log/lease.rs
@@ -3,8 +3,12 @@
 //! A lease is granted if no other lease was granted since its requester last read the stream. Wall
 //! clocks play no part: the holder stops one term after it began its append, measured by its own
 //! monotonic clock, and another router waits more than one term from when it first read the
-//! holder's record, which is later. The offset of the grant is the fencing number, which grows with
-//! every grant.
+//! holder's record, which is later. The position of the grant is the fencing number, which grows with
+//! every grant: a log that was restored from an older copy gives offsets out again, but its era has
+//! risen.
+//!
+//! A restore may lose grants. A router grants and takes nothing until a term has passed since it first
+//! read the log in the new era: by then every lease from before the restore has expired.
 
 use std::collections::HashMap;
 
@@ -12,7 +16,7 @@
 use uuid::Uuid;
 
 use crate::log::timer::Timer;
-use crate::log::{Log, LogError, invariant};
+use crate::log::{Batch, Log, LogError, invariant};
 use crate::mutation::{Mutation, mutated};
 use crate::schema::records::Lease as Record;
 use crate::util::Name;
@@ -25,6 +29,9 @@
 pub const TERM_MS: u64 = 15_000;
 
 const READ_MAX: usize = 256;
+/// Offsets of one era, of which the fencing numbers of the next are above. The product stays exact in
+/// JSON numbers for some thousand eras.
+const OFFSETS_PER_ERA: u64 = 1 << 40;
 const CONFIRM_READS: u32 = 4;
 const CONFIRM_PAUSE: std::time::Duration = std::time::Duration::from_millis(25);
 /// The rates of two hosts' monotonic clocks may differ by one part in this many.
@@ -54,6 +61,12 @@
         /// Time until the lease has expired, unless it is renewed.
         wait_ms: u64,
     },
+    /// The log was restored from an older copy; a lease that it lost may still be held.
+    #[snafu(display("the log was restored, a lease may have been lost; retry in {wait_ms} ms"))]
+    Restored {
+        /// Time until every lease from before the restore has expired.
+        wait_ms: u64,
+    },
     /// The log can't be reached.
     #[snafu(display("{source}"))]
     Log {
@@ -67,6 +80,7 @@
 
 #[derive(Clone, Debug)]
 struct Granted {
+    era: u64,
     offset: u64,
     id: String,
     host: String,
@@ -76,12 +90,21 @@
     seen_ms: u64,
 }
 
+impl Granted {
+    fn fencing(&self) -> u64 {
+        self.era * OFFSETS_PER_ERA + self.offset
+    }
+}
+
 /// Acquires, renews and ends leases for one router.
 #[derive(Debug)]
 pub struct LeaseManager<L, P> {
     log: L,
     timer: P,
     host: String,
+    era: u64,
+    /// When this router first read the log in this era.
+    era_seen_ms: u64,
     next: u64,
     granted: HashMap<Name, Granted>,
 }
@@ -94,6 +117,8 @@
             log,
             timer,
             host,
+            era: 0,
+            era_seen_ms: 0,
             next: 0,
             granted: HashMap::new(),
         }
@@ -106,9 +131,11 @@
     pub async fn acquire(&mut self, upstream: &Name) -> Result<Lease, LeaseError> {
         let read = self.read().await;
         read.map_err(|source| LeaseError::Log { source })?;
-        let mut taken_over = false;
+        self.check_restored()?;
+        let era = self.era;
+        let mut taken_over = self.may_have_lost_grant(upstream);
         if let Some(granted) = self.granted.get(upstream) {
-            taken_over = granted.host != self.host;
+            taken_over |= granted.host != self.host;
             self.check_expired(granted)?;
         }
         let started_ms = self.timer.now().mono_ms;
@@ -119,11 +146,13 @@
             return Err(LeaseError::Log { source });
         }
         for _ in 0..CONFIRM_READS {
-            if self.read().await.is_ok()
-                && let Some(granted) = self.granted.get(upstream)
-            {
+            let is_read = self.read().await.is_ok();
+            if self.era != era {
+                return Err(LeaseError::Unconfirmed);
+            }
+            if is_read && let Some(granted) = self.granted.get(upstream) {
                 if granted.id == id {
-                    let fencing = granted.offset;
+                    let fencing = granted.fencing();
                     let lease = self.lease(upstream, fencing, started_ms, taken_over);
                     // The term may have passed in a pause since the append, and a stale read may
                     // not show that another router has taken over.
@@ -173,7 +202,7 @@
         if granted.ended || granted.host == self.host || mutated(Mutation::SkipTakeoverWait) {
             return Ok(());
         }
-        let wait_ms = granted.term_ms + granted.term_ms / DRIFT_DIVISOR + 1;
+        let wait_ms = longest_ms(granted.term_ms);
         let passed_ms = self.timer.now().mono_ms.saturating_sub(granted.seen_ms);
         if passed_ms >= wait_ms {
             return Ok(());
@@ -184,6 +213,24 @@
         })
     }
 
+    /// Whether another host may have held the lease before the log was restored.
+    fn may_have_lost_grant(&self, upstream: &Name) -> bool {
+        let granted = self.granted.get(upstream);
+        self.era > 0 && granted.is_none_or(|g| g.era < self.era)
+    }
+
+    /// Fails while a lease may be held that a restore of the log lost.
+    fn check_restored(&self) -> Result<(), LeaseError> {
+        if self.era == 0 || mutated(Mutation::SkipRestoreWait) {
+            return Ok(());
+        }
+        let passed_ms = self.timer.now().mono_ms.saturating_sub(self.era_seen_ms);
+        match longest_ms(TERM_MS).checked_sub(passed_ms) {
+            Some(wait_ms) if wait_ms > 0 => Err(LeaseError::Restored { wait_ms }),
+            _ => Ok(()),
+        }
+    }
+
     async fn append(&self, record: Record) -> Result<(), LogError> {
         let text = serde_json::to_string(&record).unwrap_or_default();
         self.log.append(STREAM, vec![text]).await.map(|_| ())
@@ -197,13 +244,16 @@
             read_to: self.next,
             term_ms: TERM_MS,
             ends,
-            era: 0,
+            era: self.era,
         }
     }
 
     async fn read(&mut self) -> Result<(), LogError> {
         loop {
             let batch = self.log.read(STREAM, self.next, READ_MAX).await?;
+            if self.check_era(&batch)? {
+                continue;
+            }
             self.next = self.next.max(batch.first);
             let before = self.next;
             for entry in batch.entries {
@@ -221,25 +271,44 @@
         }
     }
 
+    /// Takes over the era of a batch; returns whether it is a new one, whose offsets are others.
+    fn check_era(&mut self, batch: &Batch) -> Result<bool, LogError> {
+        if batch.era < self.era {
+            return Err(LogError::Unavailable {
+                detail: "the response is from before a restore of the log".to_owned(),
+            });
+        }
+        if batch.era == self.era {
+            return Ok(false);
+        }
+        self.era = batch.era;
+        self.era_seen_ms = self.timer.now().mono_ms;
+        self.next = 0;
+        self.granted.clear();
+        Ok(true)
+    }
+
     fn apply_record(&mut self, offset: u64, record: Record) {
         let upstream = Name::from(record.upstream.as_str());
         let current = self.granted.get_mut(&upstream);
         if record.ends > 0 {
             if let Some(granted) = current
-                && granted.offset + 1 == record.ends
+                && granted.fencing() + 1 == record.ends
             {
                 granted.ended = true;
             }
             return;
         }
         if let Some(granted) = &current {
-            let unread = granted.offset >= record.read_to;
+            let unread = (granted.era, granted.offset) >= (record.era, record.read_to);
             if unread && !mutated(Mutation::GrantWithUnreadRecords) {
                 return;
             }
-            invariant(offset > granted.offset, "a fencing number went back");
+            let grows = (record.era, offset) > (granted.era, granted.offset);
+            invariant(grows, "a fencing number went back");
         }
         let granted = Granted {
+            era: record.era,
             offset,
             id: record.id,
             host: record.host,
@@ -250,3 +319,8 @@
         self.granted.insert(upstream, granted);
     }
 }
+
+/// Returns the time after which a lease of `term_ms` has expired, whatever its holder's clock.
+fn longest_ms(term_ms: u64) -> u64 {
+    term_ms + term_ms / DRIFT_DIVISOR + 1
+}
--- a/src/log/lease_fuzz_tests.rs
+++ b/src/log/lease_fuzz_tests.rs
@@ -53,6 +53,10 @@
         host: u8,
     },
     Outage(bool),
+    /// The log comes back from an older copy, without its newest records.
+    Restore {
+        lost: u8,
+    },
     /// A delayed append takes effect.
     DeliverDelayed(u8),
     Advance(u8),
@@ -90,6 +94,7 @@
             2 => pick().prop_map(|host| Step::End { host }),
             1 => pick().prop_map(|host| Step::Crash { host }),
             1 => prop::bool::weighted(0.3).prop_map(Step::Outage),
+            1 => (0..6_u8).prop_map(|lost| Step::Restore { lost }),
             2 => pick().prop_map(Step::DeliverDelayed),
             6 => pick().prop_map(Step::Advance),
         ]
@@ -315,6 +320,7 @@
                 sim.hosts[at] = sim.host(at as u64);
             }
             Step::Outage(outage) => sim.log.set_outage(outage),
+            Step::Restore { lost } => sim.log.restore(lost.into()),
             Step::DeliverDelayed(n) => sim.log.deliver_delayed(n.into()),
             Step::Advance(n) => {
                 let by_ms = u64::from(n) * TERM_MS / 200;
@@ -332,7 +338,7 @@
 }
 
 /// Hosts compete for a lease while the log loses replies, delays and duplicates appends and returns
-/// stale reads, and while holders pause beyond their term, crash and restart.
+/// stale reads, while it comes back from older copies, and while holders pause beyond their term, crash and restart.
 #[test]
 fn lease_has_at_most_one_holder() {
     check_no_failure::<Leases>("leases");
@@ -341,6 +347,7 @@
 #[test_case(Mutation::GrantWithUnreadRecords)]
 #[test_case(Mutation::SkipTakeoverWait)]
 #[test_case(Mutation::TermFromGrantRead)]
+#[test_case(Mutation::SkipRestoreWait)]
 fn mutation_is_detected(fault: Mutation) {
     check_mutation_detected::<Leases>("leases", fault);
 }
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -56,6 +56,8 @@
     KeepOffsetAcrossEras,
     /// After a restore of the log, a key without a claim in it counts as never claimed.
     TrustLogAfterRestore,
+    /// After a restore of the log, leases that may have been lost aren't waited for.
+    SkipRestoreWait,
     /// A removal that this router hasn't confirmed isn't sent to peers.
     WithholdUnconfirmedRemovals,
 }
