--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -62,6 +62,12 @@
     ForgetDeparturesOnRestore,
     /// A restore of the log ends the evacuations that it lost.
     ForgetOrdersOnRestore,
+    /// A reader of the project's own log reads on from its offset after a restore.
+    KeepOffsetAcrossEras,
+    /// After a restore of the log, a key without a claim in it counts as never claimed.
+    TrustLogAfterRestore,
+    /// After a restore of the log, leases that may have been lost aren't waited for.
+    SkipRestoreWait,
     /// A removal that this router hasn't confirmed isn't sent to peers.
     WithholdUnconfirmedRemovals,
 }
