Model of holds: an upstream that wrote again in the router's era may be used

The check now looks for a record of the upstream in the router's era since the restore, instead of whether it lives: stricter for those that live and have not written again.

--- a/src/path/log_replica_fake_tests.rs
+++ b/src/path/log_replica_fake_tests.rs
@@ -437,6 +437,13 @@
         log.iter().skip(offset(at)).map(|w| &w.id).collect()
     }
 
+    /// Whether an upstream has written that it is ready since the restore that began `era`.
+    pub(super) fn is_renewed(&self, era: u64, id: &str) -> bool {
+        let restored_ms = self.started_ms(era);
+        let mut log = self.streams_of(era).log.iter();
+        log.any(|w| w.at_ms >= restored_ms && w.id == id && w.entry == Some(false))
+    }
+
     /// Whether operators have written for `data_center` since the restore that began the era of `at`,
     /// before `at`.
     pub(super) fn is_ordered_since_restore(&self, at: StreamPosition, data_center: &Name) -> bool {
