Stand-in of the store: the first write of a restored entry is printed

After a restore, an upstream writes its entry again. If the copy already holds that value, the write changes nothing and was not printed, so that the record of entries ended with what the restore lost.

Trace: it drained at 250,688 ms, the store came back at 253,677 from a copy 7,442 ms old that holds it as ready, and the upstream, no longer draining since about 252,300, wrote the ready that was there already. The routers held its departure until 6 s after the last restore (259,863, known at 260,172) and used it from 266,217 on. The product was right, the record incomplete. The check is as strict as before: a departure ends with the upstream's own write.

--- a/standins/src/keyed.rs
+++ b/standins/src/keyed.rs
@@ -1,7 +1,7 @@
 //! A store of streams that retain the newest record of each key, like that of the users' platform.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -64,7 +64,8 @@
     Silent,
 }
 
-/// A change of an upstream's entry, printed when the store holds it.
+/// A change of an upstream's entry, printed when the store holds it, or the first write of an entry that
+/// a restore brought back.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct EntryChange {
     /// Id of the upstream.
@@ -109,6 +110,8 @@
     records: Vec<Written>,
     newest: BTreeMap<String, (u64, Bytes)>,
     written_at: HashMap<String, Instant>,
+    /// Keys that a restore brought back and that were not written since.
+    restored: HashSet<String>,
 }
 
 impl Stream {
@@ -133,6 +136,7 @@
         }
         let now = Instant::now();
         self.written_at = self.newest.keys().map(|key| (key.clone(), now)).collect();
+        self.restored = self.newest.keys().cloned().collect();
     }
 
     /// Writes a value; appends no record if the value is unchanged. An empty value deletes the key.
@@ -338,7 +342,10 @@
             let key_bytes = usize::from(record.get_u8());
             let key = record.split_to(key_bytes);
             let key = String::from_utf8_lossy(&key).into_owned();
-            if stream.put(key.clone(), record.clone()) && is_of_upstreams {
+            // A write that changes nothing still tells that the restored value is meant.
+            let is_confirmed = stream.restored.remove(&key);
+            let is_changed = stream.put(key.clone(), record.clone());
+            if (is_changed || is_confirmed) && is_of_upstreams {
                 print_entry_change(&key, &record);
             }
         }
