Soak: the start of a router's process is that of the process, not of its log line

The check that versions in force never decrease began anew at the line "router started". A new process may have read a configuration from the store before it logs that line, and the version was then compared with those of the process before. It was never older before; from a store that was restored it can be.

Trace: both were stopped while the store was away, started at 124,242 and 123,996 ms, read version 36 of the copy in the same millisecond as the line, and had 53 from peers 84 and 91 ms later. No process went back.

Now a process begins when the soak starts it, as the record of outages tells. As strict as before within each process.

--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -65,10 +65,10 @@
 impl Scene {
     /// Starts a router again that was waited for.
     fn start_router(&self, routed: &mut RoutedFleet, router: usize) {
+        self.outages.end(Outage::RouterDown(router));
         routed.spawn_router(u8::try_from(router).unwrap_or_default());
         self.suspender
             .replace(router, routed.routers[router].handle());
-        self.outages.end(Outage::RouterDown(router));
     }
 
     /// Records that an upstream was killed.
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -151,7 +151,7 @@
     }
     if args.only.is_none_or(|only| only == Checks::Answers) {
         violations.extend(recovery);
-        violations.extend(verdict::check(&routed, &records));
+        violations.extend(verdict::check(&routed, &records, &scene.outages));
         violations.extend(notices::check(&routed, &records, &interruptions));
     }
     println!("seed {}: {}", args.seed, verdict::summary(&records));
--- a/examples/soak/verdict.rs
+++ b/examples/soak/verdict.rs
@@ -3,9 +3,11 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use standins::backend::Run;
 
 use crate::callers::RequestRecord;
+use crate::outages::{Outage, Outages};
 use crate::support::routed::RoutedFleet;
 use crate::support::{Received, sleep_ms};
 
@@ -41,7 +43,11 @@
 }
 
 /// Checks every guarantee that is visible to callers and upstreams.
-pub(crate) fn check(routed: &RoutedFleet, records: &[RequestRecord]) -> Vec<String> {
+pub(crate) fn check(
+    routed: &RoutedFleet,
+    records: &[RequestRecord],
+    outages: &Outages,
+) -> Vec<String> {
     let runs = routed.runs();
     let mut violations = Vec::new();
     let mut extra_runs = 0;
@@ -61,7 +67,7 @@
             records.len()
         ));
     }
-    violations.extend(version_regressions(routed));
+    violations.extend(version_regressions(routed, outages));
     violations
 }
 
@@ -121,18 +127,23 @@
 }
 
 /// Finds routers whose version in force decreased without a restart.
-fn version_regressions(routed: &RoutedFleet) -> Vec<String> {
+fn version_regressions(routed: &RoutedFleet, outages: &Outages) -> Vec<String> {
     const VERSION_PREFIX: &str = "\"message\":\"configuration ";
     let mut violations = Vec::new();
     for i in 0..routed.routers.len() {
+        // A new process may have a configuration before it logs its start.
+        let down = outages.of(Outage::RouterDown(i));
         let mut last = 0;
+        let mut last_start = 0;
         for line in routed.log(u8::try_from(i).unwrap_or_default()).lines() {
-            if line.contains("\"message\":\"router started, ") {
-                last = 0;
-            }
             let Some(at) = line.find(VERSION_PREFIX) else {
                 continue;
             };
+            let start = down.iter().skip(1).filter(|s| s.to_ms <= at_ms(line));
+            let start = start.count();
+            if start != last_start {
+                (last, last_start) = (0, start);
+            }
             let rest = &line[at + VERSION_PREFIX.len()..];
             let version: u64 = rest
                 .split(' ')
@@ -150,6 +161,12 @@
     violations
 }
 
+/// The time of a router's log line, in Unix milliseconds.
+fn at_ms(line: &str) -> u64 {
+    let line: Value = serde_json::from_str(line).unwrap_or_default();
+    line["at_ms"].as_u64().unwrap_or(0)
+}
+
 /// Summarises the outcomes of all requests in one line.
 pub(crate) fn summary(records: &[RequestRecord]) -> String {
     let count = |predicate: &dyn Fn(&RequestRecord) -> bool| {
