Soak: restores of the store from an older copy, and evacuations

--restores N (0 by default): the store is cut, silent or busy for 100 to 1,500 ms and comes back from a copy 1 to 20 s old, drawn from the seed, three in ten right after the one before, beside all other faults. The operator repeats its newest configuration and evacuations 100 to 1,500 ms later, and evacuates and restores one data centre meanwhile. Other cases draw the same faults as before.

Checks beside the existing ones: no request reaches an evacuated data centre 2 s after the acknowledgement; departures and evacuations known before a restore are not excused by the store's absence until 6 s after it, only by what disturbed the router itself; no request is refused for lack of upstreams in the 6 s after a restore while an undisturbed upstream exists that isn't evacuated.

--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -75,6 +75,8 @@
     fn upstream_killed(&self, upstream: usize) {
         self.outages.end(Outage::UpstreamFrozen(upstream));
         self.outages.end(Outage::UpstreamLeaving(upstream));
+        self.outages.begin(Outage::UpstreamFault(upstream));
+        self.outages.end(Outage::UpstreamFault(upstream));
     }
 }
 
@@ -470,10 +472,17 @@
     if scene.outages.is_open(Outage::UpstreamLeaving(upstream)) {
         return;
     }
+    let fault = Outage::UpstreamFault(upstream);
+    let is_cleared = knobs.as_object().is_some_and(serde_json::Map::is_empty);
+    if !is_cleared {
+        scene.outages.begin(fault);
+    }
     let text = knobs.to_string();
     let set = post(routed.upstreams[upstream].addr, "/knobs", &text);
     if compio::time::timeout(KNOBS_TIMEOUT, set).await.is_err() {
         println!("upstream {upstream} did not accept knobs {text} before the timeout");
+    } else if is_cleared {
+        scene.outages.end(fault);
     }
 }
 
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -14,6 +14,8 @@
 mod outages;
 mod probes;
 mod promises;
+mod restored;
+mod restores;
 mod suspend;
 mod verdict;
 
@@ -38,6 +40,7 @@
 const SUSPEND_SEED: u64 = 0x7375;
 const PROBE_SEED: u64 = 0x7072;
 const HARMFUL_SEED: u64 = 0x6861;
+const RESTORE_SEED: u64 = 0x7265;
 
 /// What decides whether a run passes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::EnumString)]
@@ -79,11 +82,22 @@
     /// Number of callers that repeat one request which crashes each upstream that runs it
     #[bpaf(long, argument("N"), fallback(0))]
     pub(crate) harmful: u32,
+    /// Number of restores of the store from an older copy, beside evacuations of a data centre
+    #[bpaf(long, argument("N"), fallback(0))]
+    pub(crate) restores: u32,
     /// The only checks that decide, answers, promises or quarantine; by default all
     #[bpaf(long, argument("CHECKS"), optional)]
     pub(crate) only: Option<Checks>,
 }
 
+impl Args {
+    /// Deleted history makes routers load everything anew, which would hide that they missed records
+    /// after a restore. So it is left out with restores and an odd seed.
+    fn deletes_history(&self) -> bool {
+        self.restores == 0 || self.seed.is_multiple_of(2)
+    }
+}
+
 fn main() -> ExitCode {
     // The program also runs as each process of the fleet.
     match std::env::args().nth(1).as_deref() {
@@ -125,7 +139,7 @@
     let mut routed = RoutedFleet::start(size).await;
     let outages = started(&routed);
     let scene = Scene {
-        operator: Operator::new(&routed),
+        operator: Operator::new(&routed, args.deletes_history()),
         suspender: Suspender::new(&routed, outages.clone()),
         outages,
     };
@@ -133,7 +147,7 @@
     let probes = Probes::spawn(&routed, args.probes, args.seed ^ PROBE_SEED);
     let harmful = HarmfulCallers::spawn(&routed, args.harmful, args.seed ^ HARMFUL_SEED);
     let until = Instant::now() + Duration::from_secs(args.seconds);
-    let others = spawn_others(&routed, &scene, args.seed, until);
+    let others = spawn_others(&routed, &scene, args, until);
     let interruptions = faults::inject_until(&mut routed, &mut rngs, &scene, until).await;
     for other in others {
         let _ = other.await;
@@ -156,12 +170,14 @@
     }
     println!("seed {}: {}", args.seed, verdict::summary(&records));
     let versions = scene.operator.versions();
+    let evacuations = scene.operator.evacuations();
     let findings = promises::check(&Evidence {
         seed: args.seed,
         routed: &routed,
         requests: &records,
         probes: &probes,
         versions: &versions,
+        evacuations: &evacuations,
         outages: &scene.outages,
     });
     let (probed, written) = (probes.len(), versions.len());
@@ -200,22 +216,35 @@
 fn spawn_others(
     routed: &RoutedFleet,
     scene: &Scene,
-    seed: u64,
+    args: &Args,
     until: Instant,
 ) -> Vec<compio::runtime::JoinHandle<()>> {
+    let seed = args.seed;
     let operator = scene
         .operator
         .clone()
         .run_until(seed ^ OPERATOR_SEED, until);
     let store = routed.store.addr;
-    let truncations = operator::truncate_until(store, seed ^ TRUNCATE_SEED, until);
     let shortages = scene
         .suspender
         .clone()
         .run_until(seed ^ SUSPEND_SEED, until);
-    vec![
+    let mut others = vec![
         compio::runtime::spawn(operator),
-        compio::runtime::spawn(truncations),
         compio::runtime::spawn(shortages),
-    ]
+    ];
+    if args.deletes_history() {
+        let truncations = operator::truncate_until(store, seed ^ TRUNCATE_SEED, until);
+        others.push(compio::runtime::spawn(truncations));
+    }
+    if args.restores > 0 {
+        let operator = &scene.operator;
+        let seed = seed ^ RESTORE_SEED;
+        let evacuations = restores::evacuate_until(operator.clone(), seed, until);
+        let outages = scene.outages.clone();
+        let restores = restores::run_until(operator.clone(), outages, seed, args.restores, until);
+        others.push(compio::runtime::spawn(evacuations));
+        others.push(compio::runtime::spawn(restores));
+    }
+    others
 }
--- a/examples/soak/operator.rs
+++ b/examples/soak/operator.rs
@@ -2,11 +2,12 @@
 //! from the store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::lock::Mutex;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -72,17 +73,32 @@
     }
 }
 
+/// An evacuation of a data centre.
+#[derive(Clone, Debug)]
+pub(crate) struct Evacuation {
+    pub(crate) data_center: usize,
+    /// Unix time at which the store's acknowledgement was received.
+    pub(crate) acked_ms: u64,
+    /// Unix time before the first attempt to undo it; `u64::MAX` if there was none.
+    pub(crate) undone_ms: u64,
+}
+
 /// The running operator. Clones share its versions.
 #[derive(Clone)]
 pub(crate) struct Operator {
     store: SocketAddr,
     versions: Rc<RefCell<Vec<Version>>>,
+    evacuations: Rc<RefCell<Vec<Evacuation>>>,
+    /// Key and value of the newest record of the configuration and of the evacuations. Locked while a
+    /// record is written, so that an older one is never repeated after a newer one.
+    written: Rc<Mutex<BTreeMap<String, String>>>,
     more_route: Rc<RefCell<Option<Value>>>,
     is_wanted: Rc<Cell<bool>>,
+    deletes_history: bool,
 }
 
 impl Operator {
-    pub(crate) fn new(routed: &RoutedFleet) -> Self {
+    pub(crate) fn new(routed: &RoutedFleet, deletes_history: bool) -> Self {
         let now_ms = wall_ms();
         let first = Version {
             version: routed.version(),
@@ -94,8 +110,11 @@
         Self {
             store: routed.store.addr,
             versions: Rc::new(RefCell::new(vec![first])),
+            evacuations: Rc::default(),
+            written: Rc::default(),
             more_route: Rc::default(),
             is_wanted: Rc::default(),
+            deletes_history,
         }
     }
 
@@ -105,6 +124,14 @@
         self.is_wanted.set(true);
     }
 
+    pub(crate) fn store(&self) -> SocketAddr {
+        self.store
+    }
+
+    pub(crate) fn evacuations(&self) -> Vec<Evacuation> {
+        self.evacuations.borrow().clone()
+    }
+
     pub(crate) fn versions(&self) -> Vec<Version> {
         self.versions.borrow().clone()
     }
@@ -114,7 +141,7 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         while Instant::now() < until {
             self.write_next(&mut rng).await;
-            if rng.random_bool(TRUNCATE_SHARE) {
+            if rng.random_bool(TRUNCATE_SHARE) && self.deletes_history {
                 truncate(self.store, "keyed.op").await;
             }
             let pause = if rng.random_bool(SOON_SHARE) {
@@ -131,6 +158,7 @@
 
     async fn write_next(&self, rng: &mut SmallRng) {
         self.is_wanted.set(false);
+        let mut written = self.written.lock().await;
         let next = self.draw_next(rng);
         let text = self.text_of(&next);
         println!(
@@ -138,13 +166,51 @@
             next.sent_ms, next.version, next.routes, next.keys
         );
         self.versions.borrow_mut().push(next);
-        // A lost answer leaves open whether the version is in force, so it is written again.
-        while !write_operator_record(self.store, "config", &text).await {
-            sleep_ms(REPEAT_MS).await;
-        }
+        self.write("config", &text).await;
         if let Some(last) = self.versions.borrow_mut().last_mut() {
             last.acked_ms = wall_ms();
         }
+        written.insert("config".to_owned(), text);
+    }
+
+    /// Writes a record until the store acknowledges it: a lost answer leaves open whether it is in
+    /// force.
+    async fn write(&self, key: &str, value: &str) {
+        while !write_operator_record(self.store, key, value).await {
+            sleep_ms(REPEAT_MS).await;
+        }
+    }
+
+    /// Evacuates a data centre or undoes that.
+    pub(crate) async fn evacuate(&self, data_center: usize, is_evacuated: bool) {
+        let mut written = self.written.lock().await;
+        println!(
+            "{}: evacuation of dc-{data_center}: {is_evacuated}",
+            wall_ms()
+        );
+        if !is_evacuated && let Some(last) = self.evacuations.borrow_mut().last_mut() {
+            last.undone_ms = wall_ms();
+        }
+        let key = format!("evacuate/dc-{data_center}");
+        let value = if is_evacuated { "{}" } else { "" };
+        self.write(&key, value).await;
+        written.insert(key, value.to_owned());
+        if is_evacuated {
+            self.evacuations.borrow_mut().push(Evacuation {
+                data_center,
+                acked_ms: wall_ms(),
+                undone_ms: u64::MAX,
+            });
+        }
+    }
+
+    /// Writes the newest configuration and the newest record on each evacuation again.
+    pub(crate) async fn repeat(&self) {
+        let written = self.written.lock().await;
+        println!("{}: the operator repeats its records", wall_ms());
+        for (key, value) in written.iter() {
+            self.write(key, value).await;
+        }
     }
 
     fn draw_next(&self, rng: &mut SmallRng) -> Version {
--- a/examples/soak/outages.rs
+++ b/examples/soak/outages.rs
@@ -25,6 +25,8 @@
     UpstreamFrozen(usize),
     /// The upstream announces its shutdown in the store, or removed its entry, and still serves.
     UpstreamLeaving(usize),
+    /// The upstream has knobs set.
+    UpstreamFault(usize),
 }
 
 /// A period in Unix milliseconds; one that hasn't ended ends at `u64::MAX`.
@@ -46,12 +48,15 @@
 
 /// All outages of a run. Clones share one list.
 #[derive(Clone, Default)]
-pub(crate) struct Outages(Rc<RefCell<Vec<(Outage, Span)>>>);
+pub(crate) struct Outages {
+    spans: Rc<RefCell<Vec<(Outage, Span)>>>,
+    restores: Rc<RefCell<Vec<Span>>>,
+}
 
 impl Outages {
     /// Records the start of an outage, unless it is going on.
     pub(crate) fn begin(&self, outage: Outage) {
-        let mut spans = self.0.borrow_mut();
+        let mut spans = self.spans.borrow_mut();
         let is_open = |(o, span): &(Outage, Span)| *o == outage && span.to_ms == u64::MAX;
         if spans.iter().any(is_open) {
             return;
@@ -64,7 +69,7 @@
     }
 
     pub(crate) fn end(&self, outage: Outage) {
-        let mut spans = self.0.borrow_mut();
+        let mut spans = self.spans.borrow_mut();
         let mut open = spans
             .iter_mut()
             .filter(|(o, s)| *o == outage && s.to_ms == u64::MAX);
@@ -74,14 +79,14 @@
     }
 
     pub(crate) fn is_open(&self, outage: Outage) -> bool {
-        let spans = self.0.borrow();
+        let spans = self.spans.borrow();
         let mut matching = spans.iter().filter(|(o, _)| *o == outage);
         matching.any(|(_, span)| span.to_ms == u64::MAX)
     }
 
     /// The outages of this kind, in the order of their starts.
     pub(crate) fn of(&self, outage: Outage) -> Vec<Span> {
-        let spans = self.0.borrow();
+        let spans = self.spans.borrow();
         let matching = spans.iter().filter(|(o, _)| *o == outage);
         matching.map(|(_, span)| *span).collect()
     }
@@ -94,18 +99,32 @@
     }
 
     pub(crate) fn has(&self, outage: Outage, from_ms: u64, to_ms: u64) -> bool {
-        let spans = self.0.borrow();
+        let spans = self.spans.borrow();
         let mut matching = spans.iter().filter(|(o, _)| *o == outage);
         matching.any(|(_, span)| span.overlaps(from_ms, to_ms))
     }
 
+    /// Records that the store was away and came back from an older copy.
+    pub(crate) fn restored(&self, away: Span) {
+        self.restores.borrow_mut().push(away);
+    }
+
+    /// The times for which the store was away before it came back from an older copy.
+    pub(crate) fn restores(&self) -> Vec<Span> {
+        self.restores.borrow().clone()
+    }
+
     /// Whether a router's bounds don't hold for a request of this period.
     pub(crate) fn excuses(&self, router: usize, from_ms: u64, to_ms: u64) -> bool {
-        let spans = self.0.borrow();
+        self.excuses_alone(router, from_ms, to_ms) || self.store_is_unstable_in(from_ms, to_ms)
+    }
+
+    /// Whether they don't hold because of the router itself or its link to the store.
+    pub(crate) fn excuses_alone(&self, router: usize, from_ms: u64, to_ms: u64) -> bool {
+        let spans = self.spans.borrow();
         let is_excusing = |(outage, span): &(Outage, Span)| match outage {
             Outage::RouterDown(r) | Outage::Relay(r) => *r == router,
             Outage::RouterSuspended(r) => *r == router && span.length_ms() >= MIN_FREEZE_MS,
-            Outage::Store => true,
             _ => false,
         };
         let mut excusing = spans.iter().filter(|entry| is_excusing(entry));
@@ -118,8 +137,13 @@
     /// Whether the store had a fault at `at_ms` or shortly before: what it holds then is no
     /// acknowledgement from which bounds are measured.
     pub(crate) fn store_is_unstable(&self, at_ms: u64) -> bool {
-        let from_ms = at_ms.saturating_sub(EXCUSED_AFTER_MS);
-        self.has(Outage::Store, from_ms, at_ms)
+        self.store_is_unstable_in(at_ms, at_ms)
+    }
+
+    /// Whether the store had a fault in this period or shortly before.
+    pub(crate) fn store_is_unstable_in(&self, from_ms: u64, to_ms: u64) -> bool {
+        let from_ms = from_ms.saturating_sub(EXCUSED_AFTER_MS);
+        self.has(Outage::Store, from_ms, to_ms)
     }
 
     /// Whether a router was suspended or ran only in cycles in this period.
@@ -137,14 +161,16 @@
         origin_ms: u64,
     ) -> String {
         let relative = |at_ms: u64| i128::from(at_ms) - i128::from(origin_ms);
-        let spans = self.0.borrow();
+        let spans = self.spans.borrow();
         let is_of_router = |outage: &Outage| match outage {
             Outage::RouterDown(r)
             | Outage::RouterSuspended(r)
             | Outage::RouterShort(r)
             | Outage::Relay(r) => *r == router,
             Outage::Store => true,
-            Outage::UpstreamFrozen(_) | Outage::UpstreamLeaving(_) => false,
+            Outage::UpstreamFrozen(_) | Outage::UpstreamLeaving(_) | Outage::UpstreamFault(_) => {
+                false
+            }
         };
         let matching = spans
             .iter()
--- a/examples/soak/probes.rs
+++ b/examples/soak/probes.rs
@@ -35,6 +35,8 @@
     pub(crate) status: Option<u16>,
     /// Whether the response has an upstream's signature.
     pub(crate) is_signed: bool,
+    /// Whether the router refused it for lack of upstreams.
+    pub(crate) lacks_upstreams: bool,
 }
 
 /// The running tasks that send requests.
@@ -132,6 +134,7 @@
             sent_ms,
             ended_ms: wall_ms(),
             status: received.as_ref().map(|r| r.status),
+            lacks_upstreams: received.as_ref().is_some_and(|r| lacks_upstreams(&r.body)),
             is_signed: received.is_some_and(|r| !r.header("server-signature").is_empty()),
         }
     }
@@ -142,3 +145,8 @@
         (!self.rng.random_bool(LASTING_SHARE)).then_some(number)
     }
 }
+
+/// Whether a refusal names the lack of upstreams, and not the router's old state, as its cause.
+fn lacks_upstreams(body: &str) -> bool {
+    body.contains("\"no_upstream\"") && !body.contains("state is too old")
+}
--- a/examples/soak/promises.rs
+++ b/examples/soak/promises.rs
@@ -7,15 +7,16 @@
 
 use crate::callers::RequestRecord;
 use crate::notices::index_of;
-use crate::operator::{Version, account_of};
+use crate::operator::{Evacuation, Version, account_of};
 use crate::outages::{Outage, Outages, Span};
 use crate::probes::ProbeRecord;
+use crate::restored;
 use crate::support::routed::RoutedFleet;
 
 /// Time after the acknowledgement of a version from which it is in force.
 const APPLY_BOUND_MS: u64 = 2_000;
 /// Time after the acknowledgement of a departure from which no request reaches the upstream.
-const DRAIN_BOUND_MS: u64 = 2_000;
+pub(crate) const DRAIN_BOUND_MS: u64 = 2_000;
 /// Time after a router showed the effect of a version from which it never goes back behind it.
 const REVERT_BOUND_MS: u64 = 250;
 /// The same bound while the router is short of processor.
@@ -32,6 +33,7 @@
     pub(crate) requests: &'a [RequestRecord],
     pub(crate) probes: &'a [ProbeRecord],
     pub(crate) versions: &'a [Version],
+    pub(crate) evacuations: &'a [Evacuation],
     pub(crate) outages: &'a Outages,
 }
 
@@ -40,25 +42,25 @@
 pub(crate) struct Finding {
     name: &'static str,
     pub(crate) violations: Vec<String>,
-    checked: usize,
+    pub(crate) checked: usize,
     /// Requests at routers that are excused.
-    excused: usize,
+    pub(crate) excused: usize,
     /// Requests within the bound of a change.
-    in_between: usize,
+    pub(crate) in_between: usize,
     /// Longest time from a change to a request that was handled as before it.
     longest_ms: u64,
     longest_excused_ms: u64,
 }
 
 impl Finding {
-    fn new(name: &'static str) -> Self {
+    pub(crate) fn new(name: &'static str) -> Self {
         Self {
             name,
             ..Self::default()
         }
     }
 
-    fn saw_late(&mut self, late_ms: u64, is_excused: bool) {
+    pub(crate) fn saw_late(&mut self, late_ms: u64, is_excused: bool) {
         let longest = if is_excused {
             &mut self.longest_excused_ms
         } else {
@@ -89,6 +91,8 @@
     let decisions = decisions(evidence, &arrivals, &runs);
     vec![
         departures(evidence, &arrivals),
+        restored::evacuations(evidence, &arrivals),
+        restored::refusals(evidence),
         in_force(evidence, &decisions),
         stays_in_force(evidence, &decisions),
         lasting_denied(evidence),
@@ -108,14 +112,14 @@
 
 /// A request's router and the Unix times at which it was sent and ended.
 #[derive(Clone, Copy)]
-struct Sent {
-    router: usize,
-    sent_ms: u64,
-    ended_ms: u64,
+pub(crate) struct Sent {
+    pub(crate) router: usize,
+    pub(crate) sent_ms: u64,
+    pub(crate) ended_ms: u64,
 }
 
 /// All requests by id.
-fn sent_by_id<'a>(evidence: &'a Evidence<'_>) -> HashMap<&'a str, Sent> {
+pub(crate) fn sent_by_id<'a>(evidence: &'a Evidence<'_>) -> HashMap<&'a str, Sent> {
     let requests = evidence.requests.iter().filter_map(|r| {
         let sent = Sent {
             router: index_of(evidence.routed, r)?,
@@ -181,9 +185,7 @@
         let late_ms = arrival.at_ms - span.from_ms;
         // A frozen upstream records what reached it once it is resumed.
         let frozen = Outage::UpstreamFrozen(*upstream);
-        let is_excused = evidence
-            .outages
-            .excuses(sent.router, sent.sent_ms, arrival.at_ms)
+        let is_excused = restored::excuses(evidence.outages, *sent, span.from_ms, arrival.at_ms)
             || evidence.outages.has(frozen, sent.sent_ms, arrival.at_ms)
             || evidence.outages.store_is_unstable(span.from_ms);
         finding.saw_late(late_ms, is_excused);
@@ -511,7 +513,7 @@
 }
 
 /// The outages of a request's router around it, relative to an acknowledgement.
-fn context(evidence: &Evidence<'_>, sent: Sent, acked_ms: u64) -> String {
+pub(crate) fn context(evidence: &Evidence<'_>, sent: Sent, acked_ms: u64) -> String {
     let from_ms = sent.sent_ms.saturating_sub(CONTEXT_MS);
     evidence
         .outages
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -35,6 +35,15 @@
     soak("promises", seed, seconds, more);
 }
 
+/// Guards against routers that lose what a restore of the store lost, or never read what is written
+/// after it: versions, drains and evacuations no longer in force, callers refused.
+#[test_case(114, 12, "--upstreams 6 --excusing 0")]
+#[test_case(113, 14, "--upstreams 6 --excusing 0")]
+fn restores_lose_nothing(seed: u32, seconds: u32, more: &str) {
+    let _alone = FLEETS.write();
+    soak("promises", seed, seconds, &format!("--restores 5 {more}"));
+}
+
 /// A request crashes each upstream that runs it and is repeated through all routers. It is stopped
 /// everywhere, and the requests beside it aren't refused as quarantined.
 #[test_case(6001, 10, "--routers 6 --upstreams 8 --excusing 0.1")]
