--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -532,9 +532,15 @@
         }
     }
 
-    /// Removes upstreams that have not written their entries again by the end of the delay.
+    /// Removes upstreams that have not written their entries again by the end of the delay. Time in
+    /// which the log isn't read doesn't count, as nobody can write to it.
     pub(crate) fn remove_missing(&self) {
-        if self.clock.now_ms() < self.removals_delayed_until_ms.get() {
+        let now_ms = self.clock.now_ms();
+        if self.upstreams_fresh.is_old() && !self.missing.borrow().is_empty() {
+            self.removals_delayed_until_ms
+                .set(now_ms + REMOVAL_DELAY_MS);
+        }
+        if now_ms < self.removals_delayed_until_ms.get() {
             return;
         }
         for id in self.missing.take() {
--- a/src/path/log_replica_eras_tests.rs
+++ b/src/path/log_replica_eras_tests.rs
@@ -180,3 +180,26 @@
     peer.learn_from(&reader);
     assert!(!peer.state.evacuations().contains("north"));
 }
+
+/// Guards against routers that remove the upstreams which a restored log lacks while the log is away
+/// again, before these can write their entries.
+#[test]
+fn lost_upstreams_stay_while_the_log_is_not_read() {
+    static NOW_MS: AtomicU64 = AtomicU64::new(0);
+    let [router] = routers(&NOW_MS);
+    router
+        .replica
+        .apply_snapshot(vec![], restored_at(0), START_MS);
+    for now_ms in (START_MS..LATER_MS).step_by(200) {
+        NOW_MS.store(now_ms, Ordering::Relaxed);
+        router.replica.upstreams_fresh().record_failure(now_ms);
+        release(&router);
+    }
+    assert!(router.state.has_upstream("i-1"));
+    for now_ms in (LATER_MS..LATER_MS + 3_000).step_by(200) {
+        NOW_MS.store(now_ms, Ordering::Relaxed);
+        router.replica.confirm_upstreams(now_ms, Evidence::Log);
+        release(&router);
+    }
+    assert!(!router.state.has_upstream("i-1"));
+}
