Routers read the list of routers only at their interval and after a restore

Found by reading the change again: the era was published with each load, also an unchanged one, and each of these notices made the router read the registrations: one more read a router at a start of the fleet and after each reload. Only a new era is published, and the first known one causes no read. routers_register_again_after_a_restore passes as before; the number of reads has no test.

--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -522,12 +522,17 @@
     /// Notes that all upstreams were read as of `at`: earlier changes are unknown here.
     pub(crate) fn start_at(&self, at: StreamPosition) {
         if at > self.upstreams_at.get() {
-            self.era.send_replace(at.era);
+            self.publish_era(at.era);
             self.upstreams_at.set(at);
             self.changes.borrow_mut().start_at(at);
         }
     }
 
+    fn publish_era(&self, era: u64) {
+        self.era
+            .send_if_modified(|known| std::mem::replace(known, era) != era);
+    }
+
     fn push_change(&self, at: StreamPosition, id: &str, record: Bytes) {
         self.upstreams_at.set(at.max(self.upstreams_at.get()));
         self.changes.borrow_mut().push(UpstreamChange {
--- a/src/path/log_replica/restore.rs
+++ b/src/path/log_replica/restore.rs
@@ -23,7 +23,7 @@
         if !before.is_known() {
             return self.start_at(at);
         }
-        self.era.send_replace(at.era);
+        self.publish_era(at.era);
         self.upstreams_at.set(at);
         self.changes.borrow_mut().enter_era(before, at);
         let now_ms = self.clock.now_ms();
