A router's own pauses prolong no removal

Cause: prolongs the delay while the copy is old, and a router's own pauses make it old. Fix: only while reads of the log fail, as end_silence does.

--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -467,10 +467,11 @@
     }
 
     /// Removes upstreams that have not written their entries again by the end of the delay. Time in
-    /// which the log isn't read doesn't count, as nobody can write to it.
+    /// which the log is away doesn't count, as nobody can write to it; a pause of this router does.
     pub(crate) fn remove_missing(&self) {
         let now_ms = self.clock.now_ms();
-        if self.upstreams_fresh.is_old() && !self.missing.borrow().is_empty() {
+        let is_away = self.upstreams_fresh.is_old() && self.upstreams_fresh.has_failed();
+        if is_away && !self.missing.borrow().is_empty() {
             self.removals_delayed_until_ms
                 .set(now_ms + REMOVAL_DELAY_MS);
         }
