--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # network is needed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo build --quiet --release --offline --locked --manifest-path review/tools/Cargo.toml --target-dir target/review
+cargo build --quiet --release --offline --locked --manifest-path review/Cargo.toml --target-dir target/review
