--- a/src/path/freshness.rs
+++ b/src/path/freshness.rs
@@ -58,6 +58,8 @@
     peers_asked_ms: Cell<u64>,
     /// Whether a read of the log failed since the copy was last recent.
     has_failed: Cell<bool>,
+    /// Whether a request was decided by a copy older than its bound since the copy was last recent.
+    is_stale_logged: Cell<bool>,
     /// Since when requests have been waiting for a newer copy.
     wanted_since_ms: Cell<Option<u64>>,
     /// Notified when requests wait for a newer copy.
@@ -84,6 +86,7 @@
             failed_ms: Cell::default(),
             peers_asked_ms: Cell::default(),
             has_failed: Cell::default(),
+            is_stale_logged: Cell::default(),
             wanted_since_ms: Cell::default(),
             wanted,
             changed: Notify::new(),
@@ -121,6 +124,7 @@
         self.fresh.set(fresh);
         if self.age_ms() <= self.schedule.get().usable_ms() {
             self.has_failed.set(false);
+            self.is_stale_logged.set(false);
         }
         if self.is_usable()
             && let Some(since_ms) = self.wanted_since_ms.take()
@@ -212,11 +216,21 @@
             return false;
         }
         if self.is_old() {
-            stats::stale_decision(self.name);
+            self.record_stale_decision();
         }
         true
     }
 
+    /// Counts a request that is decided by a copy older than its bound, and logs the first one.
+    fn record_stale_decision(&self) {
+        stats::stale_decision(self.name);
+        if !self.is_stale_logged.replace(true) {
+            let (age_ms, evidence) = (self.age_ms(), self.evidence.get());
+            let has_failed = self.has_failed();
+            log::warn!(age_ms, evidence:%, has_failed; "{}: requests are decided by a copy older than the bound", self.name);
+        }
+    }
+
     async fn wait(&self) {
         let started_ms = self.clock.now_ms();
         let last_ms = started_ms + self.schedule.get().bound_ms();
