--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -125,8 +125,6 @@
 /// Times other than its age that decide whether state may be used.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UseLimits {
-    /// Time until which what the router loaded at its start counts as fresh.
-    pub settled_ms: u64,
     /// Time of the request of the last failed read of the log; 0 if none failed.
     pub failed_ms: u64,
     /// Time at which peers were last asked for newer state; 0 if they never were.
@@ -154,18 +152,6 @@
         }
     }
 
-    /// Returns the same times, but for a router whose first state counts as fresh until
-    /// `settled_ms`.
-    fn settled(self, settled_ms: u64, schedule: ReadSchedule) -> Self {
-        let is_loaded = self.confirmed_ms > 0;
-        let fresh_ms = settled_ms.saturating_sub(schedule.stale_ms());
-        let confirmed_ms = self.confirmed_ms.max(fresh_ms);
-        Self {
-            confirmed_ms: if is_loaded { confirmed_ms } else { 0 },
-            ..self
-        }
-    }
-
     /// Returns the same times, but marked stale, so that this router reads for itself.
     pub fn invalidated(self) -> Self {
         Self {
@@ -209,11 +195,10 @@
     /// assert!(!is_usable(15_000, UseLimits { resumed_ms: 14_000, ..failed }));
     /// ```
     pub fn is_usable(&self, now_ms: u64, schedule: ReadSchedule, limits: UseLimits) -> bool {
-        let fresh = self.settled(limits.settled_ms, schedule);
-        if fresh.age_ms(now_ms) <= schedule.usable_ms() {
+        if self.age_ms(now_ms) <= schedule.usable_ms() {
             return true;
         }
-        let due_ms = fresh.confirmed_ms + schedule.stale_ms();
+        let due_ms = self.confirmed_ms + schedule.stale_ms();
         limits.failed_ms.min(limits.peers_asked_ms) >= due_ms.max(limits.resumed_ms)
     }
 
@@ -325,12 +310,6 @@
     pub routers: usize,
     /// When it last began to read; 0 if it never did.
     pub last_read_ms: u64,
-    /// Time until which what it loaded at its start counts as fresh.
-    ///
-    /// Failure guarded against: a whole fleet starts while thousands of upstreams register. No
-    /// reader is known yet, so each router would read for itself what all of them write, and the
-    /// log, which sends them all of it a thousand times, answers nobody in time.
-    pub settled_ms: u64,
 }
 
 /// Returns how long a read that must begin now waits for a change, or `None` if none is due.
@@ -344,7 +323,7 @@
 /// use cassiagrade::fleet::log_reads::{Backoff, Freshness, ReadSchedule, Role, read_due};
 /// let (fresh, backoff) = (Freshness::default(), Backoff::default());
 /// let schedule = ReadSchedule::within(2_000.0);
-/// let role = |is_reader| Role { is_reader, routers: 9, last_read_ms: 0, settled_ms: 3_000 };
+/// let role = |is_reader| Role { is_reader, routers: 9, last_read_ms: 0 };
 /// let due = |is_reader, now_ms| read_due(role(is_reader), fresh, backoff, schedule, now_ms);
 /// assert_eq!(due(true, 9_001).unwrap().as_millis(), 0, "nothing is known yet");
 /// let mut fresh = fresh;
@@ -362,7 +341,6 @@
     now_ms: u64,
 ) -> Option<Duration> {
     let sharing = if role.is_reader { 1 } else { role.routers };
-    let fresh = fresh.settled(role.settled_ms, schedule);
     let is_stale = fresh.is_stale(now_ms, schedule, role.routers);
     let is_needed = role.is_reader && is_stale;
     let has_paused = now_ms >= role.last_read_ms + schedule.pace_ms();
--- a/src/fleet/log_reads_tests.rs
+++ b/src/fleet/log_reads_tests.rs
@@ -7,12 +7,15 @@
 use test_case::test_case;
 
 use super::in_flight::{REPORT_INTERVAL_MS, receivers};
-use super::log_reads::{Backoff, Freshness, READERS, ReadSchedule, Role, load_delay_ms, read_due};
+use super::log_reads::{
+    Backoff, Freshness, READERS, ReadSchedule, Role, is_reader, load_delay_ms, read_due,
+};
+use super::member::{Member, MemberState, View};
 
 const READ_CHECK_MS: u64 = 100;
 const ANSWER_MS: u64 = 5;
-/// Time after the start during which no router is a reader.
-const SETTLE_MS: u64 = 3_000;
+/// Time from the start of a fleet until its routers know one another and have chosen readers.
+const MEETING_MS: u64 = 400;
 
 struct Router {
     fresh: Freshness,
@@ -29,6 +32,8 @@
     routers: Vec<Router>,
     schedule: ReadSchedule,
     is_log_up: bool,
+    /// When the readers are chosen.
+    readers_from_ms: u64,
     /// Time between two records of the stream.
     quiet_ms: u64,
     now_ms: u64,
@@ -57,6 +62,7 @@
             routers: (0..routers).map(|_| router()).collect(),
             schedule: ReadSchedule::within(bound_ms),
             is_log_up: true,
+            readers_from_ms: MEETING_MS,
             quiet_ms: u64::MAX,
             now_ms: 1,
             calls: 0,
@@ -111,10 +117,9 @@
         let n = self.routers.len();
         for (at, router) in self.routers.iter_mut().enumerate() {
             let role = Role {
-                is_reader: at < READERS && self.now_ms >= SETTLE_MS,
+                is_reader: at < READERS && self.now_ms >= self.readers_from_ms,
                 routers: n,
                 last_read_ms: router.last_read_ms,
-                settled_ms: SETTLE_MS + REPORT_INTERVAL_MS,
             };
             let due = read_due(
                 role,
@@ -135,6 +140,16 @@
         }
     }
 
+    /// Runs for `ms`, and returns the greatest age of a router's state from its first load on.
+    fn oldest_while_running(&mut self, ms: u64) -> u64 {
+        let mut oldest_ms = 0;
+        for _ in 0..ms / READ_CHECK_MS {
+            self.run(READ_CHECK_MS);
+            oldest_ms = oldest_ms.max(self.oldest_ms());
+        }
+        oldest_ms
+    }
+
     fn oldest_ms(&self) -> u64 {
         let live = self.routers.iter().filter(|r| r.is_up);
         live.map(|r| r.fresh.age_ms(self.now_ms)).max().unwrap()
@@ -231,18 +246,59 @@
     assert!(fleet.oldest_ms() < 2_000, "{} ms old", fleet.oldest_ms());
 }
 
-/// A whole fleet starts together. Each router loads the state once; until readers are chosen and
-/// their updates arrive, none reads again.
+/// A fleet that starts at once decides requests by what it loaded at its start, though changes were
+/// made since. Its state may not become older than the bound, and beyond the load of each router there
+/// are no more calls than the readers make.
 #[test_case(9)]
 #[test_case(985)]
 #[test_case(2_000)]
-fn starting_routers_load_once(routers: usize) {
+fn starting_fleet_reads_on_by_few_calls(routers: usize) {
+    const SECONDS: u32 = 5;
     let mut fleet = Fleet::starting(routers, 2_000.0);
-    fleet.run(SETTLE_MS + 2_000);
-    // The readers' own reads besides.
-    let most = u32::try_from(routers).unwrap() + 30;
+    let oldest_ms = fleet.oldest_while_running(u64::from(SECONDS) * 1_000);
+    assert!(oldest_ms < 2_000, "{oldest_ms} ms old");
+    let most = u32::try_from(routers).unwrap() + SECONDS * 10 / 3 + 6;
     assert!(fleet.calls <= most, "{} calls", fleet.calls);
-    assert!(fleet.oldest_ms() < 2_000, "{} ms old", fleet.oldest_ms());
+}
+
+/// The routers of a starting fleet find no reader: those that were chosen didn't start. The others keep
+/// the bound from their start on, without reading each for itself.
+#[test_case(9, 60)]
+#[test_case(985, 250)]
+#[test_case(2_000, 250)]
+fn starting_fleet_without_readers_keeps_the_bound(routers: usize, most_reads: u32) {
+    let mut fleet = Fleet::starting(routers, 2_000.0);
+    fleet.readers_from_ms = u64::MAX;
+    let oldest_ms = fleet.oldest_while_running(4_000);
+    assert!(oldest_ms < 2_000, "{oldest_ms} ms old");
+    let reads = fleet.calls - u32::try_from(routers).unwrap();
+    assert!(reads <= most_reads, "{reads} reads");
+}
+
+/// A fleet starts for the first time, and each router knows only those that registered before it. All of
+/// them would read for the others if each did so that knows fewer routers than there are readers.
+#[test_case(9, 9)]
+#[test_case(985, 45)]
+#[test_case(2_000, 45)]
+fn few_routers_of_a_fleet_that_meets_are_readers(routers: usize, most: usize) {
+    let member = |n: usize| Member {
+        host: format!("host-{n}").into(),
+        data_center: "dc".into(),
+        incarnation: 1,
+        state: MemberState::Alive,
+        peer_addr: "".into(),
+        caller_addr: "".into(),
+    };
+    let all: Vec<Member> = (0..routers).map(member).collect();
+    let is_reader = |known: usize| {
+        let view = View {
+            members: all[..known].to_vec(),
+            ..View::default()
+        };
+        is_reader(&view, &all[known - 1].host)
+    };
+    let readers = (1..=routers).filter(|known| is_reader(*known)).count();
+    assert!(readers <= most, "{readers} readers");
 }
 
 /// A router that receives nothing from others keeps the bound by itself, whatever the size of the
--- a/src/path/freshness.rs
+++ b/src/path/freshness.rs
@@ -8,17 +8,12 @@
 use strum::Display;
 use tokio::sync::Notify;
 
-use crate::fleet::in_flight::REPORT_INTERVAL_MS;
 use crate::fleet::log_reads::{Freshness, ReadSchedule, UseLimits};
 use crate::mutation::{Mutation, mutated};
-use crate::path::SETTLE_MS;
 use crate::path::suspend::SuspendGuard;
 use crate::stats;
 use crate::util::Clock;
 
-/// Time until which what a router loaded at its start counts as fresh: the readers' first updates
-/// arrive with the next reports.
-pub(crate) const SETTLED_MS: u64 = SETTLE_MS + REPORT_INTERVAL_MS;
 /// Time for which requests wait for a newer copy: some round trips to the store or to a peer. It
 /// runs once for all requests, so that an outage of the store delays only those of its first moment.
 const WAIT_LIMIT_MS: u64 = 400;
@@ -167,7 +162,6 @@
     /// Whether requests may be decided by the copy.
     pub(crate) fn is_usable(&self) -> bool {
         let limits = UseLimits {
-            settled_ms: SETTLED_MS,
             failed_ms: self.failed_ms.get(),
             peers_asked_ms: self.peers_asked_ms.get(),
             resumed_ms: self.suspend.resumed_ms(),
--- a/src/path/log_replica_world_tests.rs
+++ b/src/path/log_replica_world_tests.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use crate::path::cursor::{AnswerEra, Order, ReadRange, Record};
-use crate::path::freshness::{SETTLED_MS, StreamFreshness};
+use crate::path::freshness::StreamFreshness;
 use crate::path::log_replica_fake_tests::{
     DATA_CENTERS, ENTRY_EXPIRY_MS, Entry, FakeStore, data_center,
 };
@@ -389,9 +389,6 @@
         let host = &self.hosts[at];
         let replica = &host.router.replica;
         let now_ms = self.now_ms();
-        if now_ms <= host.started_ms + SETTLED_MS + BOUND_MS {
-            return;
-        }
         replica.check_clock();
         let bound_ms = now_ms - BOUND_MS;
         let is_excused =
--- a/tests/routed_pauses.rs
+++ b/tests/routed_pauses.rs
@@ -14,7 +14,7 @@
 use futures_util::future::{join, join_all};
 use serde_json::{Value, json};
 use standins::backend::{id_prefix, record};
-use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id, routes};
+use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id, round_path};
 use support::{Caller, Process, get, post, set_knobs, sleep_ms, wait_until, wall_ms};
 use test_case::test_case;
 
@@ -46,25 +46,9 @@
     acked_ms: u64,
 }
 
-fn round_path(version: usize) -> String {
-    format!("/round-{version}/1")
-}
-
-fn routes_of(version: usize) -> Value {
-    let mut all = routes();
-    let mut added = all[0].clone();
-    added["name"] = json!(format!("round-{version}"));
-    added["path_prefix"] = json!(format!("/round-{version}/"));
-    all.push(added);
-    json!(all)
-}
-
 async fn write_version(routed: &mut RoutedFleet, version: usize) -> Version {
     let written_ms = wall_ms();
-    routed
-        .configure(json!({ "routes": routes_of(version) }))
-        .await;
-    let acked_ms = wall_ms();
+    let acked_ms = routed.write_version(version).await;
     Version {
         written_ms,
         acked_ms,
--- /dev/null
+++ b/tests/routed_restart.rs
@@ -0,0 +1,77 @@
+//! All routers of a fleet end at once, and changes follow as soon as they have started again.
+
+mod support;
+
+use serde_json::json;
+use support::routed::{FleetSize, RoutedFleet, round_path};
+use support::{set_knobs, sleep_ms, wall_ms};
+
+/// Time within which a change that the store acknowledged must be in force.
+const BOUND_MS: u64 = 2_000;
+const ROUTERS: u8 = 3;
+const SIZE: FleetSize = FleetSize {
+    routers: ROUTERS,
+    upstreams: 3,
+    store_relays: false,
+    max_open_files: 0,
+};
+
+/// Starts a fleet, kills all of its routers and starts them again, until each serves callers.
+async fn start_again() -> RoutedFleet {
+    let mut routed = RoutedFleet::start(SIZE).await;
+    for router in &mut routed.routers {
+        router.kill();
+    }
+    for i in 0..ROUTERS {
+        routed.spawn_router(i);
+    }
+    for i in 0..ROUTERS {
+        routed.wait_status(i, "/get/1", 200).await;
+    }
+    routed
+}
+
+async fn sleep_until(at_ms: u64) {
+    sleep_ms(at_ms.saturating_sub(wall_ms())).await;
+}
+
+/// Guards against routers that decide by what they loaded at their start, as none of them reads the log
+/// for the first seconds: new routes are refused and dropped ones served.
+#[compio::test]
+async fn version_after_a_restart_of_all_is_in_force_in_time() {
+    let mut routed = start_again().await;
+    routed.write_version(1).await;
+    let acked_ms = routed.write_version(2).await;
+    sleep_until(acked_ms + BOUND_MS).await;
+    for i in 0..ROUTERS {
+        for (version, wanted) in [(2, 200), (1, 404)] {
+            let (_, received) = routed.call(i, &round_path(version), "1").await;
+            let received = received.expect("no answer");
+            let body = received.body;
+            assert_eq!(
+                received.status, wanted,
+                "router {i}, version {version}: {body}"
+            );
+        }
+    }
+}
+
+/// Guards against routers that send requests to upstreams which left after the routers had loaded the
+/// upstreams and before any of them read the log.
+#[compio::test]
+async fn upstream_that_drains_after_a_restart_of_all_gets_nothing_new() {
+    let routed = start_again().await;
+    set_knobs(routed.upstreams[0].addr, &json!({ "draining": true })).await;
+    let acked_ms = routed.wait_entry(0, "draining").await;
+    sleep_until(acked_ms + BOUND_MS).await;
+    let before = routed.arrivals(0).len();
+    for n in 0..4 * ROUTERS {
+        let (_, received) = routed.call(n % ROUTERS, "/get/1", "1").await;
+        assert_eq!(received.expect("no answer").status, 200);
+    }
+    assert_eq!(
+        routed.arrivals(0).len(),
+        before,
+        "requests at an upstream that drains"
+    );
+}
--- a/tests/routed_restore.rs
+++ b/tests/routed_restore.rs
@@ -5,7 +5,7 @@
 
 use serde_json::{Value, json};
 use standins::backend::id_prefix;
-use support::routed::{FleetSize, RoutedFleet, routes};
+use support::routed::{FleetSize, RoutedFleet, round_path};
 use support::{get, set_knobs, sleep_ms, wait_until, wall_ms};
 use test_case::test_case;
 
@@ -25,22 +25,6 @@
     max_open_files: 0,
 };
 
-fn routes_of(version: usize) -> Value {
-    let mut all = routes();
-    let mut added = all[0].clone();
-    added["name"] = json!(format!("round-{version}"));
-    added["path_prefix"] = json!(format!("/round-{version}/"));
-    all.push(added);
-    json!(all)
-}
-
-/// Writes a configuration with a route of its own, and returns the time of its acknowledgement.
-async fn write_version(routed: &mut RoutedFleet, version: usize) -> u64 {
-    let routes = routes_of(version);
-    routed.configure(json!({ "routes": routes })).await;
-    wall_ms()
-}
-
 /// Starts a fleet whose routers know one another and have chosen their readers.
 async fn start() -> RoutedFleet {
     let routed = RoutedFleet::start(SIZE).await;
@@ -81,7 +65,7 @@
     sleep_ms((acked_ms + BOUND_MS).saturating_sub(wall_ms())).await;
     for i in 0..ROUTERS {
         for (n, wanted) in [(version, 200), (version - 1, 404)] {
-            let (_, received) = routed.call(i, &format!("/round-{n}/1"), "1").await;
+            let (_, received) = routed.call(i, &round_path(n), "1").await;
             let received = received.expect("no answer");
             assert_eq!(
                 received.status, wanted,
@@ -102,18 +86,6 @@
     routed.arrivals(i).len() - before
 }
 
-/// Waits until the store holds `state` for upstream `i`; the empty state stands for no entry.
-async fn wait_entry(routed: &RoutedFleet, i: u8, state: &str) -> u64 {
-    let prefix = id_prefix(routed.upstreams[usize::from(i)].addr);
-    wait_until(&format!("the entry of upstream {i}"), || async {
-        let changes = routed.entry_changes();
-        let last = changes.iter().rfind(|c| c.entry.starts_with(&prefix));
-        last.is_some_and(|c| c.state == state)
-    })
-    .await;
-    wall_ms()
-}
-
 /// Replaces upstream `i` by one with another id, and waits until the store has its entry.
 async fn replace_upstream(routed: &mut RoutedFleet, i: u8) {
     let prefix = id_prefix(routed.upstreams[usize::from(i)].addr);
@@ -136,7 +108,7 @@
     sleep_ms(1_000).await;
     let written_ms = wall_ms();
     for version in 1..=4 {
-        write_version(routed, version).await;
+        routed.write_version(version).await;
     }
     assert_in_force(routed, 4, wall_ms()).await;
     restore(routed, wall_ms() - written_ms + 500).await;
@@ -155,7 +127,7 @@
         reconnect(&routed).await;
     }
     for version in 5..=LAST {
-        let acked_ms = write_version(&mut routed, version).await;
+        let acked_ms = routed.write_version(version).await;
         if !is_read_late {
             assert_in_force(&routed, version, acked_ms).await;
         }
@@ -190,7 +162,7 @@
     for i in [0, 1] {
         let upstream = &routed.upstreams[usize::from(i)];
         set_knobs(upstream.addr, &json!({ "draining": true })).await;
-        wait_entry(&routed, i, "draining").await;
+        routed.wait_entry(i, "draining").await;
     }
     sleep_ms(REWRITE_MS).await;
     reconnect(&routed).await;
@@ -203,7 +175,7 @@
 async fn lose_departure(routed: &RoutedFleet, knobs: Value, state: &str) {
     let departed_ms = wall_ms();
     set_knobs(routed.upstreams[0].addr, &knobs).await;
-    wait_entry(routed, 0, state).await;
+    routed.wait_entry(0, state).await;
     sleep_ms(BOUND_MS).await;
     let mut muted = knobs;
     muted["mute"] = json!(true);
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -10,14 +10,14 @@
 
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use standins::backend::{Arrival, Run, record};
+use standins::backend::{Arrival, Run, id_prefix, record};
 use standins::keyed::EntryChange;
 use tempfile::TempDir;
 
 use super::caller::{Caller, Received, get, poll_until, post, set_knobs, wait_until};
 use super::fleet::{addr, free_prefix};
 use super::options::Relay;
-use super::process::{Process, router_program, spawn, spawn_standin};
+use super::process::{Process, router_program, spawn, spawn_standin, wall_ms};
 
 const CALLER_PORT: u16 = 7001;
 const PEER_PORT: u16 = 7002;
@@ -125,6 +125,18 @@
     ]
 }
 
+/// Path of the route that only version `n` of [`routes_of`] has.
+pub(crate) fn round_path(version: usize) -> String {
+    format!("/round-{version}/1")
+}
+
+/// The routes of every test, and one that is only in this version.
+pub(crate) fn routes_of(version: usize) -> Value {
+    let mut all = routes();
+    all.push(route(&format!("round-{version}"), "idempotent", json!({})));
+    json!(all)
+}
+
 impl RoutedFleet {
     pub(crate) async fn start(size: FleetSize) -> Self {
         let dir = tempfile::tempdir().unwrap();
@@ -359,6 +371,27 @@
         self.version
     }
 
+    /// Writes a configuration with the routes of `version`, and returns the time of its
+    /// acknowledgement.
+    pub(crate) async fn write_version(&mut self, version: usize) -> u64 {
+        self.configure(json!({ "routes": routes_of(version) }))
+            .await;
+        wall_ms()
+    }
+
+    /// Waits until the store holds `state` for upstream `i`, and returns the time; the empty state
+    /// stands for no entry.
+    pub(crate) async fn wait_entry(&self, i: u8, state: &str) -> u64 {
+        let prefix = id_prefix(self.upstreams[usize::from(i)].addr);
+        wait_until(&format!("the entry of upstream {i}"), || async {
+            let changes = self.entry_changes();
+            let last = changes.iter().rfind(|c| c.entry.starts_with(&prefix));
+            last.is_some_and(|c| c.state == state)
+        })
+        .await;
+        wall_ms()
+    }
+
     /// The version of the last configuration that [`Self::configure`] wrote.
     pub(crate) fn version(&self) -> u64 {
         self.version
