A request that an old copy decides isn't withheld again for the copy's age

Cause: two places decided whether a copy is too old for a request. StreamFreshness::wait_until_usable lets a request through with an old copy when neither the log nor a peer answers within 400 ms; the check before the request's first byte asked is_usable, which doesn't know of that wait, and withheld it. Attempts::next then chose the next upstream and opened a connection there, until a read of the log had failed. Since state ages from a router's start on, this would have come at starts beside a silent store, too.

Change: StreamFreshness::may_decide says it for both. An old copy decides once requests have waited for a newer one, and not after a time in which this router did not run.

Tests: request_that_an_old_copy_decides_is_sent fails before (withheld, no byte arrives) and passes after; old_copy_decides_once_requests_have_waited_for_a_newer_one, old_copy_decides_nothing_after_a_stall.

--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -212,8 +212,9 @@
         upstream: &Upstream,
         call: &Call<'_>,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
-        let is_current = self.upstreams_fresh.is_usable();
-        if !is_current || !self.state.still_takes_work(upstream, self.clock.now_ms()) {
+        if !self.upstreams_fresh.may_decide()
+            || !self.state.still_takes_work(upstream, self.clock.now_ms())
+        {
             return Err(withheld());
         }
         let sent = connection.sender.try_send_request(build(call)).await;
--- a/src/path/freshness.rs
+++ b/src/path/freshness.rs
@@ -193,11 +193,25 @@
         Duration::from_millis(until_ms.saturating_sub(self.clock.now_ms()))
     }
 
-    /// Waits until a request may be decided by the copy, and returns whether it may.
+    /// Whether a request may be decided by the copy now.
     ///
     /// If neither the log nor a peer answers in time, the old copy must do: refusing would not serve
     /// the caller better. But if this router did not run for a part of the time since the copy was
     /// confirmed, others have newer copies, and the caller is better served by one of them.
+    ///
+    /// Failure guarded against: a request is let through with an old copy, and a later check withholds
+    /// it again for its age. It is sent to one upstream after another, and each time a connection is
+    /// opened and closed.
+    pub(crate) fn may_decide(&self) -> bool {
+        if self.is_usable() {
+            return true;
+        }
+        let has_waited = self.wanted_since_ms.get().is_some() && self.wait_left().is_zero();
+        let has_stalled = self.suspend.stalled_ms() > self.fresh.get().confirmed_ms();
+        has_waited && !has_stalled
+    }
+
+    /// Waits until a request may be decided by the copy, and returns whether it may.
     pub(crate) async fn wait_until_usable(&self) -> bool {
         self.suspend.check_clock();
         self.refresh_if_needed();
@@ -205,14 +219,11 @@
             stats::held_for_refresh(self.name);
             self.wait().await;
         }
-        let has_stalled = self.suspend.stalled_ms() > self.fresh.get().confirmed_ms();
-        if has_stalled && !self.is_usable() {
-            return false;
-        }
-        if self.is_old() {
+        let may_decide = self.may_decide();
+        if may_decide && self.is_old() {
             self.record_stale_decision();
         }
-        true
+        may_decide
     }
 
     /// Counts a request that is decided by a copy older than its bound, and logs the first one.
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -52,6 +52,8 @@
 #[cfg(test)]
 mod departures_tests;
 #[cfg(test)]
+mod freshness_tests;
+#[cfg(test)]
 mod health_tests;
 #[cfg(test)]
 mod leaving_tests;
