A late copy of a rejection rejects no other request

Cause: an upstream that is full may send its rejection a second time, where the answer to the next request on that connection is expected. check took any answer with Not-Executed, and any 421, for one to the present request, before it compared the id; the connection went back to the pool with the real answer still to come.

Change: the id is compared first. An answer with another id counts as lost, and its connection is closed. A rejection without an id counts as before: an upstream may not know one.

Test: copy_of_a_rejection_rejects_no_other_request fails before (Rejected and Replaced instead of Lost) and passes after.

--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -262,12 +262,16 @@
     request
 }
 
-/// Checks that the answer belongs to this request.
+/// Checks that the answer belongs to this request. A rejection may name no request.
 ///
 /// Failure guarded against: an upstream sends a second answer late on a reused connection, where
 /// the answer to the next request is expected. Its caller would receive the answer to a request of
-/// another caller.
+/// another caller, or be told by the copy of a rejection that its request did not run.
 fn check(parts: &Parts, head: &AnswerHead, request_id: Option<&str>) -> Result<(), CallError> {
+    let of_another = || lost("the answer carries the id of another request".to_owned());
+    if head.request_id.is_some() && head.request_id.as_deref() != request_id {
+        return Err(of_another());
+    }
     let is_replaced = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if head.not_run || is_replaced {
         return Err(CallError {
@@ -281,9 +285,7 @@
         });
     }
     if head.request_id.as_deref() != request_id {
-        return Err(lost(
-            "the answer carries the id of another request".to_owned(),
-        ));
+        return Err(of_another());
     }
     if parts.status.is_success() && !head.has_proof {
         return Err(lost(
--- a/src/path/call_tests.rs
+++ b/src/path/call_tests.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use compio::BufResult;
-use compio::io::AsyncRead;
+use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpListener;
 use futures_util::future::join;
 use http::{HeaderMap, Request};
+use test_case::test_case;
 
 use super::call::{Call, FailureKind, UpstreamClient};
 use super::connection::ConnectionPool;
@@ -138,3 +139,36 @@
     assert!(sent > 0, "{failed:?}");
     assert_eq!(failed, Some(FailureKind::Lost), "closed without an answer");
 }
+
+/// An upstream that is full sends its rejection of one request a second time, where the answer to the
+/// next one is expected. The router may not take that request for one that did not run, nor use the
+/// connection again, on which its answer is still to come.
+#[test_case("503 Service Unavailable", "Not-Executed: 1\r\n"; "rejection")]
+#[test_case("421 Misdirected Request", ""; "another incarnation")]
+#[compio::test]
+async fn copy_of_a_rejection_rejects_no_other_request(status: &'static str, header: &'static str) {
+    let fixture = Fixture::open().await;
+    let answers = async {
+        let (mut stream, _) = fixture.listener.accept().await.unwrap();
+        let rejection =
+            format!("HTTP/1.1 {status}\r\nattempt-id: first\r\n{header}content-length: 0\r\n\r\n");
+        for _ in 0..2 {
+            let BufResult(read, _) = stream.read(Vec::with_capacity(4_096)).await;
+            assert!(read.unwrap() > 0, "a request");
+            let sent = stream.write_all(rejection.clone().into_bytes()).await;
+            sent.0.unwrap();
+        }
+        stream
+    };
+    let calls = async {
+        let rejected = fixture.call(Some("first")).await;
+        assert!(matches!(
+            rejected,
+            Some(FailureKind::Rejected | FailureKind::Replaced)
+        ));
+        assert_eq!(fixture.call(Some("second")).await, Some(FailureKind::Lost));
+    };
+    let (_stream, ()) = join(answers, calls).await;
+    let idle = fixture.connections.take_idle(&fixture.upstream);
+    assert!(idle.is_none(), "the connection is used again");
+}
