--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -31,6 +31,13 @@
 /// Offsets of the seeds of departures, and of the choice of faults that are left out.
 const DEPARTURE_SEED: u64 = 0x6465_7061_7274;
 const OMISSION_SEED: u64 = 0x6f6d_6974;
+const FULL_RESTART_SEED: u64 = 0x6675_6c6c;
+
+/// Share of the steps in which all routers restart, once the last such restart is this long ago.
+const FULL_RESTART_SHARE: f64 = 0.3;
+const FULL_RESTART_PAUSE: Duration = Duration::from_secs(6);
+/// Maximum time for which all routers are down.
+const MAX_DOWN_MS: u64 = 1_500;
 
 /// Random numbers of the faults. Notices and departures have their own, so that a seed keeps its
 /// other faults.
@@ -39,17 +46,22 @@
     notices: SmallRng,
     departures: SmallRng,
     omissions: SmallRng,
+    full_restarts: SmallRng,
+    /// Number of restarts of all routers that are left.
+    full_restarts_left: u32,
     /// Share of the faults that excuse routers which are injected.
     excusing_share: f64,
 }
 
 impl FaultRngs {
-    pub(crate) fn new(seed: u64, excusing_share: f64) -> Self {
+    pub(crate) fn new(seed: u64, excusing_share: f64, full_restarts: u32) -> Self {
         Self {
             faults: SmallRng::seed_from_u64(seed),
             notices: SmallRng::seed_from_u64(!seed),
             departures: SmallRng::seed_from_u64(seed ^ DEPARTURE_SEED),
             omissions: SmallRng::seed_from_u64(seed ^ OMISSION_SEED),
+            full_restarts: SmallRng::seed_from_u64(seed ^ FULL_RESTART_SEED),
+            full_restarts_left: full_restarts,
             excusing_share,
         }
     }
@@ -100,6 +112,13 @@
     ReplaceDeparted(usize),
 }
 
+impl Revert {
+    /// Whether the fault suspended or stopped a router.
+    fn is_of_router(&self) -> bool {
+        matches!(self, Self::ResumeRouter(_) | Self::StartRouter(_))
+    }
+}
+
 /// Unix times at which routers and upstreams were stopped, frozen, resumed or started.
 #[derive(Default)]
 pub(crate) struct Interruptions {
@@ -134,6 +153,7 @@
     let rng = &mut rngs.faults;
     let mut active: Vec<ActiveFault> = Vec::new();
     let mut interruptions = Interruptions::default();
+    let mut restarted = start;
     while Instant::now() < until {
         sleep_ms(rng.random_range(50..MAX_PAUSE_MS)).await;
         revert_due(
@@ -145,6 +165,20 @@
         );
         clear_due_knobs(routed, scene, &mut active, Instant::now()).await;
         replace_crashed(routed, scene, &mut interruptions);
+        if rngs.full_restarts_left > 0
+            && restarted.elapsed() > FULL_RESTART_PAUSE
+            && rngs.full_restarts.random_bool(FULL_RESTART_SHARE)
+            && !active.iter().any(|fault| fault.revert.is_of_router())
+        {
+            let down_ms = rngs.full_restarts.random_range(0..MAX_DOWN_MS);
+            restart_all(routed, scene, &mut interruptions, down_ms).await;
+            println!(
+                "{} ms: all routers killed, and started after {down_ms} ms",
+                start.elapsed().as_millis()
+            );
+            rngs.full_restarts_left -= 1;
+            restarted = Instant::now();
+        }
         if rngs.departures.random_bool(DEPARTURE_SHARE) {
             let departure = departure(routed, scene, &mut rngs.departures).await;
             if let Some((description, fault)) = departure {
@@ -210,6 +244,26 @@
     interruptions
 }
 
+/// Kills all routers at once, and starts them together after `down_ms`.
+async fn restart_all(
+    routed: &mut RoutedFleet,
+    scene: &Scene,
+    interruptions: &mut Interruptions,
+    down_ms: u64,
+) {
+    let all = 0..routed.routers.len();
+    for router in all.clone() {
+        scene.outages.begin(Outage::RouterDown(router));
+        routed.routers[router].kill();
+        interruptions.router(router);
+    }
+    sleep_ms(down_ms).await;
+    for router in all {
+        scene.start_router(routed, router);
+        interruptions.router(router);
+    }
+}
+
 /// Starts upstreams again that ended by themselves.
 fn replace_crashed(routed: &mut RoutedFleet, scene: &Scene, interruptions: &mut Interruptions) {
     for i in 0..routed.upstreams.len() {
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -85,6 +85,9 @@
     /// Number of restores of the store from an older copy, beside evacuations of a data centre
     #[bpaf(long, argument("N"), fallback(0))]
     pub(crate) restores: u32,
+    /// Number of restarts of all routers at once
+    #[bpaf(long, argument("N"), fallback(0))]
+    pub(crate) full_restarts: u32,
     /// The only checks that decide, answers, promises or quarantine; by default all
     #[bpaf(long, argument("CHECKS"), optional)]
     pub(crate) only: Option<Checks>,
@@ -129,7 +132,7 @@
 }
 
 async fn run(args: &Args) -> ExitCode {
-    let mut rngs = FaultRngs::new(args.seed, args.excusing.clamp(0.0, 1.0));
+    let mut rngs = FaultRngs::new(args.seed, args.excusing.clamp(0.0, 1.0), args.full_restarts);
     let size = FleetSize {
         routers: args.routers,
         upstreams: args.upstreams,
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -44,6 +44,19 @@
     soak("promises", seed, seconds, &format!("--restores 5 {more}"));
 }
 
+/// Guards against routers that start all at once and decide by what they loaded then: versions and drains
+/// that the store acknowledged after it aren't in force in time.
+#[test_case(8005, 20, "--routers 6 --upstreams 6 --excusing 0")]
+fn restarts_of_all_routers_keep_the_promises(seed: u32, seconds: u32, more: &str) {
+    let _alone = FLEETS.write();
+    soak(
+        "promises",
+        seed,
+        seconds,
+        &format!("--full-restarts 3 {more}"),
+    );
+}
+
 /// A request crashes each upstream that runs it and is repeated through all routers. It is stopped
 /// everywhere, and the requests beside it aren't refused as quarantined.
 #[test_case(6001, 10, "--routers 6 --upstreams 8 --excusing 0.1")]
