--- a/tests/routed_quarantine.rs
+++ b/tests/routed_quarantine.rs
@@ -6,6 +6,7 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use serde_json::{Value, json};
 use support::routed::{FleetSize, RoutedFleet};
 use support::{post, set_knobs, sleep_ms, wait_until};
@@ -285,3 +286,99 @@
     assert_eq!(received.map(|r| r.status), Some(503));
     assert_eq!(routed.runs_of(&id), 0);
 }
+
+/// Ends three of twelve upstreams under one request, and returns [`CONTACT_MS`] after all nine routers
+/// know of the three deaths. The other upstreams have these knobs then.
+async fn fleet_that_knows_of_three_deaths(knobs: &Value) -> RoutedFleet {
+    let size = FleetSize {
+        routers: 9,
+        upstreams: 12,
+        ..FleetSize::default()
+    };
+    let routed = RoutedFleet::start(size).await;
+    routed.upstream_knobs(crash_knobs()).await;
+    routed.call(0, "/get/1", HARMFUL).await;
+    wait_until("three deaths at all routers", || async {
+        (0..size.routers).all(|i| routed.log(i).contains("\"deaths\":3"))
+    })
+    .await;
+    for upstream in &routed.upstreams {
+        // Three of them have ended.
+        post(upstream.addr, "/knobs", &knobs.to_string()).await;
+    }
+    sleep_ms(CONTACT_MS).await;
+    routed
+}
+
+/// Sends the request to all routers at the same moment.
+async fn call_all(routed: &RoutedFleet) -> Vec<(String, Option<support::Received>)> {
+    let routers = 0..u8::try_from(routed.routers.len()).unwrap();
+    join_all(routers.map(|i| routed.call(i, "/get/1", HARMFUL))).await
+}
+
+/// A request has crashed three upstreams, which all routers know, and is sent to all of them at the
+/// same moment. Each of them may not try it on its own.
+#[compio::test]
+async fn suspected_request_runs_at_one_router_at_a_time() {
+    let routed = fleet_that_knows_of_three_deaths(&crash_knobs()).await;
+    let calls = call_all(&routed).await;
+    let ids: HashSet<String> = calls.into_iter().map(|(id, _)| id).collect();
+    let (late, _) = arrivals_ms(&routed, &ids);
+    assert!(late.len() <= MAX_LATE, "{} late arrivals", late.len());
+}
+
+/// Three upstreams ended under a request by chance, and it does no harm. It must be served at all
+/// routers, though it is suspected.
+#[compio::test]
+async fn request_suspected_by_chance_is_served_at_all_routers() {
+    let routed = fleet_that_knows_of_three_deaths(&json!({})).await;
+    for (i, (_, received)) in call_all(&routed).await.into_iter().enumerate() {
+        assert_eq!(received.map(|r| r.status), Some(200), "router {i}");
+    }
+}
+
+/// Calls router `i` until it answers. Returns the ids of all calls, and the first answer.
+async fn call_until_answered(routed: &RoutedFleet, i: u8) -> (Vec<String>, support::Received) {
+    let mut ids = Vec::new();
+    loop {
+        let (id, received) = routed.call(i, "/get/1", HARMFUL).await;
+        ids.push(id);
+        if let Some(received) = received {
+            return (ids, received);
+        }
+        sleep_ms(5).await;
+    }
+}
+
+/// A router is killed and started again while the others quarantine a request, which is sent to it as
+/// soon as it accepts connections. It must not pass the request on before it knows of the quarantine.
+#[test_case(1; "one restart")]
+#[test_case(3; "one restart after the other")]
+#[compio::test]
+async fn router_that_starts_passes_on_no_quarantined_request(restarts: u8) {
+    let size = FleetSize {
+        routers: 5,
+        upstreams: 12,
+        ..FleetSize::default()
+    };
+    let mut routed = RoutedFleet::start(size).await;
+    routed.upstream_knobs(crash_knobs()).await;
+    for _ in 0..2 {
+        routed.call(0, "/get/1", HARMFUL).await;
+        sleep_ms(300).await;
+    }
+    wait_until("the quarantine at all routers", || async {
+        (1..size.routers).all(|i| routed.log(i).contains("\"deaths\":4"))
+    })
+    .await;
+    sleep_ms(CONTACT_MS).await;
+    for i in 0..restarts {
+        routed.routers[usize::from(i)].kill();
+        routed.spawn_router(i);
+        let (ids, received) = call_until_answered(&routed, i).await;
+        let runs: usize = ids.iter().map(|id| routed.runs_of(id)).sum();
+        assert_eq!(runs, 0, "router {i} passed it on: {}", received.status);
+        assert_eq!(received.status, 503, "router {i}");
+        routed.wait_status(i, "/ticket/1", 200).await;
+    }
+}
