--- a/src/decide/evidence.rs
+++ b/src/decide/evidence.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::decide::quarantine::MANY_DEATHS;
+use crate::decide::quarantine::{ISOLATION_DEATHS, MANY_DEATHS};
 
 /// An answer refutes deaths up to this time after it. A common request is answered all the time, and
 /// upstreams that die at the same moment for another reason must not quarantine it.
@@ -112,6 +112,11 @@
         u32::try_from(self.deaths.len()).unwrap_or(u32::MAX)
     }
 
+    /// Whether at most one run of the request may be in progress in the whole fleet.
+    pub fn is_isolated(&self) -> bool {
+        self.convicted_ms.is_some() || self.death_count() >= ISOLATION_DEATHS
+    }
+
     /// Whether the request may not run any more.
     pub fn is_sufficient(&self) -> bool {
         self.convicted_ms.is_some() || self.death_count() >= MANY_DEATHS
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -26,6 +26,10 @@
 pub const SUSPICION_MS: u64 = 300_000;
 /// Deaths after which a sole suspect is quarantined.
 const SOLE_SUSPECT_DEATHS: u32 = 2;
+/// Deaths from which at most one run of a suspect is in progress in the whole fleet, so that routers
+/// that send it at the same moment don't each end an upstream. A single death mostly concerns
+/// requests that only ran beside the harmful one.
+pub const ISOLATION_DEATHS: u32 = 2;
 /// Deaths after which a suspect is quarantined even beside others: four are more than chance.
 pub const MANY_DEATHS: u32 = 4;
 /// Beyond this the oldest entries are evicted: a fleet that loses a whole data centre suspects all
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -596,6 +596,44 @@
     #[prost(message, repeated, tag = "3")]
     pub answers: ::prost::alloc::vec::Vec<StoredAnswer>,
 }
+/// A request that another router sends to upstreams in place of the sender. Its answer is that of the
+/// upstream, or a refusal.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct DelegatedRequest {
+    #[prost(string, tag = "1")]
+    pub from_host: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub method: ::prost::alloc::string::String,
+    /// Path and query.
+    #[prost(string, tag = "3")]
+    pub target: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "4")]
+    pub headers: ::prost::alloc::vec::Vec<Header>,
+    #[prost(bytes = "vec", tag = "5")]
+    #[serde(with = "serde_bytes")]
+    pub body: ::prost::alloc::vec::Vec<u8>,
+    /// Service that the sender drew from those of the route.
+    #[prost(string, tag = "6")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "7")]
+    pub remaining_ms: u64,
+    /// Whether the sender counted the request towards its retry budget.
+    #[prost(bool, tag = "8")]
+    pub is_counted: bool,
+    /// Upstreams that may have received the request, and the number of those that may have run it.
+    #[prost(string, repeated, tag = "9")]
+    pub delivered_to: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint32, tag = "10")]
+    pub runs: u32,
+    /// Event after which the stream resumes.
+    #[prost(uint64, optional, tag = "11")]
+    pub resume_after: ::core::option::Option<u64>,
+    /// What the sender knows against the request.
+    #[prost(message, optional, tag = "12")]
+    pub suspicion: ::core::option::Option<Suspicion>,
+}
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -38,7 +38,7 @@
         UpstreamAnswer::Buffered(reply) => {
             attempts.emit(
                 Kind::RequestAnswered,
-                &reply.upstream,
+                &reply.sender,
                 reply.parts.status.as_str(),
             );
             tally.first_byte();
@@ -151,43 +151,41 @@
     /// Forwards events until the stream is complete. The error is the reason for aborting it.
     async fn run(&mut self, mut reply: Reply) -> Result<(), &'static str> {
         loop {
-            let upstream = reply.upstream.clone();
+            let (upstream, sender) = (reply.upstream().cloned(), reply.sender().clone());
             match self.forward_events(&mut reply).await {
                 StreamEnd::Complete => {
                     reply.finish();
                     self.tally.ended(true);
                     self.attempts.record_answered();
                     self.attempts
-                        .emit(Kind::RequestAnswered, &upstream.id, "stream complete");
+                        .emit(Kind::RequestAnswered, &sender, "stream complete");
                     return Ok(());
                 }
                 StreamEnd::CallerDisconnected => {
                     self.attempts.emit(
                         Kind::RequestCancelled,
-                        &upstream.id,
+                        &sender,
                         "caller closed its connection",
                     );
                     return Ok(());
                 }
                 StreamEnd::DeadlineExceeded => {
-                    self.abort(&upstream.id, "deadline passed during the stream");
+                    self.abort(&sender, "deadline passed during the stream");
                     return Err("deadline passed during the stream");
                 }
                 StreamEnd::Broken(reason) => {
                     // Releases the slot at the upstream before another one resumes the stream.
                     drop(reply);
-                    let path = &self.attempts.context.path;
-                    let now_ms = path.clock.now_ms();
-                    path.state.record_failure(&upstream, &reason, now_ms);
-                    self.attempts.record_lost_answer(&upstream);
-                    self.attempts
-                        .emit(Kind::RequestRetried, &upstream.id, &reason);
+                    if let Some(upstream) = upstream {
+                        self.attempts.record_broken_answer(&upstream, &reason);
+                    }
+                    self.attempts.emit(Kind::RequestRetried, &sender, &reason);
                 }
             }
             let may_resume = self.attempts.context.path.state.decisions().resume;
             if !may_resume || !self.attempts.may_retry() {
                 self.abort(
-                    &upstream.id,
+                    &sender,
                     "stream broke off and may not be resumed at another upstream",
                 );
                 return Err("stream broke off and was not resumed");
@@ -204,14 +202,14 @@
             Ok(reply) if reply.parts.status.is_success() => {
                 self.attempts.emit(
                     Kind::RequestResumed,
-                    &reply.upstream.id,
+                    reply.sender(),
                     &format!("after event {after:?}"),
                 );
                 Ok(reply)
             }
             Ok(reply) => {
                 let status = reply.parts.status;
-                self.abort(&reply.upstream.id, status.as_str());
+                self.abort(reply.sender(), status.as_str());
                 Err("upstream answered the attempt to resume the stream with an error status")
             }
             Err(refused) => {
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts of one request: which upstream is tried next, and when to stop.
 
 mod choice;
+mod delegation;
 mod events;
 mod refusal;
 
@@ -18,9 +19,11 @@
 use crate::path::attempts::choice::Choice;
 use crate::path::call::{BufferedReply, Call, CallError, FailureKind, Reply, UpstreamClient};
 use crate::path::death_check;
+use crate::path::delegate::Delegated;
 use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
 use crate::path::refusal::{Refused, STALE_STATE};
 use crate::path::routes::{Account, Route};
+use crate::path::trials::Trial;
 use crate::path::upstreams::Upstream;
 use crate::util::Name;
 
@@ -54,6 +57,9 @@
     pub(crate) started: Instant,
     /// Earlier of the time limits of the caller and of the route.
     pub(crate) deadline: Instant,
+    /// Set if another router delegated the request to this one, which then does not delegate it
+    /// again.
+    pub(crate) delegated: Option<Delegated>,
 }
 
 /// State of the attempts of a request.
@@ -62,8 +68,10 @@
     tried: Vec<Name>,
     /// Number of upstreams that may have run the request.
     runs: u32,
-    /// Number of upstreams that may have received the request.
-    deliveries: u32,
+    /// Upstreams that may have received the request.
+    delivered_to: Vec<Name>,
+    /// Held while the request runs as a suspect.
+    trial: Option<Trial>,
     /// Released at the end of the answer.
     _permit: Permit,
 }
@@ -78,11 +86,13 @@
 
 impl<D: Dialect + Records> Attempts<D> {
     pub(crate) fn new(context: RequestContext<D>, permit: Permit) -> Self {
+        let before = context.delegated.clone().unwrap_or_default();
         Self {
             context,
-            tried: Vec::new(),
-            runs: 0,
-            deliveries: 0,
+            tried: before.delivered_to.clone(),
+            runs: before.runs,
+            delivered_to: before.delivered_to,
+            trial: None,
             _permit: permit,
         }
     }
@@ -110,7 +120,7 @@
                 let detail = format!("answered {status} without the note that it was not run");
                 return Err(self.refuse(Cause::UpstreamFailed, detail));
             }
-            let upstream = reply.upstream.clone();
+            let (upstream, sender) = (reply.upstream().cloned(), reply.sender().clone());
             match reply.buffer(self.remaining()).await {
                 Some(buffered) if !buffered.parts.status.is_server_error() => {
                     return Ok(UpstreamAnswer::Buffered(buffered));
@@ -125,18 +135,15 @@
                 }
                 None => {
                     "answer broke off before its end".clone_into(&mut reason);
-                    let now_ms = self.context.path.clock.now_ms();
-                    self.context
-                        .path
-                        .state
-                        .record_failure(&upstream, &reason, now_ms);
-                    self.record_lost_answer(&upstream);
+                    if let Some(upstream) = upstream {
+                        self.record_broken_answer(&upstream, &reason);
+                    }
                     if !self.may_retry() {
                         return Err(self.refuse(Cause::UpstreamFailed, reason));
                     }
                 }
             }
-            self.emit(Kind::RequestRetried, &upstream.id, &reason);
+            self.emit(Kind::RequestRetried, &sender, &reason);
         }
     }
 
@@ -157,7 +164,8 @@
     /// next attempt resumes after event `resume_after`.
     pub(crate) async fn next(&mut self, resume_after: Option<u64>) -> Result<Reply, Refused> {
         loop {
-            if self.deliveries > 0 && self.is_suspected() {
+            let is_retry = !self.delivered_to.is_empty();
+            if is_retry && self.is_suspected() {
                 compio::time::sleep(SUSPECT_PAUSE.min(self.remaining())).await;
             }
             let upstreams = self.context.path.replica.upstreams_fresh();
@@ -173,10 +181,17 @@
             if let Some(left_ms) = self.quarantine_ms() {
                 return Err(self.refuse_quarantined(left_ms));
             }
+            if self.is_isolated() && self.trial.is_none() {
+                if let Some(reply) = self.delegate_trial(resume_after).await? {
+                    return Ok(reply);
+                }
+                self.trial = Some(self.begin_trial().await?);
+                continue;
+            }
             let Some(choice) = self.choose() else {
                 return Err(self.refuse_without_upstream());
             };
-            if self.deliveries > 0 && !self.context.path.state.take_retry(&self.context.service) {
+            if is_retry && !self.context.path.state.take_retry(&self.context.service) {
                 let detail = "retry budget of the fleet is exhausted".to_owned();
                 // All upstreams rejected the request.
                 let cause = if self.runs == 0 {
@@ -186,7 +201,7 @@
                 };
                 return Err(self.refuse(cause, detail));
             }
-            if self.deliveries == 0 && self.tried.is_empty() {
+            if self.is_first_try() {
                 let routers = self.context.path.routers();
                 self.context
                     .path
@@ -197,7 +212,7 @@
             self.tried.push(upstream.id.clone());
             let failed = match self.call(&choice, resume_after).await {
                 Ok(reply) => {
-                    self.deliveries += 1;
+                    self.delivered_to.push(upstream.id.clone());
                     self.runs += 1;
                     return Ok(reply);
                 }
@@ -208,7 +223,7 @@
             match failed.kind {
                 FailureKind::NotSent => {
                     state.record_unreachable(&upstream, now_ms);
-                    death_check::spawn(&self.context.path, upstream.clone());
+                    death_check::spawn(&self.context.path, upstream.clone(), None);
                 }
                 FailureKind::Lost => self.record_lost_answer(&upstream),
                 FailureKind::Replaced => state.record_replaced(&upstream, now_ms),
@@ -218,7 +233,7 @@
             let reason = format!("{kind}: {}", failed.reason);
             self.emit(Kind::RequestRetried, &upstream.id, &reason);
             if !matches!(failed.kind, FailureKind::NotSent | FailureKind::Withheld) {
-                self.deliveries += 1;
+                self.delivered_to.push(upstream.id.clone());
             }
             if failed.kind == FailureKind::Withheld {
                 // It may still take work: perhaps only the state was too old to tell.
@@ -293,11 +308,23 @@
         Some(attempt_timeout.max(MIN_ATTEMPT_TIMEOUT))
     }
 
+    /// Whether no router has counted this request towards its retry budget yet.
+    fn is_first_try(&self) -> bool {
+        let delegated = self.context.delegated.as_ref();
+        self.tried.is_empty() && !delegated.is_some_and(|d| d.is_counted)
+    }
+
     fn is_suspected(&self) -> bool {
         let context = &self.context;
         context.path.state.is_suspected(context.fingerprint)
     }
 
+    /// Whether at most one run of this request may be in progress in the whole fleet.
+    fn is_isolated(&self) -> bool {
+        let context = &self.context;
+        context.path.state.is_isolated(context.fingerprint)
+    }
+
     /// Remaining time of the quarantine of this request, which may have begun since it arrived.
     fn quarantine_ms(&self) -> Option<u64> {
         let RequestContext {
@@ -315,15 +342,23 @@
         path.state.record_answered_request(*fingerprint, now_ms);
     }
 
+    /// Records that the answer of `upstream` broke off after its head.
+    pub(crate) fn record_broken_answer(&mut self, upstream: &Rc<Upstream>, reason: &str) {
+        let path = &self.context.path;
+        let now_ms = path.clock.now_ms();
+        path.state.record_failure(upstream, reason, now_ms);
+        self.record_lost_answer(upstream);
+    }
+
     /// Records that `upstream` lost its answer to this request, and checks whether it is dead.
-    pub(crate) fn record_lost_answer(&self, upstream: &Rc<Upstream>) {
+    fn record_lost_answer(&mut self, upstream: &Rc<Upstream>) {
         let RequestContext {
             path, fingerprint, ..
         } = &self.context;
         let now_ms = path.clock.now_ms();
         path.state
             .record_lost_answer(upstream, *fingerprint, now_ms);
-        death_check::spawn(path, upstream.clone());
+        death_check::spawn(path, upstream.clone(), self.trial.take());
     }
 
     /// Whether the request may run again after a run that may have begun.
--- /dev/null
+++ b/src/path/attempts/delegation.rs
@@ -0,0 +1,144 @@
+//! Attempts that another router makes in place of this one, and runs of suspected requests.
+
+use std::time::{Duration, Instant};
+
+use crate::decide::refusal::Cause;
+use crate::event::Kind;
+use crate::fleet::member::Member;
+use crate::path::attempts::Attempts;
+use crate::path::call::Reply;
+use crate::path::delegate::{DelegatedAnswer, decode_answer, encode_headers};
+use crate::path::dialect::{Dialect, Records};
+use crate::path::refusal::Refused;
+use crate::path::trials::Trial;
+use crate::peers::DelegateError;
+use crate::schema::peer::DelegatedRequest;
+
+/// Number of routers that are asked in turn to run a suspected request. The first one may have stopped a
+/// moment ago.
+const MAX_TRIAL_ROUTERS: usize = 2;
+/// Longest wait for another run of the same suspected request.
+const TRIAL_WAIT: Duration = Duration::from_secs(1);
+/// Share of the remaining time that such a wait may take.
+const TRIAL_WAIT_SHARE: f64 = 0.5;
+/// Interval at which the end of the other run is noticed.
+const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+impl<D: Dialect + Records> Attempts<D> {
+    /// Delegates this suspected request to the router where all its runs take place. Returns `None`
+    /// if that is this one.
+    pub(super) async fn delegate_trial(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<Option<Reply>, Refused> {
+        let path = self.context.path.clone();
+        if self.context.delegated.is_some() {
+            return Ok(None);
+        }
+        let routers = path.trial_routers(self.context.fingerprint);
+        for router in routers.iter().take(MAX_TRIAL_ROUTERS) {
+            if router.host == path.host {
+                return Ok(None);
+            }
+            let reason = "runs of this suspected request take place there";
+            if let Some(reply) = self.delegate(router, resume_after, reason).await? {
+                return Ok(Some(reply));
+            }
+        }
+        let detail = "no router for runs of this suspected request can be reached";
+        Err(self.refuse(Cause::NoUpstream, detail.to_owned()))
+    }
+
+    /// Delegates this request to `router`. Returns `None` if the router can't be reached.
+    ///
+    /// # Errors
+    /// Returns the refusal of the router, or one for an answer that was lost. An answer through another
+    /// router is final, as this one doesn't know how many upstreams ran the request.
+    async fn delegate(
+        &mut self,
+        router: &Member,
+        resume_after: Option<u64>,
+        reason: &str,
+    ) -> Result<Option<Reply>, Refused> {
+        let path = self.context.path.clone();
+        let host = &router.host;
+        self.emit(
+            Kind::RequestHopped,
+            "",
+            &format!("delegated to {host}: {reason}"),
+        );
+        let request = self.delegated_request(resume_after);
+        let sent = path.peers.delegate(&router.peer_addr, &request);
+        let sent = compio::time::timeout(self.remaining(), sent).await;
+        let lost = match sent {
+            Ok(Err(DelegateError::NotSent { reason })) => {
+                self.emit(
+                    Kind::RequestRetried,
+                    "",
+                    &format!("not delegated to {host}: {reason}"),
+                );
+                return Ok(None);
+            }
+            Ok(Ok(answer)) => match decode_answer(host, answer).await {
+                Ok(DelegatedAnswer::Upstream(answer)) => {
+                    self.record_delegation(router);
+                    let (parts, body) = answer.into_parts();
+                    return Ok(Some(Reply::of_router(host.clone(), parts, body)));
+                }
+                Ok(DelegatedAnswer::Refused(refused)) => return Err(refused),
+                Err(reason) => reason,
+            },
+            Ok(Err(DelegateError::Lost { reason })) => reason,
+            Err(_) => "no answer before the deadline".to_owned(),
+        };
+        self.record_delegation(router);
+        let detail = format!("answer of router {host} lost: {lost}");
+        Err(self.refuse(Cause::UpstreamFailed, detail))
+    }
+
+    fn record_delegation(&mut self, router: &Member) {
+        self.delivered_to.push(router.host.clone());
+        self.runs = self.context.route.max_attempts.max(self.runs + 1);
+    }
+
+    fn delegated_request(&self, resume_after: Option<u64>) -> DelegatedRequest {
+        let context = &self.context;
+        let parts = &context.parts;
+        let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
+        let now_ms = context.path.clock.now_ms();
+        DelegatedRequest {
+            from_host: context.path.host.to_string(),
+            method: parts.method.to_string(),
+            target: target.to_owned(),
+            headers: encode_headers(&parts.headers),
+            body: context.body.to_vec(),
+            service: context.service.to_string(),
+            remaining_ms: u64::try_from(self.remaining().as_millis()).unwrap_or(u64::MAX),
+            is_counted: !self.tried.is_empty(),
+            delivered_to: self.delivered_to.iter().map(|n| n.to_string()).collect(),
+            runs: self.runs,
+            resume_after,
+            suspicion: context.path.state.suspicion(context.fingerprint, now_ms),
+        }
+    }
+
+    /// Waits until no other run of this suspected request is in progress here.
+    pub(super) async fn begin_trial(&self) -> Result<Trial, Refused> {
+        let context = &self.context;
+        let wait = self.remaining().mul_f64(TRIAL_WAIT_SHARE).min(TRIAL_WAIT);
+        let until = Instant::now() + wait;
+        loop {
+            if let Some(trial) = context.path.trials.begin(context.fingerprint) {
+                return Ok(trial);
+            }
+            if let Some(left_ms) = self.quarantine_ms() {
+                return Err(self.refuse_quarantined(left_ms));
+            }
+            if Instant::now() >= until {
+                let detail = "another run of this suspected request is in progress";
+                return Err(self.refuse(Cause::Full, detail.to_owned()));
+            }
+            compio::time::sleep(TRIAL_POLL_INTERVAL).await;
+        }
+    }
+}
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -56,18 +56,41 @@
 
 /// Answer of an upstream whose body has not been read yet.
 pub(crate) struct Reply {
-    pub(crate) upstream: Rc<Upstream>,
     pub(crate) parts: Parts,
     body: Incoming,
+    source: Source,
+}
+
+/// Where an answer comes from.
+enum Source {
+    /// The upstream itself.
+    Upstream(CalledUpstream),
+    /// The router that sent the request to an upstream in place of this one.
+    Router(Name),
+}
+
+/// Upstream that answers, and what is held while it does.
+struct CalledUpstream {
+    upstream: Rc<Upstream>,
     connection: Connection,
     connections: ConnectionPool,
     quota: ConnectionQuota,
     running: RunningGuard,
 }
 
+impl CalledUpstream {
+    /// Returns the connection to the pool after the whole body was read.
+    fn finish(self, headers: &HeaderMap) {
+        drop(self.running);
+        self.connections
+            .put_back(&self.upstream, self.connection, headers, self.quota);
+    }
+}
+
 /// Completely read answer.
 pub(crate) struct BufferedReply {
-    pub(crate) upstream: Name,
+    /// Name of the upstream, or of the router that sent the request to it.
+    pub(crate) sender: Name,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
 }
@@ -150,13 +173,15 @@
             }
         }
         Ok(Reply {
-            upstream,
             parts,
             body,
-            connection,
-            connections: self.connections.clone(),
-            quota: self.quota,
-            running,
+            source: Source::Upstream(CalledUpstream {
+                upstream,
+                connection,
+                connections: self.connections.clone(),
+                quota: self.quota,
+                running,
+            }),
         })
     }
 
@@ -320,17 +345,40 @@
 }
 
 impl Reply {
+    /// Creates the answer that `router` forwards.
+    pub(crate) fn of_router(router: Name, parts: Parts, body: Incoming) -> Self {
+        let source = Source::Router(router);
+        Self {
+            parts,
+            body,
+            source,
+        }
+    }
+
+    /// The upstream, if this router called it.
+    pub(crate) fn upstream(&self) -> Option<&Rc<Upstream>> {
+        match &self.source {
+            Source::Upstream(called) => Some(&called.upstream),
+            Source::Router(_) => None,
+        }
+    }
+
+    /// Name of the upstream, or of the router that sent the request to it.
+    pub(crate) fn sender(&self) -> &Name {
+        match &self.source {
+            Source::Upstream(called) => &called.upstream.id,
+            Source::Router(router) => router,
+        }
+    }
+
     /// Reads the whole body. Returns `None` if it breaks off, exceeds the size limit or takes
     /// longer than `timeout`.
     pub(crate) async fn buffer(self, timeout: Duration) -> Option<BufferedReply> {
+        let sender = self.sender().clone();
         let Self {
-            upstream,
             parts,
             mut body,
-            connection,
-            connections,
-            quota,
-            running,
+            source,
         } = self;
         let read = compio::time::timeout(timeout, async {
             let mut bytes = BytesMut::new();
@@ -345,10 +393,11 @@
             Some(bytes.freeze())
         });
         let body = read.await.ok()??;
-        drop(running);
-        connections.put_back(&upstream, connection, &parts.headers, quota);
+        if let Source::Upstream(called) = source {
+            called.finish(&parts.headers);
+        }
         Some(BufferedReply {
-            upstream: upstream.id.clone(),
+            sender,
             parts,
             body,
         })
@@ -367,13 +416,10 @@
         }
     }
 
-    /// Returns the connection to the pool after the whole body was read.
+    /// Ends an answer whose whole body was read.
     pub(crate) fn finish(self) {
-        self.connections.put_back(
-            &self.upstream,
-            self.connection,
-            &self.parts.headers,
-            self.quota,
-        );
+        if let Source::Upstream(called) = self.source {
+            called.finish(&self.parts.headers);
+        }
     }
 }
--- a/src/path/death_check.rs
+++ b/src/path/death_check.rs
@@ -13,6 +13,7 @@
 
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
+use crate::path::trials::Trial;
 use crate::path::upstreams::Upstream;
 
 /// Pauses before the attempts to connect. A crashing process closes its connections before its
@@ -25,26 +26,45 @@
 /// Time limit of an attempt. A host without power doesn't refuse; its entry expires.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Checks `upstream` in the background, unless a check is under way.
-pub(crate) fn spawn<D: Records>(path: &Rc<RequestPath<D>>, upstream: Rc<Upstream>) {
-    if !path.state.begin_death_check(&upstream) {
+/// Interval at which the end of a check that is under way is noticed.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Checks `upstream` in the background, unless a check is under way. The `trial` that lost the answer
+/// ends with the check.
+pub(crate) fn spawn<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    upstream: Rc<Upstream>,
+    trial: Option<Trial>,
+) {
+    let is_first = path.state.begin_death_check(&upstream);
+    if !is_first && trial.is_none() {
         return;
     }
     let path = path.clone();
     compio::runtime::spawn(async move {
-        for pause in PAUSES {
-            compio::time::sleep(pause).await;
-            if refuses(upstream.addr).await {
-                let now_ms = path.clock.now_ms();
-                path.state.record_dead(&upstream, now_ms);
-                break;
-            }
+        if is_first {
+            check(&path, &upstream).await;
+            path.state.end_death_check(&upstream);
+        }
+        while path.state.is_death_checked(&upstream) {
+            compio::time::sleep(POLL_INTERVAL).await;
         }
-        path.state.end_death_check(&upstream);
+        drop(trial);
     })
     .detach();
 }
 
+async fn check<D>(path: &RequestPath<D>, upstream: &Upstream) {
+    for pause in PAUSES {
+        compio::time::sleep(pause).await;
+        if refuses(upstream.addr).await {
+            let now_ms = path.clock.now_ms();
+            path.state.record_dead(upstream, now_ms);
+            return;
+        }
+    }
+}
+
 /// Whether connections to `addr` are refused, so that no process listens there.
 async fn refuses(addr: SocketAddr) -> bool {
     let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
--- /dev/null
+++ b/src/path/delegate.rs
@@ -0,0 +1,152 @@
+//! Requests that one router delegates to another, which sends them to upstreams in its place.
+//!
+//! A request is delegated at most once. Its answer passes through the delegating router unchanged.
+
+use std::rc::Rc;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use crate::decide::refusal::{Cause, RunState};
+use crate::front::body::Answer;
+use crate::path::RequestPath;
+use crate::path::dialect::{CallerHead, Dialect, Records};
+use crate::path::refusal::Refused;
+use crate::path::request;
+use crate::peers::{frames, refuse, server};
+use crate::schema::peer::{DelegatedRequest, Header, Refusal};
+use crate::util::Name;
+
+/// Set on answers of upstreams. Answers without it are the router's own.
+const FROM_UPSTREAM: HeaderName = HeaderName::from_static("from-upstream");
+
+/// What the delegating router did before.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Delegated {
+    /// Whether it counted the request towards its retry budget.
+    pub(crate) is_counted: bool,
+    /// Upstreams that may have received the request.
+    pub(crate) delivered_to: Vec<Name>,
+    /// Number of upstreams that may have run it.
+    pub(crate) runs: u32,
+}
+
+/// Answer of the router to which a request was delegated.
+pub(crate) enum DelegatedAnswer {
+    /// The answer of an upstream.
+    Upstream(Response<Incoming>),
+    /// The router refused the request.
+    Refused(Refused),
+}
+
+/// Encodes the headers of a request.
+pub(crate) fn encode_headers(headers: &HeaderMap) -> Vec<Header> {
+    let headers = headers.iter().map(|(name, value)| Header {
+        name: name.to_string(),
+        value: value.as_bytes().to_vec(),
+    });
+    headers.collect()
+}
+
+/// Answers a request that another router delegates to this one.
+pub(crate) async fn answer<D: Dialect + Records>(
+    path: &Rc<RequestPath<D>>,
+    body: Incoming,
+) -> Response<Answer> {
+    let Ok(body) = Limited::new(body, frames::MAX_FRAME_BYTES).collect().await else {
+        return server::status(StatusCode::BAD_REQUEST);
+    };
+    let delegated = match decode::<D>(&body.to_bytes()) {
+        Ok(delegated) => delegated,
+        Err(e) => {
+            log::warn!("delegated request can't be decoded; answering 400: {e}");
+            return server::status(StatusCode::BAD_REQUEST);
+        }
+    };
+    match request::handle_delegated(path.clone(), delegated).await {
+        Ok(mut response) => {
+            let headers = response.headers_mut();
+            headers.insert(FROM_UPSTREAM, HeaderValue::from_static("1"));
+            response
+        }
+        Err(refused) => encode_refusal(&refused),
+    }
+}
+
+fn decode<D: Dialect>(bytes: &[u8]) -> Result<request::Received, String> {
+    let message: DelegatedRequest = frames::from_slice(bytes).map_err(|e| e.to_string())?;
+    let mut request = Request::builder()
+        .method(message.method.as_str())
+        .uri(message.target);
+    for header in message.headers {
+        request = request.header(header.name, header.value);
+    }
+    let (parts, ()) = request.body(()).map_err(|e| e.to_string())?.into_parts();
+    let head = D::caller_head(&parts.headers);
+    Ok(request::Received {
+        head: CallerHead {
+            deadline_ms: Some(message.remaining_ms),
+            resume_after: message.resume_after.or(head.resume_after),
+            ..head
+        },
+        parts,
+        body: message.body.into(),
+        service: message.service.into(),
+        suspicion: message.suspicion,
+        delegated: Delegated {
+            is_counted: message.is_counted,
+            delivered_to: message.delivered_to.into_iter().map(Name::from).collect(),
+            runs: message.runs,
+        },
+    })
+}
+
+fn encode_refusal(refused: &Refused) -> Response<Answer> {
+    let refusal = Refusal {
+        cause: refused.cause.to_string(),
+        run_state: refused.run.to_string(),
+        retry_after_ms: refused.retry_after_ms,
+        detail: refused.detail.clone(),
+        ..Refusal::default()
+    };
+    match frames::to_vec(&refusal) {
+        Ok(bytes) => Response::new(Answer::whole(bytes)),
+        Err(e) => {
+            log::warn!("refusal of a delegated request can't be encoded; answering 500: {e}");
+            server::status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+/// Decodes the answer of `router`.
+///
+/// # Errors
+/// Returns the reason if it is neither an upstream's answer nor a refusal; the request may have run.
+pub(crate) async fn decode_answer(
+    router: &str,
+    mut answer: Response<Incoming>,
+) -> Result<DelegatedAnswer, String> {
+    if answer.headers_mut().remove(FROM_UPSTREAM).is_some() {
+        return Ok(DelegatedAnswer::Upstream(answer));
+    }
+    let status = answer.status();
+    if status != StatusCode::OK {
+        return Err(format!("router {router} answered {status}"));
+    }
+    let body = Limited::new(answer.into_body(), frames::MAX_FRAME_BYTES);
+    let body = body.collect().await.map_err(|e| e.to_string())?;
+    let refusal: Refusal = frames::from_slice(&body.to_bytes()).map_err(|e| e.to_string())?;
+    let run = if refuse::is_not_run(&refusal) {
+        RunState::NotRun
+    } else {
+        RunState::Unknown
+    };
+    Ok(DelegatedAnswer::Refused(Refused {
+        // A later release may have further causes.
+        cause: refusal.cause.parse().unwrap_or(Cause::UpstreamFailed),
+        run,
+        retry_after_ms: refusal.retry_after_ms,
+        detail: format!("router {router}: {}", refusal.detail),
+    }))
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod connection;
 pub(crate) mod cursor;
 mod death_check;
+pub(crate) mod delegate;
 mod departures;
 pub mod dialect;
 pub mod evacuations;
@@ -37,6 +38,7 @@
 pub(crate) mod stop;
 pub(crate) mod suspects;
 pub(crate) mod suspend;
+pub(crate) mod trials;
 pub mod upstreams;
 
 #[cfg(test)]
@@ -96,6 +98,7 @@
 
 use crate::event::Events;
 use crate::fleet::gossip::Gossip;
+use crate::fleet::homes;
 use crate::fleet::in_flight::{self, REPORT_INTERVAL_MS};
 use crate::fleet::log_reads;
 use crate::fleet::member::{Member, MemberState, View};
@@ -105,6 +108,8 @@
 use crate::path::dialect::Records;
 use crate::path::log_replica::LogReplica;
 use crate::path::router_state::RouterState;
+use crate::path::trials::Trials;
+use crate::peers::PeerClient;
 use crate::stats;
 use crate::util::{Clock, Name};
 
@@ -145,6 +150,8 @@
     pub(crate) fleet: watch::Receiver<Arc<View>>,
     pub(crate) summary: SummaryCache,
     pub(crate) host: Name,
+    pub(crate) peers: PeerClient,
+    pub(crate) trials: Trials,
 }
 
 /// Cache of the [`FleetSummary`] of the newest view.
@@ -189,6 +196,14 @@
         fleet.get(host).map(|m| m.peer_addr.clone())
     }
 
+    /// Returns the routers at which runs of a suspected request take place: the first one that can be
+    /// reached.
+    pub(crate) fn trial_routers(&self, fingerprint: u64) -> Vec<Member> {
+        let fleet = self.fleet.borrow();
+        let routers = homes::order(&fleet, &fingerprint.to_string(), "");
+        routers.into_iter().cloned().collect()
+    }
+
     /// Assigns the cold upstreams to which this router may send. A router that has just started
     /// knows too few of the members for the assignment and skips it.
     fn assign_cold(&self) {
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -14,10 +14,11 @@
 use crate::fleet::member::Member;
 use crate::front::body::Answer;
 use crate::path::RequestPath;
+use crate::path::delegate;
 use crate::path::dialect::{Dialect, Records};
 use crate::path::state_requests::StateRequests;
 use crate::peers::server::{self, PeerHandler};
-use crate::peers::{LOG_SYNC, MEMBERS, PeerClient};
+use crate::peers::{DELEGATE, LOG_SYNC, MEMBERS, PeerClient};
 use crate::schema::peer::{LogSyncReply, LogSyncRequest, MembersReply, MembersRequest};
 use crate::util::Name;
 
@@ -65,6 +66,7 @@
                 })
                 .await
             }
+            DELEGATE => delegate::answer(self, body).await,
             _ => server::status(StatusCode::NOT_FOUND),
         }
     }
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
@@ -12,17 +13,19 @@
 use crate::decide::refusal::{Cause, STARTING_MS, jittered_ms};
 use crate::decide::{ChatKey, Cost, Job};
 use crate::decide::{admission, quarantine};
-use crate::event::Kind;
+use crate::event::{Events, Kind};
 use crate::front::body::Answer;
 use crate::front::check::{self, RequestError};
 use crate::front::drain::Phase;
 use crate::path::admission_queue::Permit;
 use crate::path::attempts::{Attempts, RequestContext};
+use crate::path::delegate::Delegated;
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::log_replica::LogReplica;
 use crate::path::refusal::{QUARANTINED, Refused, STALE_STATE};
 use crate::path::routes::{Account, CallerLimits, Deployment, Route};
 use crate::path::{RequestPath, answer};
+use crate::schema::peer::Suspicion;
 use crate::stats::{self, Tally};
 use crate::util::Name;
 
@@ -40,6 +43,31 @@
 /// Time limit of a caller that specifies none.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
+/// Request of a caller that another router delegates to this one.
+pub(crate) struct Received {
+    pub(crate) parts: Parts,
+    pub(crate) head: CallerHead,
+    pub(crate) body: Bytes,
+    /// Service that the other router drew.
+    pub(crate) service: Name,
+    /// What the other router knows against the request.
+    pub(crate) suspicion: Option<Suspicion>,
+    pub(crate) delegated: Delegated,
+}
+
+/// Request whose route and account are known.
+struct Admitted {
+    parts: Parts,
+    head: CallerHead,
+    body: Bytes,
+    route: Rc<Route>,
+    account: Option<Rc<Account>>,
+    service: Name,
+    started: Instant,
+    caller_ms: u64,
+    delegated: Option<Delegated>,
+}
+
 /// Handles one request.
 pub(crate) async fn handle<D: Dialect + Records>(
     path: Rc<RequestPath<D>>,
@@ -53,18 +81,39 @@
     match admit(path, parts, head, body, &mut tally).await {
         Ok(response) => response,
         Err(refused) => {
-            let (cause, run): (&str, &str) = (refused.cause.into(), refused.run.into());
-            tally.refused();
-            stats::refused(cause);
-            events.emit(Kind::RequestRefused, |e| {
-                e.request_id = request_id.clone().unwrap_or_default();
-                e.detail = format!("{cause}, {run}: {}", refused.detail);
-            });
+            record_refusal(&events, &refused, request_id.as_deref(), &mut tally);
             refused.response::<D>(request_id.as_deref())
         }
     }
 }
 
+/// Handles a request that another router delegates to this one.
+///
+/// # Errors
+/// Returns the refusal for the other router.
+pub(crate) async fn handle_delegated<D: Dialect + Records>(
+    path: Rc<RequestPath<D>>,
+    received: Received,
+) -> Result<Response<Answer>, Refused> {
+    let request_id = received.head.request_id.clone();
+    let events = path.events.clone();
+    let mut tally = Tally::start();
+    let answered = admit_delegated(path, received, &mut tally).await;
+    answered.inspect_err(|refused| {
+        record_refusal(&events, refused, request_id.as_deref(), &mut tally);
+    })
+}
+
+fn record_refusal(events: &Events, refused: &Refused, request_id: Option<&str>, tally: &mut Tally) {
+    let (cause, run): (&str, &str) = (refused.cause.into(), refused.run.into());
+    tally.refused();
+    stats::refused(cause);
+    events.emit(Kind::RequestRefused, |e| {
+        e.request_id = request_id.unwrap_or_default().to_owned();
+        e.detail = format!("{cause}, {run}: {}", refused.detail);
+    });
+}
+
 async fn admit<D: Dialect + Records>(
     path: Rc<RequestPath<D>>,
     parts: Parts,
@@ -74,29 +123,109 @@
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
     let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
-    wait_for_first_load(&path, &head, caller_ms).await;
+    let deployment = usable_deployment(&path, &head, caller_ms).await?;
+    check(&parts, &deployment.limits)?;
+    let (route, account) = resolve(&path, &deployment, &parts, &head)?;
+    let max_bytes = deployment.limits.max_body_bytes;
+    let body = check::body(&parts.headers, &mut body, max_bytes, BODY_TIMEOUT).await;
+    let service = route.draw_service(&mut rand::rng()).clone();
+    let admitted = Admitted {
+        parts,
+        head,
+        body: body.map_err(|e| malformed(&e))?,
+        route,
+        account,
+        service,
+        started,
+        caller_ms,
+        delegated: None,
+    };
+    run(path, admitted, tally).await
+}
+
+async fn admit_delegated<D: Dialect + Records>(
+    path: Rc<RequestPath<D>>,
+    received: Received,
+    tally: &mut Tally,
+) -> Result<Response<Answer>, Refused> {
+    let started = Instant::now();
+    let Received { parts, head, .. } = received;
+    let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    if let Some(suspicion) = &received.suspicion {
+        path.state.merge_suspicion(suspicion, path.clock.now_ms());
+    }
+    let deployment = usable_deployment(&path, &head, caller_ms).await?;
+    let (route, account) = resolve(&path, &deployment, &parts, &head)?;
+    let service = if route.leads_to(&received.service) {
+        received.service
+    } else {
+        route.draw_service(&mut rand::rng()).clone()
+    };
+    let admitted = Admitted {
+        parts,
+        head,
+        body: received.body,
+        route,
+        account,
+        service,
+        started,
+        caller_ms,
+        delegated: Some(received.delegated),
+    };
+    run(path, admitted, tally).await
+}
+
+/// Waits until this router may decide requests, and returns the configuration in force.
+async fn usable_deployment<D: Records>(
+    path: &RequestPath<D>,
+    head: &CallerHead,
+    caller_ms: u64,
+) -> Result<Rc<Deployment>, Refused> {
+    wait_for_first_load(path, head, caller_ms).await;
     if !path.replica.config_fresh().wait_until_usable().await {
         let refused = Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, STALE_STATE);
         return Err(describe_state(refused, &path.replica));
     }
-    let deployment = path.state.deployment();
-    check(&parts, &deployment.limits)?;
     if path.drain.phase() == Phase::Refusing {
         let detail = "this router is stopping";
         return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
     }
+    Ok(path.state.deployment())
+}
+
+fn resolve<D: Records>(
+    path: &RequestPath<D>,
+    deployment: &Deployment,
+    parts: &Parts,
+    head: &CallerHead,
+) -> Result<(Rc<Route>, Option<Rc<Account>>), Refused> {
     let with_state = |refused| describe_state(refused, &path.replica);
-    let route = route(&deployment, &parts).map_err(with_state)?;
-    let account = account(&deployment, &route, &head).map_err(with_state)?;
-    let max_bytes = deployment.limits.max_body_bytes;
-    let body = check::body(&parts.headers, &mut body, max_bytes, BODY_TIMEOUT).await;
-    let body = body.map_err(|e| malformed(&e))?;
+    let route = route(deployment, parts).map_err(with_state)?;
+    let account = account(deployment, &route, head).map_err(with_state)?;
+    Ok((route, account))
+}
+
+async fn run<D: Dialect + Records>(
+    path: Rc<RequestPath<D>>,
+    admitted: Admitted,
+    tally: &mut Tally,
+) -> Result<Response<Answer>, Refused> {
+    let Admitted {
+        parts,
+        head,
+        body,
+        route,
+        account,
+        service,
+        started,
+        caller_ms,
+        delegated,
+    } = admitted;
     let fingerprint = fingerprint(account.as_deref(), &parts, &body);
     if let Some(left_ms) = path.state.quarantine_ms(fingerprint, path.clock.now_ms()) {
         return Err(Refused::not_run(Cause::Quarantined, left_ms, QUARANTINED));
     }
     let deadline = started + Duration::from_millis(caller_ms.min(route.timeout_ms));
-    let service = route.draw_service(&mut rand::rng()).clone();
     tally.service(&service);
     let permit =
         wait_for_permit(&path, &head, &route, &service, account.as_deref(), deadline).await?;
@@ -111,6 +240,7 @@
         fingerprint,
         started,
         deadline,
+        delegated,
     };
     let mut attempts = Attempts::new(context, permit);
     let answered = attempts.answer().await?;
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -106,6 +106,15 @@
     }
 }
 
+/// Logs and counts a suspicion of another router that changed what this one knows.
+fn record_received(suspicion: &Suspicion) {
+    stats::suspicion("received");
+    let (fingerprint, deaths) = (suspicion.fingerprint, suspicion.deaths.len());
+    if deaths > 1 {
+        log::info!(fingerprint, deaths; "another router's suspicion of this request applies");
+    }
+}
+
 impl RouterState {
     pub(crate) fn new(
         retry_limit: RetryLimit,
@@ -316,6 +325,24 @@
         self.suspects.borrow().is_suspected(fingerprint)
     }
 
+    /// Whether so many upstreams died while they ran the request that at most one run of it may be in
+    /// progress in the whole fleet.
+    pub(crate) fn is_isolated(&self, fingerprint: u64) -> bool {
+        self.decisions().quarantine && self.suspects.borrow().is_isolated(fingerprint)
+    }
+
+    /// What is known against the request.
+    pub(crate) fn suspicion(&self, fingerprint: u64, now_ms: u64) -> Option<Suspicion> {
+        self.suspects.borrow().suspicion(fingerprint, now_ms)
+    }
+
+    /// Applies what another router knows against a request that it delegates to this one.
+    pub(crate) fn merge_suspicion(&self, suspicion: &Suspicion, now_ms: u64) {
+        if self.suspects.borrow_mut().merge(suspicion, now_ms) {
+            record_received(suspicion);
+        }
+    }
+
     /// Records that the answer of `upstream` to a request broke off.
     pub(crate) fn record_lost_answer(&self, upstream: &Upstream, fingerprint: u64, now_ms: u64) {
         log::info!(upstream = &*upstream.id, fingerprint; "an upstream's answer to this request was lost");
@@ -332,6 +359,12 @@
         checks.insert(upstream.incarnation())
     }
 
+    /// Whether a check of `upstream` is under way.
+    pub(crate) fn is_death_checked(&self, upstream: &Upstream) -> bool {
+        let checks = self.death_checks.borrow();
+        checks.contains(&upstream.incarnation())
+    }
+
     /// Ends the check of `upstream`.
     pub(crate) fn end_death_check(&self, upstream: &Upstream) {
         let mut checks = self.death_checks.borrow_mut();
@@ -384,12 +417,8 @@
             if !suspects.merge(suspicion, now_ms) {
                 continue;
             }
-            stats::suspicion("received");
-            let (fingerprint, deaths) = (suspicion.fingerprint, suspicion.deaths.len());
-            if deaths > 1 {
-                log::info!(fingerprint, deaths; "another router's suspicion of this request applies");
-            }
-            refuted.extend(suspects.refute(fingerprint, now_ms));
+            record_received(suspicion);
+            refuted.extend(suspects.refute(suspicion.fingerprint, now_ms));
         }
         if !refuted.is_empty() {
             self.gossip.publish(Publish::Suspicions(refuted));
--- a/src/path/routes.rs
+++ b/src/path/routes.rs
@@ -86,6 +86,12 @@
         }
         &self.targets[0].service
     }
+
+    /// Whether some requests of this route go to `service`.
+    pub(crate) fn leads_to(&self, service: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|t| &*t.service == service && t.weight > 0.0)
+    }
 }
 
 /// A client account.
--- a/src/path/suspects.rs
+++ b/src/path/suspects.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::decide::Incarnation;
+use crate::decide::evidence::Evidence;
 use crate::decide::quarantine::{Quarantine, QuarantineStatus};
 use crate::fleet::leaving::incarnation_digest;
 use crate::schema::peer::Suspicion;
@@ -49,6 +50,18 @@
         evidence.is_some_and(|e| e.suspected_ms().is_some())
     }
 
+    /// Whether at most one run of the request may be in progress in the whole fleet.
+    pub(crate) fn is_isolated(&self, fingerprint: u64) -> bool {
+        let evidence = self.quarantine.evidence(fingerprint);
+        evidence.is_some_and(Evidence::is_isolated)
+    }
+
+    /// What is known against the request.
+    pub(crate) fn suspicion(&self, fingerprint: u64, now_ms: u64) -> Option<Suspicion> {
+        let evidence = self.quarantine.evidence(fingerprint)?;
+        Some(Suspicion::of(fingerprint, evidence, now_ms))
+    }
+
     /// Records that the answer of `upstream` to a request broke off. Returns the suspicions to
     /// publish, if the upstream is known to be dead.
     pub(crate) fn record_lost_answer(
--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -10,7 +10,7 @@
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 use http::header::AUTHORIZATION;
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http2::SendRequest;
@@ -19,14 +19,14 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::mpsc;
 
-use super::{FORWARD, FRAME_CHANNEL_CAPACITY, kind};
+use super::{DELEGATE, FORWARD, FRAME_CHANNEL_CAPACITY, kind};
 use crate::decide::refusal::{Cause, Refusal};
 use crate::event::Events;
 use crate::peers::frames::{self, Decoder, FrameError};
 use crate::peers::http2::{self, ConnectError};
 use crate::peers::{Frames, refuse};
 use crate::schema::peer::frame::Body;
-use crate::schema::peer::{Forward, Frame};
+use crate::schema::peer::{DelegatedRequest, Forward, Frame};
 use crate::stats;
 use crate::util::Name;
 
@@ -51,6 +51,18 @@
     TimedOut,
 }
 
+/// Error of delegating a request to a peer.
+#[derive(Debug, Snafu)]
+#[snafu(context(suffix(DelegateSnafu)))]
+pub(crate) enum DelegateError {
+    /// No byte of the request was sent.
+    #[snafu(display("{reason}"))]
+    NotSent { reason: String },
+    /// The peer may have received the request.
+    #[snafu(display("{reason}"))]
+    Lost { reason: String },
+}
+
 /// Connections to the other routers.
 #[derive(Clone)]
 pub(crate) struct PeerClient {
@@ -116,6 +128,32 @@
         ended.map_err(|e| lost(&e))
     }
 
+    /// Delegates a request to the router at `addr`, and returns the head of the answer.
+    pub(crate) async fn delegate(
+        &self,
+        addr: &Name,
+        request: &DelegatedRequest,
+    ) -> Result<Response<Incoming>, DelegateError> {
+        let not_sent = |e: &dyn std::fmt::Display| DelegateError::NotSent {
+            reason: e.to_string(),
+        };
+        let payload = frames::to_vec(request).map_err(|e| not_sent(&e))?;
+        let request = Request::post(format!("http://{addr}{DELEGATE}"))
+            .header(AUTHORIZATION, &*self.key)
+            .body(Full::new(payload.into()))
+            .map_err(|e| not_sent(&e))?;
+        let mut link = self.link(addr).await.map_err(|e| not_sent(&e))?;
+        stats::hop();
+        let sent = link.try_send_request(request).await;
+        sent.map_err(|mut e| {
+            let reason = e.error().to_string();
+            match e.take_message() {
+                Some(_) => DelegateError::NotSent { reason },
+                None => DelegateError::Lost { reason },
+            }
+        })
+    }
+
     /// Sends a query to the router at `addr` and waits for the answer.
     pub(crate) async fn query<Q, A>(
         &self,
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -13,7 +13,7 @@
 
 use tokio::sync::mpsc;
 
-pub(crate) use client::PeerClient;
+pub(crate) use client::{DelegateError, PeerClient};
 pub(crate) use probes::{Liveness, Probes};
 
 use crate::schema::peer::frame::Body;
@@ -27,6 +27,7 @@
 pub(crate) const LOG_SYNC: &str = "/news";
 pub(crate) const WARM: &str = "/warm";
 pub(crate) const DEMAND: &str = "/demand";
+pub(crate) const DELEGATE: &str = "/delegate";
 pub(crate) const CONVICTED: &str = "/convicted";
 
 /// Returns the label under which bytes of queries at `path` are counted.
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -23,6 +23,7 @@
 use crate::path::log_replica::{LogReplica, ReadSchedules};
 use crate::path::regions::Regions;
 use crate::path::router_state::{RetryLimit, RouterState};
+use crate::path::trials::Trials;
 use crate::path::{RequestPath, SummaryCache, callers, peers, run_maintenance, stop};
 use crate::peers::{PeerClient, Probes, probes};
 use crate::platform::{Headers, Pages, RouterRegistry, Store, follow_orders, follow_upstreams};
@@ -76,6 +77,7 @@
             probes.gossip.clone(),
         );
         let state = Rc::new(state);
+        let client = PeerClient::new(&policy.key, events.clone());
         state.set_decisions(settings.decisions.unwrap_or(ALL_ON));
         let path = Rc::new(RequestPath {
             replica: LogReplica::new(state.clone(), clock, schedules(&policy)),
@@ -84,11 +86,13 @@
             connections: ConnectionPool::default(),
             clock,
             drain: Drain::default(),
-            events: events.clone(),
+            events,
             gossip: probes.gossip.clone(),
             fleet: probes.view,
             summary: SummaryCache::default(),
             host: me.host.clone(),
+            peers: client.clone(),
+            trials: Trials::default(),
         });
         let platform = settings.platform.clone().unwrap_or_default();
         let store = parse("platform.addr", &platform.addr)?;
@@ -103,7 +107,6 @@
         let key: Name = policy.key.as_str().into();
         let bound = peers::bind(peer_addr, key, path.clone()).await;
         bound.context(BindSnafu { field: "peer_addr" })?;
-        let client = PeerClient::new(&policy.key, events);
         let seeds = seeds(&policy.seed_addrs, peer_addr);
         compio::runtime::spawn(peers::follow_positions(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::refresh_on_demand(path.clone(), client.clone())).detach();
