--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -139,6 +139,12 @@
         is_refuted.then(|| evidence.clone())
     }
 
+    /// Requests of which at most one run may be in progress in the whole fleet.
+    pub fn isolated(&self) -> impl Iterator<Item = (u64, &Evidence)> {
+        let entries = self.entries.iter().map(|(k, e)| (*k, e));
+        entries.filter(|(_, evidence)| evidence.is_isolated())
+    }
+
     /// Evidence about the request, if there is any.
     pub fn evidence(&self, fingerprint: u64) -> Option<&Evidence> {
         self.entries.get(&fingerprint)
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -500,6 +500,22 @@
     #[prost(message, repeated, tag = "1")]
     pub members: ::prost::alloc::vec::Vec<Member>,
 }
+/// Requests what a router knows against requests; sent by a router that starts.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SuspicionsRequest {}
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct SuspicionsReply {
+    /// False if the sender has just started itself.
+    #[prost(bool, tag = "1")]
+    pub has_caught_up: bool,
+    /// Requests under which several upstreams died.
+    #[prost(message, repeated, tag = "2")]
+    pub suspicions: ::prost::alloc::vec::Vec<Suspicion>,
+}
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, ::prost::Message)]
--- /dev/null
+++ b/src/path/catch_up.rs
@@ -0,0 +1,172 @@
+//! What a router that has started learns from the others before it sends requests to upstreams: the
+//! requests that are suspected of crashing them.
+//!
+//! Failure guarded against: a router restarts while the others refuse a harmful request. Gossip reaches
+//! it within a second, and until then it sends the request to upstreams, which end.
+
+use std::cell::Cell;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rand::seq::IteratorRandom;
+use tokio::sync::Notify;
+
+use crate::fleet::member::MemberState;
+use crate::path::RequestPath;
+use crate::peers::{PeerClient, SUSPICIONS};
+use crate::schema::peer::{SuspicionsReply, SuspicionsRequest};
+use crate::util::{Clock, Name};
+
+/// Time after start from which a router relies on gossip alone: it reaches no router that could tell it
+/// anything, and callers wait.
+const LIMIT_MS: u64 = 1_500;
+/// Time after start from which a router that knows no other one asks the seed hosts. All routers of a fleet
+/// that starts know the same few seeds.
+const SEEDS_AFTER_MS: u64 = 300;
+/// Time in which the membership task applies the platform's list of routers.
+const LIST_APPLIED_MS: u64 = 100;
+/// Time limit of a request; peers answer within milliseconds.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause between two rounds of requests.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Number of routers asked at once.
+const ASKED_AT_ONCE: usize = 3;
+/// Number of routers without an answer after which this one assumes that all have just started. If one in
+/// three had not, this many would miss it once in a hundred starts.
+const MAX_ASKED: usize = 12;
+
+/// Whether this router knows what the others know against requests.
+#[derive(Debug)]
+pub(crate) struct CatchUp {
+    clock: Clock,
+    is_done: Cell<bool>,
+    done: Notify,
+    /// Time at which the list of routers was first read from the platform.
+    listed_ms: Cell<Option<u64>>,
+}
+
+/// Why a router no longer asks the others.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Answered,
+    AllHaveJustStarted,
+    TimedOut,
+}
+
+impl CatchUp {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            is_done: Cell::default(),
+            done: Notify::default(),
+            listed_ms: Cell::default(),
+        }
+    }
+
+    /// Whether requests may be sent to upstreams.
+    pub(crate) fn is_done(&self) -> bool {
+        self.is_done.get()
+    }
+
+    /// Records that the list of routers was read from the platform.
+    pub(crate) fn record_list_read(&self) {
+        let first_ms = self.listed_ms.get().unwrap_or(self.clock.now_ms());
+        self.listed_ms.set(Some(first_ms));
+    }
+
+    /// Whether this router knows the routers that the platform lists.
+    fn knows_fleet(&self) -> bool {
+        let listed_ms = self.listed_ms.get();
+        listed_ms.is_some_and(|at_ms| self.clock.now_ms() >= at_ms + LIST_APPLIED_MS)
+    }
+
+    /// Waits until requests may be sent to upstreams.
+    pub(crate) async fn wait(&self) {
+        let done = self.done.notified();
+        if !self.is_done() {
+            done.await;
+        }
+    }
+
+    fn end(&self, end: End, asked: usize) {
+        log::info!(asked; "suspicions of the other routers: {end:?}");
+        self.is_done.set(true);
+        self.done.notify_waiters();
+    }
+}
+
+/// Asks other routers for their suspicions, until one answers that didn't just start itself.
+pub(crate) async fn run<D>(path: Rc<RequestPath<D>>, client: PeerClient, seeds: Vec<Name>) {
+    let mut asked: HashSet<Name> = HashSet::new();
+    let end = loop {
+        if path.clock.now_ms() >= LIMIT_MS {
+            break End::TimedOut;
+        }
+        let addrs = candidates(&path, &seeds, &asked);
+        if addrs.is_empty() && path.catch_up.knows_fleet() || asked.len() >= MAX_ASKED {
+            break End::AllHaveJustStarted;
+        }
+        let queries = addrs.iter().map(|addr| query(&client, addr));
+        let replies = join_all(queries).await;
+        if replies.iter().flatten().any(|reply| reply.has_caught_up) {
+            apply(&path, replies.into_iter().flatten());
+            break End::Answered;
+        }
+        for (addr, reply) in addrs.into_iter().zip(replies) {
+            if reply.is_some() {
+                asked.insert(addr);
+            }
+        }
+        compio::time::sleep(PAUSE).await;
+    };
+    path.catch_up.end(end, asked.len());
+}
+
+/// Addresses of routers to ask next: members, those that are stopping included, and then seed hosts.
+fn candidates<D>(path: &RequestPath<D>, seeds: &[Name], asked: &HashSet<Name>) -> Vec<Name> {
+    let fleet = path.fleet.borrow();
+    let running = fleet.members.iter();
+    let running = running.filter(|m| m.state != MemberState::Dead && m.host != path.host);
+    let members: Vec<&Name> = running
+        .map(|m| &m.peer_addr)
+        .filter(|addr| !asked.contains(*addr))
+        .collect();
+    let asks_seeds = members.is_empty()
+        && (path.catch_up.knows_fleet() || path.clock.now_ms() >= SEEDS_AFTER_MS);
+    let seeds = seeds
+        .iter()
+        .filter(|addr| asks_seeds && !asked.contains(*addr));
+    let others = members.into_iter().chain(seeds).cloned();
+    others.choose_multiple(&mut rand::rng(), ASKED_AT_ONCE)
+}
+
+/// Returns the answer of a router, an empty one if no process listens there, and `None` if it may still
+/// answer.
+async fn query(client: &PeerClient, addr: &Name) -> Option<SuspicionsReply> {
+    let query = client.query(addr, SUSPICIONS, &SuspicionsRequest {});
+    match compio::time::timeout(QUERY_TIMEOUT, query).await {
+        Ok(Ok(reply)) => Some(reply),
+        Ok(Err(e)) => {
+            log::debug!("{addr}: request for suspicions failed: {e}");
+            e.is_refused().then(SuspicionsReply::default)
+        }
+        Err(_) => None,
+    }
+}
+
+fn apply<D>(path: &RequestPath<D>, replies: impl Iterator<Item = SuspicionsReply>) {
+    let now_ms = path.clock.now_ms();
+    for suspicion in replies.flat_map(|reply| reply.suspicions) {
+        path.state.merge_suspicion(&suspicion, now_ms);
+    }
+}
+
+/// Answers another router that has started.
+pub(crate) fn reply<D>(path: &RequestPath<D>) -> SuspicionsReply {
+    SuspicionsReply {
+        has_caught_up: path.catch_up.is_done(),
+        suspicions: path.state.isolated_suspicions(path.clock.now_ms()),
+    }
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod attempts;
 pub(crate) mod call;
 pub(crate) mod callers;
+pub(crate) mod catch_up;
 mod change_log;
 mod changes;
 pub(crate) mod connection;
@@ -104,6 +105,7 @@
 use crate::fleet::member::{Member, MemberState, View};
 use crate::front::Drain;
 use crate::path::admission_queue::AdmissionQueues;
+use crate::path::catch_up::CatchUp;
 use crate::path::connection::ConnectionPool;
 use crate::path::dialect::Records;
 use crate::path::log_replica::LogReplica;
@@ -152,6 +154,7 @@
     pub(crate) host: Name,
     pub(crate) peers: PeerClient,
     pub(crate) trials: Trials,
+    pub(crate) catch_up: Rc<CatchUp>,
 }
 
 /// Cache of the [`FleetSummary`] of the newest view.
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -14,12 +14,15 @@
 use crate::fleet::member::Member;
 use crate::front::body::Answer;
 use crate::path::RequestPath;
+use crate::path::catch_up;
 use crate::path::delegate;
 use crate::path::dialect::{Dialect, Records};
 use crate::path::state_requests::StateRequests;
 use crate::peers::server::{self, PeerHandler};
-use crate::peers::{DELEGATE, LOG_SYNC, MEMBERS, PeerClient};
-use crate::schema::peer::{LogSyncReply, LogSyncRequest, MembersReply, MembersRequest};
+use crate::peers::{DELEGATE, LOG_SYNC, MEMBERS, PeerClient, SUSPICIONS};
+use crate::schema::peer::{
+    LogSyncReply, LogSyncRequest, MembersReply, MembersRequest, SuspicionsRequest,
+};
 use crate::util::Name;
 
 /// Number of peers from which a router without state requests it.
@@ -66,6 +69,12 @@
                 })
                 .await
             }
+            SUSPICIONS => {
+                server::reply(SUSPICIONS, body, async |SuspicionsRequest {}| {
+                    catch_up::reply(self)
+                })
+                .await
+            }
             DELEGATE => delegate::answer(self, body).await,
             _ => server::status(StatusCode::NOT_FOUND),
         }
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -190,6 +190,11 @@
         let detail = "this router is stopping";
         return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
     }
+    if !path.catch_up.is_done() {
+        let detail = "this router doesn't know yet which requests crash upstreams";
+        let retry_after_ms = jittered_ms(STARTING_MS, &mut rand::rng());
+        return Err(Refused::not_run(Cause::NoUpstream, retry_after_ms, detail));
+    }
     Ok(path.state.deployment())
 }
 
@@ -283,13 +288,14 @@
     })
 }
 
-/// Holds a request that arrives while the router is still loading configuration and upstreams.
+/// Holds a request that arrives while the router is still loading configuration and upstreams, or learns
+/// what the others know against requests.
 ///
 /// If these requests were refused instead, all callers of a restarting fleet would retry together
 /// some hundred milliseconds later, when their objectives are missed and some have no retry left.
 /// Nothing is held while the log is known to fail.
 async fn wait_for_first_load<D: Records>(path: &RequestPath<D>, head: &CallerHead, caller_ms: u64) {
-    if path.replica.is_loaded() || path.replica.log_fails() {
+    if has_begun(path) {
         return;
     }
     let received_ms = path.clock.now_ms();
@@ -300,9 +306,16 @@
         return;
     }
     let settled = path.replica.load_settled();
+    let begun = async {
+        let loaded = settled.notified();
+        if !is_load_settled(path) {
+            loaded.await;
+        }
+        path.catch_up.wait().await;
+    };
     // After the time limit, the checks that follow refuse the request for the state that is
     // missing.
-    let _ = compio::time::timeout(Duration::from_millis(wait_ms), settled.notified()).await;
+    let _ = compio::time::timeout(Duration::from_millis(wait_ms), begun).await;
     stats::held_for_load();
     let waited_ms = path.clock.now_ms().saturating_sub(received_ms);
     path.events.emit(Kind::RequestQueued, |e| {
@@ -311,6 +324,15 @@
     });
 }
 
+/// Whether this router has loaded its state, or failed to, and knows what the others know against requests.
+fn has_begun<D: Records>(path: &RequestPath<D>) -> bool {
+    is_load_settled(path) && path.catch_up.is_done()
+}
+
+fn is_load_settled<D: Records>(path: &RequestPath<D>) -> bool {
+    path.replica.is_loaded() || path.replica.log_fails()
+}
+
 fn fingerprint(account: Option<&Account>, parts: &Parts, body: &[u8]) -> u64 {
     let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
     quarantine::fingerprint(account.map_or("", |a| &*a.name), target, body)
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -336,6 +336,11 @@
         self.suspects.borrow().suspicion(fingerprint, now_ms)
     }
 
+    /// What is known against the requests of which at most one run may be in progress.
+    pub(crate) fn isolated_suspicions(&self, now_ms: u64) -> Vec<Suspicion> {
+        self.suspects.borrow().isolated(now_ms)
+    }
+
     /// Applies what another router knows against a request that it delegates to this one.
     pub(crate) fn merge_suspicion(&self, suspicion: &Suspicion, now_ms: u64) {
         if self.suspects.borrow_mut().merge(suspicion, now_ms) {
--- a/src/path/suspects.rs
+++ b/src/path/suspects.rs
@@ -20,6 +20,9 @@
 /// request.
 const MAX_LOST_ANSWERS: usize = 256;
 
+/// Number of requests that a router which has started is told of. Two deaths under one request are rare.
+const MAX_SENT: usize = 1_000;
+
 struct LostAnswer {
     at_ms: u64,
     upstream: Incarnation,
@@ -56,6 +59,15 @@
         evidence.is_some_and(Evidence::is_isolated)
     }
 
+    /// What is known against the requests of which at most one run may be in progress.
+    pub(crate) fn isolated(&self, now_ms: u64) -> Vec<Suspicion> {
+        let isolated = self.quarantine.isolated();
+        isolated
+            .take(MAX_SENT)
+            .map(|(fingerprint, evidence)| Suspicion::of(fingerprint, evidence, now_ms))
+            .collect()
+    }
+
     /// What is known against the request.
     pub(crate) fn suspicion(&self, fingerprint: u64, now_ms: u64) -> Option<Suspicion> {
         let evidence = self.quarantine.evidence(fingerprint)?;
--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -51,6 +51,16 @@
     TimedOut,
 }
 
+impl QueryError {
+    /// Whether no process listens at the peer's address.
+    pub(crate) fn is_refused(&self) -> bool {
+        let Self::Connect { source } = self else {
+            return false;
+        };
+        matches!(source, ConnectError::Refused { source } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Error of delegating a request to a peer.
 #[derive(Debug, Snafu)]
 #[snafu(context(suffix(DelegateSnafu)))]
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) const WARM: &str = "/warm";
 pub(crate) const DEMAND: &str = "/demand";
 pub(crate) const DELEGATE: &str = "/delegate";
+pub(crate) const SUSPICIONS: &str = "/suspicions";
 pub(crate) const CONVICTED: &str = "/convicted";
 
 /// Returns the label under which bytes of queries at `path` are counted.
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -19,6 +19,7 @@
 use crate::log::view::ConfigView;
 use crate::logs;
 use crate::path::admission_queue::AdmissionQueues;
+use crate::path::catch_up::{self, CatchUp};
 use crate::path::connection::ConnectionPool;
 use crate::path::log_replica::{LogReplica, ReadSchedules};
 use crate::path::regions::Regions;
@@ -93,6 +94,7 @@
             host: me.host.clone(),
             peers: client.clone(),
             trials: Trials::default(),
+            catch_up: Rc::new(CatchUp::new(clock)),
         });
         let platform = settings.platform.clone().unwrap_or_default();
         let store = parse("platform.addr", &platform.addr)?;
@@ -103,6 +105,7 @@
             probes.gossip,
             path.fleet.clone(),
             path.replica.era(),
+            path.catch_up.clone(),
         );
         let key: Name = policy.key.as_str().into();
         let bound = peers::bind(peer_addr, key, path.clone()).await;
@@ -110,6 +113,8 @@
         let seeds = seeds(&policy.seed_addrs, peer_addr);
         compio::runtime::spawn(peers::follow_positions(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::refresh_on_demand(path.clone(), client.clone())).detach();
+        let catch_up = catch_up::run(path.clone(), client.clone(), seeds.clone());
+        compio::runtime::spawn(catch_up).detach();
         compio::runtime::spawn(peers::join(path.clone(), client, seeds)).detach();
         compio::runtime::spawn(follow_orders(open, path.clone())).detach();
         compio::runtime::spawn(follow_upstreams(open(), path.clone())).detach();
