--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -20,6 +20,9 @@
 /// Interval at which an upstream publishes its entry to the store.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval at which the knobs for new connections are read.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A request whose body contains this text aborts the process whatever its knobs are, after its run is
 /// printed.
 pub const HARMFUL_BODY: &str = "crashes every upstream";
@@ -48,6 +51,8 @@
     pub leaving: String,
     /// Time that rejections ask for, in seconds; empty: none.
     pub retry_after: String,
+    /// Time for which new connections are refused, from the knobs' arrival on. Open ones live on.
+    pub refuses_connections_ms: u64,
 }
 
 /// A fault in a response. The request has run in all cases but `Reject`.
@@ -165,14 +170,7 @@
             running: Cell::default(),
         });
         compio::runtime::spawn(server.clone().publish_entries()).detach();
-        compio::runtime::spawn(async move {
-            loop {
-                if let Ok((stream, _)) = listener.accept().await {
-                    compio::runtime::spawn(server.clone().connection(stream)).detach();
-                }
-            }
-        })
-        .detach();
+        compio::runtime::spawn(server.accept(listener)).detach();
         Ok(Self { addr })
     }
 }
@@ -242,6 +240,22 @@
         }
     }
 
+    /// Accepts connections, and refuses them for a time when the knobs say so.
+    async fn accept(self: Rc<Self>, mut listener: TcpListener) {
+        loop {
+            let accepted = compio::time::timeout(ACCEPT_INTERVAL, listener.accept()).await;
+            if let Ok(Ok((stream, _))) = accepted {
+                compio::runtime::spawn(self.clone().connection(stream)).detach();
+            }
+            let refuses_ms = std::mem::take(&mut self.knobs.borrow_mut().refuses_connections_ms);
+            if refuses_ms > 0 {
+                drop(listener);
+                compio::time::sleep(Duration::from_millis(refuses_ms)).await;
+                listener = TcpListener::bind(self.addr).await.expect("its own address");
+            }
+        }
+    }
+
     async fn connection(self: Rc<Self>, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut buffer = BytesMut::new();
