--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,6 +20,7 @@
 pub mod placement;
 pub mod pushback;
 pub mod quarantine;
+pub mod reach;
 pub mod refusal;
 pub mod retry;
 pub mod shed;
@@ -61,6 +62,8 @@
 #[cfg(test)]
 mod quarantine_tests;
 #[cfg(test)]
+mod reach_tests;
+#[cfg(test)]
 mod retry_tests;
 #[cfg(test)]
 mod shed_tests;
--- a/src/fleet/gossip.rs
+++ b/src/fleet/gossip.rs
@@ -48,6 +48,17 @@
     }
 }
 
+/// Load of this router.
+#[derive(Clone, Debug, Default)]
+pub struct OwnLoad {
+    /// Requests that it runs at each upstream.
+    pub counts: Vec<InFlightCount>,
+    /// Its demand for each service.
+    pub demands: Vec<ServiceDemand>,
+    /// Digests of the services of which it reaches no upstream.
+    pub unreached: Vec<u32>,
+}
+
 /// An update that a task publishes to the other routers.
 #[derive(Clone, Debug)]
 pub enum Publish {
@@ -55,9 +66,8 @@
     Loads(Vec<Load>),
     /// What this router observed for or against requests.
     Suspicions(Vec<Suspicion>),
-    /// Requests that this router runs at each upstream, its demand for each service, and the
-    /// versions of its state.
-    InFlight(Vec<InFlightCount>, Vec<ServiceDemand>, LogPosition),
+    /// What this router runs and reaches, and the versions of its state.
+    InFlight(OwnLoad, LogPosition),
     /// Digests of the upstreams that announced to this router that they are leaving, in place of
     /// those published before.
     AnnouncedLeaving(HashSet<u32>),
--- a/src/fleet/in_flight.rs
+++ b/src/fleet/in_flight.rs
@@ -74,6 +74,7 @@
     at_ms: u64,
     running: HashMap<u32, u32>,
     demands: Vec<ServiceDemand>,
+    unreached: Vec<u32>,
 }
 
 /// Counts of the other routers for one upstream.
@@ -93,6 +94,9 @@
     /// Number of requests each router runs or has waiting, by the digest of the service's name.
     /// Routers without any are left out.
     pub demands: HashMap<u32, Vec<u32>>,
+    /// Routers whose counts have not expired, and the digests of the services of which each reaches no
+    /// upstream.
+    pub unreached: HashMap<Name, Vec<u32>>,
     /// Number of routers whose counts have not expired.
     pub reporting: usize,
     /// Share of the reachable routers that these are.
@@ -108,6 +112,25 @@
     outcomes: HashMap<u32, Outcomes>,
 }
 
+impl FleetInFlight {
+    /// Routers that reported lately and did not report that they reach no upstream of the service with this
+    /// digest.
+    ///
+    /// ```
+    /// use cassiagrade::fleet::in_flight::FleetInFlight;
+    /// let mut fleet = FleetInFlight::default();
+    /// fleet.unreached.insert("r-1".into(), vec![7]);
+    /// fleet.unreached.insert("r-2".into(), vec![]);
+    /// let reaching: Vec<&str> = fleet.reaching(7).map(|host| &**host).collect();
+    /// assert_eq!(reaching, ["r-2"]);
+    /// ```
+    pub fn reaching(&self, service_digest: u32) -> impl Iterator<Item = &Name> {
+        let reaching = self.unreached.iter();
+        let reaching = reaching.filter(move |(_, unreached)| !unreached.contains(&service_digest));
+        reaching.map(|(host, _)| host)
+    }
+}
+
 impl InFlightTable {
     /// Stores the counts of a router unless newer ones of it have arrived.
     pub fn record(&mut self, received: InFlightReport, now_ms: u64) {
@@ -127,6 +150,7 @@
             at_ms: now_ms,
             running: running.map(|f| (f.upstream_digest, f.running)).collect(),
             demands: received.wishes,
+            unreached: received.unreached,
         };
         self.rows.insert(received.from_host.into(), row);
     }
@@ -156,9 +180,12 @@
             let all = (of_service.len() as f64 * scale).round() as usize;
             *of_service = of_service.iter().copied().cycle().take(all).collect();
         }
+        let unreached = self.rows.iter();
+        let unreached = unreached.map(|(host, row)| (host.clone(), row.unreached.clone()));
         FleetInFlight {
             upstreams,
             demands,
+            unreached: unreached.collect(),
             reporting,
             share: 1.0 / scale,
             age_ms: self.mean_age_ms(now_ms) + REPORT_INTERVAL_MS as f64 / 2.0,
--- a/src/fleet/in_flight_tests.rs
+++ b/src/fleet/in_flight_tests.rs
@@ -18,6 +18,7 @@
         }],
         mark: None,
         wishes: Vec::new(),
+        unreached: Vec::new(),
     }
 }
 
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -362,6 +362,9 @@
     pub mark: ::core::option::Option<LogPosition>,
     #[prost(message, repeated, tag = "6")]
     pub wishes: ::prost::alloc::vec::Vec<ServiceDemand>,
+    /// Digests of the services of which the sender reaches no upstream.
+    #[prost(uint32, repeated, tag = "7")]
+    pub unreached: ::prost::alloc::vec::Vec<u32>,
 }
 /// Demand of one router for one service: the requests that run or wait there.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -73,7 +73,7 @@
     /// Held while the request runs as a suspect.
     trial: Option<Trial>,
     /// Released at the end of the answer.
-    _permit: Permit,
+    _permit: Option<Permit>,
 }
 
 /// Answer to forward to the caller.
@@ -85,7 +85,7 @@
 }
 
 impl<D: Dialect + Records> Attempts<D> {
-    pub(crate) fn new(context: RequestContext<D>, permit: Permit) -> Self {
+    pub(crate) fn new(context: RequestContext<D>, permit: Option<Permit>) -> Self {
         let before = context.delegated.clone().unwrap_or_default();
         Self {
             context,
@@ -188,6 +188,11 @@
                 self.trial = Some(self.begin_trial().await?);
                 continue;
             }
+            if self.context.path.state.is_cut_off(&self.context.service)
+                && let Some(reply) = self.delegate_elsewhere(resume_after).await?
+            {
+                return Ok(reply);
+            }
             let Some(choice) = self.choose() else {
                 return Err(self.refuse_without_upstream());
             };
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -24,6 +24,15 @@
 /// Interval at which the end of the other run is noticed.
 const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Result of delegating a request to one router.
+enum Delegation {
+    Answered(Reply),
+    /// The router can't be reached.
+    NotSent,
+    /// The router refused the request, or its answer was lost.
+    Refused(Refused),
+}
+
 impl<D: Dialect + Records> Attempts<D> {
     /// Delegates this suspected request to the router where all its runs take place. Returns `None`
     /// if that is this one.
@@ -41,25 +50,47 @@
                 return Ok(None);
             }
             let reason = "runs of this suspected request take place there";
-            if let Some(reply) = self.delegate(router, resume_after, reason).await? {
-                return Ok(Some(reply));
+            match self.delegate(router, resume_after, reason).await {
+                Delegation::Answered(reply) => return Ok(Some(reply)),
+                Delegation::Refused(refused) => return Err(refused),
+                Delegation::NotSent => {}
             }
         }
         let detail = "no router for runs of this suspected request can be reached";
         Err(self.refuse(Cause::NoUpstream, detail.to_owned()))
     }
 
-    /// Delegates this request to `router`. Returns `None` if the router can't be reached.
-    ///
-    /// # Errors
-    /// Returns the refusal of the router, or one for an answer that was lost. An answer through another
-    /// router is final, as this one doesn't know how many upstreams ran the request.
+    /// Delegates this request to a router that reaches upstreams of its service, if this one reaches
+    /// none. Returns `None` if no router does.
+    pub(super) async fn delegate_elsewhere(
+        &mut self,
+        resume_after: Option<u64>,
+    ) -> Result<Option<Reply>, Refused> {
+        if self.context.delegated.is_some() {
+            return Ok(None);
+        }
+        let path = self.context.path.clone();
+        let mut refusal = None;
+        for router in path.delegates(&self.context.service) {
+            let reason = "no upstream can be reached from here";
+            match self.delegate(&router, resume_after, reason).await {
+                Delegation::Answered(reply) => return Ok(Some(reply)),
+                Delegation::Refused(refused) if refused.is_of_router() => refusal = Some(refused),
+                Delegation::Refused(refused) => return Err(refused),
+                Delegation::NotSent => {}
+            }
+        }
+        refusal.map_or(Ok(None), Err)
+    }
+
+    /// Delegates this request to `router`. An answer through another router is final, as this one
+    /// doesn't know how many upstreams ran the request.
     async fn delegate(
         &mut self,
         router: &Member,
         resume_after: Option<u64>,
         reason: &str,
-    ) -> Result<Option<Reply>, Refused> {
+    ) -> Delegation {
         let path = self.context.path.clone();
         let host = &router.host;
         self.emit(
@@ -72,20 +103,17 @@
         let sent = compio::time::timeout(self.remaining(), sent).await;
         let lost = match sent {
             Ok(Err(DelegateError::NotSent { reason })) => {
-                self.emit(
-                    Kind::RequestRetried,
-                    "",
-                    &format!("not delegated to {host}: {reason}"),
-                );
-                return Ok(None);
+                let reason = format!("not delegated to {host}: {reason}");
+                self.emit(Kind::RequestRetried, "", &reason);
+                return Delegation::NotSent;
             }
             Ok(Ok(answer)) => match decode_answer(host, answer).await {
                 Ok(DelegatedAnswer::Upstream(answer)) => {
                     self.record_delegation(router);
                     let (parts, body) = answer.into_parts();
-                    return Ok(Some(Reply::of_router(host.clone(), parts, body)));
+                    return Delegation::Answered(Reply::of_router(host.clone(), parts, body));
                 }
-                Ok(DelegatedAnswer::Refused(refused)) => return Err(refused),
+                Ok(DelegatedAnswer::Refused(refused)) => return Delegation::Refused(refused),
                 Err(reason) => reason,
             },
             Ok(Err(DelegateError::Lost { reason })) => reason,
@@ -93,7 +121,7 @@
         };
         self.record_delegation(router);
         let detail = format!("answer of router {host} lost: {lost}");
-        Err(self.refuse(Cause::UpstreamFailed, detail))
+        Delegation::Refused(self.refuse(Cause::UpstreamFailed, detail))
     }
 
     fn record_delegation(&mut self, router: &Member) {
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -228,6 +228,7 @@
             .close_excess(&upstream.id, self.quota.open.saturating_sub(in_use));
         let opened = connection::open(upstream.addr, CONNECT_TIMEOUT.min(call.timeout)).await;
         let connection = opened.map_err(|e| not_sent(e.to_string()))?;
+        self.state.record_connected(upstream);
         self.send_on(connection, upstream, call).await
     }
 
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -30,6 +30,7 @@
 pub(crate) mod log_replica;
 pub(crate) mod peers;
 pub mod position;
+pub(crate) mod reach_check;
 pub(crate) mod refusal;
 pub mod regions;
 pub(crate) mod request;
@@ -117,6 +118,9 @@
 
 /// Time after start during which a router may not yet know the other members.
 pub(crate) const SETTLE_MS: u64 = 3_000;
+/// Number of routers that are asked in turn to send a request. The first one may have been cut off a moment
+/// ago.
+const MAX_DELEGATES: usize = 2;
 /// How often a router publishes its load to the other routers.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(REPORT_INTERVAL_MS);
 /// Number of publishes between two sweeps of state kept for removed upstreams.
@@ -207,6 +211,19 @@
         routers.into_iter().cloned().collect()
     }
 
+    /// Returns routers to which requests for `service` are delegated, in the order in which they are asked:
+    /// some that reach its upstreams, if this router reaches none.
+    pub(crate) fn delegates(&self, service: &str) -> Vec<Member> {
+        if !self.state.is_cut_off(service) {
+            return Vec::new();
+        }
+        let fleet = self.fleet.borrow();
+        let reaching = self.state.reaching_routers(service).into_iter();
+        let members = reaching.filter_map(|host| fleet.get(&host).cloned());
+        let available = members.filter(Member::takes_work);
+        available.choose_multiple(&mut rand::rng(), MAX_DELEGATES)
+    }
+
     /// Assigns the cold upstreams to which this router may send. A router that has just started
     /// knows too few of the members for the assignment and skips it.
     fn assign_cold(&self) {
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Whether the request did not run for a reason that concerns the refusing router alone.
+    pub(crate) fn is_of_router(&self) -> bool {
+        let concerns_router = matches!(self.cause, Cause::NoUpstream | Cause::Draining);
+        concerns_router && self.run == RunState::NotRun
+    }
+
     /// Returns the status code. 503 guarantees that the request did not run and never will; 502 and
     /// 504 guarantee nothing.
     fn status(&self) -> StatusCode {
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -232,8 +232,13 @@
     }
     let deadline = started + Duration::from_millis(caller_ms.min(route.timeout_ms));
     tally.service(&service);
-    let permit =
-        wait_for_permit(&path, &head, &route, &service, account.as_deref(), deadline).await?;
+    // The router that sends a delegated request has it wait for its turn.
+    let permit = if delegated.is_none() && !path.delegates(&service).is_empty() {
+        None
+    } else {
+        let account = account.as_deref();
+        Some(wait_for_permit(&path, &head, &route, &service, account, deadline).await?)
+    };
     let context = RequestContext {
         path,
         parts,
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -16,8 +16,9 @@
 use crate::decide::cold_start::ColdStarts;
 use crate::decide::connections::{self, ConnectionQuota};
 use crate::decide::pushback::Pushbacks;
+use crate::decide::reach::Reach;
 use crate::decide::retry::RetryBudget;
-use crate::fleet::gossip::{Gossip, Publish};
+use crate::fleet::gossip::{Gossip, OwnLoad, Publish};
 use crate::fleet::loads::digest;
 use crate::mutation::{Mutation, mutated};
 use crate::path::evacuations::Evacuations;
@@ -52,6 +53,8 @@
     evacuations: RefCell<Evacuations>,
     cold_starts: RefCell<ColdStarts>,
     health: RefCell<Health>,
+    /// By service.
+    reaches: RefCell<HashMap<Name, Reach>>,
     pushbacks: RefCell<Pushbacks>,
     /// Digests of the leaving upstreams that were last published to the other routers.
     published_leaving: RefCell<HashSet<u32>>,
@@ -128,6 +131,7 @@
             evacuations: RefCell::default(),
             cold_starts: RefCell::default(),
             health: RefCell::default(),
+            reaches: RefCell::default(),
             pushbacks: RefCell::default(),
             published_leaving: RefCell::default(),
             budgets: RefCell::default(),
@@ -308,9 +312,12 @@
             upstream_digest: digest(&id),
             ..count
         });
-        let counts = counts.collect();
-        self.gossip
-            .publish(Publish::InFlight(counts, demands, position));
+        let load = OwnLoad {
+            counts: counts.collect(),
+            demands,
+            unreached: self.unreached(),
+        };
+        self.gossip.publish(Publish::InFlight(load, position));
     }
 
     /// Remaining time for which a request is quarantined because it crashed upstreams.
@@ -460,6 +467,7 @@
             .retain(|id, at| *at + CACHE_WARMUP_MS >= now_ms && is_known(id));
         self.health.borrow_mut().sweep(is_known, now_ms);
         drop(upstreams);
+        self.sweep_reaches();
         self.sweep_notices(now_ms);
     }
 }
--- a/src/path/router_state/outcomes.rs
+++ b/src/path/router_state/outcomes.rs
@@ -1,12 +1,18 @@
 //! Outcomes of calls to upstreams, and which upstreams get no work because of them.
 
 use std::collections::HashMap;
+use std::rc::Rc;
+
+use rand::seq::IteratorRandom;
 
 use crate::decide::ejection::Change;
 use crate::decide::grey::Outcomes;
+use crate::decide::reach::Reach;
 use crate::fleet::in_flight::FleetInFlight;
+use crate::fleet::loads::digest;
 use crate::path::router_state::RouterState;
 use crate::path::upstreams::{Upstream, Upstreams};
+use crate::stats;
 use crate::util::Name;
 
 /// Share of a pool's slots in use from which late answers and rejections are attributed to load.
@@ -44,12 +50,88 @@
         self.health
             .borrow_mut()
             .record_unreachable(&upstream.id, now_ms);
+        let service = &upstream.service;
+        let pool_size = self
+            .upstreams
+            .borrow()
+            .shared_pool(service)
+            .upstreams()
+            .len();
+        let mut reaches = self.reaches.borrow_mut();
+        let reach = reaches.entry(service.clone()).or_default();
+        if reach.record_unreachable(&upstream.id, pool_size) {
+            stats::cut_off(true);
+            log::warn!(service = &**service; "no upstream of this service can be reached from here");
+        }
+    }
+
+    fn pool_size(&self, service: &str) -> usize {
+        self.upstreams
+            .borrow()
+            .shared_pool(service)
+            .upstreams()
+            .len()
+    }
+
+    /// Records that a connection to an upstream was opened.
+    pub(crate) fn record_connected(&self, upstream: &Upstream) {
+        let pool_size = self.pool_size(&upstream.service);
+        let mut reaches = self.reaches.borrow_mut();
+        let Some(reach) = reaches.get_mut(&upstream.service) else {
+            return;
+        };
+        if reach.record_connected(&upstream.id, pool_size) {
+            stats::cut_off(false);
+            log::info!(
+                service = &*upstream.service, upstream = &*upstream.id;
+                "upstreams of this service can be reached again"
+            );
+        }
+    }
+
+    /// Whether no upstream of `service` can be reached from here.
+    pub(crate) fn is_cut_off(&self, service: &str) -> bool {
+        let reaches = self.reaches.borrow();
+        reaches.get(service).is_some_and(Reach::is_cut_off)
+    }
+
+    /// Digests of the services of which no upstream can be reached from here.
+    pub(super) fn unreached(&self) -> Vec<u32> {
+        let reaches = self.reaches.borrow();
+        let cut_off = reaches.iter().filter(|(_, reach)| reach.is_cut_off());
+        cut_off.map(|(service, _)| digest(service)).collect()
+    }
+
+    /// Upstreams of the services of which none can be reached from here, at most `max` of each.
+    pub(crate) fn unreached_upstreams(&self, max: usize) -> Vec<Rc<Upstream>> {
+        let reaches = self.reaches.borrow();
+        let cut_off = reaches.iter().filter(|(_, reach)| reach.is_cut_off());
+        let upstreams = self.upstreams.borrow();
+        let chosen = cut_off.flat_map(|(service, _)| {
+            let pool = upstreams.shared_pool(service);
+            let all = pool.upstreams().iter().cloned();
+            all.choose_multiple(&mut rand::rng(), max)
+        });
+        chosen.collect()
+    }
+
+    /// Ends what is known of the paths to services that have no upstreams any more.
+    pub(super) fn sweep_reaches(&self) {
+        let upstreams = self.upstreams.borrow();
+        let mut reaches = self.reaches.borrow_mut();
+        reaches.retain(|service, reach| {
+            let is_known = !upstreams.shared_pool(service).upstreams().is_empty();
+            if !is_known && reach.is_cut_off() {
+                stats::cut_off(false);
+            }
+            is_known
+        });
     }
 
-    /// Records that an upstream refuses connections: no process listens at its address.
-    pub(crate) fn record_dead(&self, upstream: &Upstream, now_ms: u64) {
-        self.record_unreachable(upstream, now_ms);
-        self.record_death(&upstream.incarnation(), now_ms);
+    /// Routers that, by their reports, reach upstreams of `service`.
+    pub(crate) fn reaching_routers(&self, service: &str) -> Vec<Name> {
+        let in_flight = self.gossip.in_flight();
+        in_flight.reaching(digest(service)).cloned().collect()
     }
 
     /// Records that another incarnation answers at an upstream's address.
--- a/src/peers/http2.rs
+++ b/src/peers/http2.rs
@@ -10,6 +10,8 @@
 use hyper::rt::Executor;
 use snafu::{ResultExt, Snafu};
 
+use crate::socket::set_keepalive;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Runs hyper's tasks on this thread's runtime.
@@ -46,7 +48,7 @@
         .await
         .map_err(|_| ConnectError::TimedOut)?
         .context(RefusedSnafu)?;
-    let _ = stream.set_nodelay(true);
+    set_keepalive(&stream);
     let io = HyperStream::new_plain(stream);
     let (send, conn) = hyper::client::conn::http2::Builder::new(LocalExec)
         .timer(CompioTimer)
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -13,7 +13,7 @@
 
 use crate::event::{Events, Kind};
 use crate::fleet::gossip::{
-    GossipCommand, GossipSenders, Loads, NewestConfig, PeerPosition, Publish,
+    GossipCommand, GossipSenders, Loads, NewestConfig, OwnLoad, PeerPosition, Publish,
 };
 use crate::fleet::homes;
 use crate::fleet::in_flight::{self, InFlightTable, MAX_REPORTED};
@@ -31,8 +31,7 @@
 use crate::peers::probes::liveness::Liveness;
 use crate::schema::peer::datagram::Body;
 use crate::schema::peer::{
-    self, Ack, Datagram, InFlightCount, InFlightReport, LogPosition, Ping, ServiceDemand,
-    SuspicionReport,
+    self, Ack, Datagram, InFlightReport, LogPosition, Ping, SuspicionReport,
 };
 use crate::stats;
 use crate::util::{Clock, Name};
@@ -141,9 +140,8 @@
                 }
                 self.loads_changed = true;
             }
-            GossipCommand::Publish(Publish::InFlight(counts, demands, position)) => {
-                self.publish_in_flight(counts, demands, position, now_ms)
-                    .await;
+            GossipCommand::Publish(Publish::InFlight(load, position)) => {
+                self.publish_in_flight(load, position, now_ms).await;
             }
             GossipCommand::Publish(Publish::Suspicions(suspicions)) => {
                 self.suspect(&suspicions, now_ms);
@@ -176,13 +174,7 @@
 
     /// Publishes the counts of running requests. In a large fleet each publication goes to random
     /// routers.
-    async fn publish_in_flight(
-        &mut self,
-        counts: Vec<InFlightCount>,
-        demands: Vec<ServiceDemand>,
-        position: LogPosition,
-        now_ms: u64,
-    ) {
+    async fn publish_in_flight(&mut self, load: OwnLoad, position: LogPosition, now_ms: u64) {
         let view = self.view_tx.borrow().clone();
         let is_live = |m: &&Member| m.state != MemberState::Dead;
         let live = view.members.iter().filter(is_live).count();
@@ -194,9 +186,10 @@
             from_host: me.host.to_string(),
             from_incarnation: me.incarnation,
             seq: self.in_flight_seq,
-            flights: counts,
+            flights: load.counts,
             mark: Some(position),
-            wishes: demands,
+            wishes: load.demands,
+            unreached: load.unreached,
         });
         self.publish(&view, live, body).await;
     }
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -25,7 +25,7 @@
 use crate::path::regions::Regions;
 use crate::path::router_state::{RetryLimit, RouterState};
 use crate::path::trials::Trials;
-use crate::path::{RequestPath, SummaryCache, callers, peers, run_maintenance, stop};
+use crate::path::{RequestPath, SummaryCache, callers, peers, reach_check, run_maintenance, stop};
 use crate::peers::{PeerClient, Probes, probes};
 use crate::platform::{Headers, Pages, RouterRegistry, Store, follow_orders, follow_upstreams};
 use crate::router::{AddrSnafu, BindSnafu, Outputs, RouterError};
@@ -120,6 +120,7 @@
         compio::runtime::spawn(follow_upstreams(open(), path.clone())).detach();
         compio::runtime::spawn(fleet.clone().follow()).detach();
         compio::runtime::spawn(run_maintenance(path.clone())).detach();
+        compio::runtime::spawn(reach_check::run(path.clone())).detach();
         let entry_ttl = Duration::from_millis(policy.entry_ttl_ms.into());
         let entry_ttl = Rc::new(Cell::new(entry_ttl));
         let limits = settings.limits.unwrap_or_default();
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -28,6 +28,7 @@
 const LEAVING_NOTICES: &str = "cassiagrade_leaving_notices_total";
 const PUSHBACKS: &str = "cassiagrade_pushbacks_total";
 const SUSPICIONS: &str = "cassiagrade_suspicions_total";
+const SERVICES_CUT_OFF: &str = "cassiagrade_services_cut_off";
 const MEMBER_CHANGES: &str = "cassiagrade_member_changes_total";
 const SECOND_HOPS_AVOIDED: &str = "cassiagrade_second_hops_avoided_total";
 const HOME_REFUSED: &str = "cassiagrade_home_refused_total";
@@ -91,6 +92,10 @@
         DELAYED_BY_LOAD,
         "Requests that waited for this router's first load of configuration and upstreams"
     );
+    describe_gauge!(
+        SERVICES_CUT_OFF,
+        "Services of which this router reaches no upstream"
+    );
     describe_counter!(HOPS, "Requests passed on to another router");
     describe_counter!(
         CONTROL_BYTES,
@@ -309,6 +314,15 @@
     counter!(SUSPICIONS, "event" => event).increment(1);
 }
 
+/// Records that this router no longer reaches any upstream of a service, or does again.
+pub(crate) fn cut_off(is_cut_off: bool) {
+    if is_cut_off {
+        gauge!(SERVICES_CUT_OFF).increment(1.0);
+    } else {
+        gauge!(SERVICES_CUT_OFF).decrement(1.0);
+    }
+}
+
 /// Counts a change of a router's membership state.
 pub(crate) fn member_changed(state: &'static str) {
     counter!(MEMBER_CHANGES, "state" => state).increment(1);
