--- a/tests/routed_cut_off.rs
+++ b/tests/routed_cut_off.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use std::net::Shutdown;
+
 use serde_json::json;
-use support::routed::{FleetSize, RoutedFleet};
-use support::{set_knobs, sleep_ms, wait_until};
+use support::raw::Raw;
+use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
+use support::{get, set_knobs, sleep_ms, wait_until};
 use test_case::test_case;
 
 /// Time for which the upstream refuses new connections.
@@ -16,8 +19,9 @@
 /// Router that has none.
 const CUT_OFF: u8 = 1;
 
-/// Two routers before one upstream that refuses new connections. Only one router has an open one.
-async fn fleet_with_one_router_cut_off() -> RoutedFleet {
+/// Two routers before one upstream that refuses new connections and takes `delay_ms` for a request. Only
+/// one router has an open connection.
+async fn fleet_with_one_router_cut_off(delay_ms: u64) -> RoutedFleet {
     let size = FleetSize {
         routers: 2,
         upstreams: 1,
@@ -25,7 +29,7 @@
     };
     let routed = RoutedFleet::start(size).await;
     sleep_ms(REPORTS_MS).await;
-    let knobs = json!({ "refuses_connections_ms": CUT_MS });
+    let knobs = json!({ "refuses_connections_ms": CUT_MS, "delay_ms": delay_ms });
     let (_, received) = routed.call(CONNECTED, "/get/1", "1").await;
     assert_eq!(received.map(|r| r.status), Some(200));
     set_knobs(routed.upstreams[0].addr, &knobs).await;
@@ -39,7 +43,7 @@
 #[test_case("/resumed/stream"; "resumable stream")]
 #[compio::test]
 async fn router_that_reaches_no_upstream_serves_through_another(path: &str) {
-    let routed = fleet_with_one_router_cut_off().await;
+    let routed = fleet_with_one_router_cut_off(0).await;
     for _ in 0..3 {
         let (id, received) = routed.call(CUT_OFF, path, "3").await;
         let received = received.expect("no answer");
@@ -57,7 +61,7 @@
 /// The paths are back. The router must use them again within a second.
 #[compio::test]
 async fn router_uses_upstreams_again_after_a_cut() {
-    let routed = fleet_with_one_router_cut_off().await;
+    let routed = fleet_with_one_router_cut_off(0).await;
     let (_, received) = routed.call(CUT_OFF, "/get/1", "1").await;
     assert_eq!(received.map(|r| r.status), Some(200));
     sleep_ms(CUT_MS + 1_000).await;
@@ -73,6 +77,38 @@
     );
 }
 
+/// Number of requests that router `i` serves, by its metrics.
+async fn in_flight(routed: &RoutedFleet, i: u8) -> Option<u32> {
+    let page = get(routed.admin(i), "/metrics").await?;
+    let mut lines = page.lines();
+    lines.find_map(|l| {
+        l.strip_prefix("cassiagrade_requests_in_flight ")?
+            .parse()
+            .ok()
+    })
+}
+
+/// A caller leaves while its request runs through another router. The other router must notice, or the
+/// upstream works on for nobody.
+#[test_case("/get/1"; "buffered answer")]
+#[test_case("/resumed/stream"; "stream")]
+#[compio::test]
+async fn request_of_a_caller_that_left_ends_at_the_other_router(path: &str) {
+    let routed = fleet_with_one_router_cut_off(1_000).await;
+    let id = new_request_id();
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer {KEY}\r\nattempt-id: {id}\r\n\
+         deadline-ms: 8000\r\ncontent-length: 1\r\n\r\n9"
+    );
+    let mut caller = Raw::open(routed.caller(CUT_OFF));
+    caller.send(&request);
+    wait_until("the run", || async { routed.runs_of(&id) == 1 }).await;
+    assert_eq!(in_flight(&routed, CONNECTED).await, Some(1));
+    caller.0.shutdown(Shutdown::Both).unwrap();
+    sleep_ms(400).await;
+    assert_eq!(in_flight(&routed, CONNECTED).await, Some(0));
+}
+
 /// No router reaches the upstream. A request may not go from router to router, and is refused as not
 /// run, at once.
 #[compio::test]
