--- a/src/fleet/suspects.rs
+++ b/src/fleet/suspects.rs
@@ -164,7 +164,10 @@
     pub(crate) fn evidence(&self, now_ms: u64) -> Evidence {
         let at_ms = |age_ms: u64| now_ms.saturating_sub(age_ms);
         let mut evidence = Evidence::default();
-        if let Some(age_ms) = self.answered_age_ms {
+        // One from before this router's start can't be told in time from the deaths, which it doesn't
+        // refute: those that it did aren't listed.
+        let answered_age_ms = self.answered_age_ms.filter(|age_ms| *age_ms < now_ms);
+        if let Some(age_ms) = answered_age_ms {
             evidence.record_answer(at_ms(age_ms));
         }
         for death in &self.deaths {
--- a/src/fleet/suspects_tests.rs
+++ b/src/fleet/suspects_tests.rs
@@ -67,3 +67,18 @@
     let reports = (0..100).filter(|_| !table.report(MAX, 0).is_empty());
     assert_eq!(reports.count(), 3);
 }
+
+/// A request was answered long ago and crashes upstreams since. At a router that has just started, whose clock
+/// is younger than both, the answer must not count as newer than the deaths.
+#[test]
+fn answer_from_before_a_routers_start_refutes_no_deaths() {
+    let mut suspicion = suspicion(HARMFUL, MANY_DEATHS);
+    for death in &mut suspicion.deaths {
+        death.age_ms = 10_000;
+    }
+    suspicion.answered_age_ms = Some(60_000);
+    for now_ms in [100, 9_000, 12_000, 70_000] {
+        let evidence = suspicion.evidence(now_ms);
+        assert_eq!(evidence.death_count(), MANY_DEATHS, "at {now_ms} ms");
+    }
+}
