--- a/src/path/delegate.rs
+++ b/src/path/delegate.rs
@@ -85,6 +85,7 @@
     let (parts, ()) = request.body(()).map_err(|e| e.to_string())?.into_parts();
     let head = D::caller_head(&parts.headers);
     Ok(request::Received {
+        from: message.from_host.into(),
         head: CallerHead {
             deadline_ms: Some(message.remaining_ms),
             resume_after: message.resume_after.or(head.resume_after),
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -89,6 +89,8 @@
 mod state_requests_tests;
 #[cfg(test)]
 mod suspects_tests;
+#[cfg(test)]
+mod trials_tests;
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -45,6 +45,8 @@
 
 /// Request of a caller that another router delegates to this one.
 pub(crate) struct Received {
+    /// Name of the other router.
+    pub(crate) from: Name,
     pub(crate) parts: Parts,
     pub(crate) head: CallerHead,
     pub(crate) body: Bytes,
@@ -97,6 +99,10 @@
 ) -> Result<Response<Answer>, Refused> {
     let request_id = received.head.request_id.clone();
     let events = path.events.clone();
+    events.emit(Kind::RequestReceived, |e| {
+        e.request_id = request_id.clone().unwrap_or_default();
+        e.detail = format!("delegated by {}", received.from);
+    });
     let mut tally = Tally::start();
     let answered = admit_delegated(path, received, &mut tally).await;
     answered.inspect_err(|refused| {
