--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -11,8 +11,11 @@
 
 use bytes::{BufMut, BytesMut};
 use compio::net::{TcpListener, TcpStream};
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::backend::wire::{ParsedRequest, chunk, format_response, read_request, send};
 use crate::http::{post, print_run};
@@ -20,9 +23,6 @@
 /// Interval at which an upstream publishes its entry to the store.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Interval at which the knobs for new connections are read.
-const ACCEPT_INTERVAL: Duration = Duration::from_millis(20);
-
 /// A request whose body contains this text aborts the process whatever its knobs are, after its run is
 /// printed.
 pub const HARMFUL_BODY: &str = "crashes every upstream";
@@ -148,6 +148,8 @@
     config: BackendConfig,
     addr: SocketAddr,
     knobs: RefCell<Knobs>,
+    /// Notified when the knobs say that new connections are refused.
+    refused: Notify,
     running: Cell<u32>,
 }
 
@@ -167,6 +169,7 @@
             config,
             addr,
             knobs: RefCell::default(),
+            refused: Notify::new(),
             running: Cell::default(),
         });
         compio::runtime::spawn(server.clone().publish_entries()).detach();
@@ -243,19 +246,39 @@
     /// Accepts connections, and refuses them for a time when the knobs say so.
     async fn accept(self: Rc<Self>, mut listener: TcpListener) {
         loop {
-            let accepted = compio::time::timeout(ACCEPT_INTERVAL, listener.accept()).await;
-            if let Ok(Ok((stream, _))) = accepted {
-                compio::runtime::spawn(self.clone().connection(stream)).detach();
-            }
+            self.accept_until_refused(&listener).await;
+            drop(listener);
             let refuses_ms = std::mem::take(&mut self.knobs.borrow_mut().refuses_connections_ms);
-            if refuses_ms > 0 {
-                drop(listener);
-                compio::time::sleep(Duration::from_millis(refuses_ms)).await;
-                listener = TcpListener::bind(self.addr).await.expect("its own address");
+            compio::time::sleep(Duration::from_millis(refuses_ms)).await;
+            listener = TcpListener::bind(self.addr).await.expect("its own address");
+        }
+    }
+
+    /// Accepts connections until the knobs say that new ones are refused. An accept that is abandoned may
+    /// have taken a connection, which it closes: it is abandoned at the end only.
+    async fn accept_until_refused(self: &Rc<Self>, listener: &TcpListener) {
+        let refused = self.refused.notified();
+        pin_mut!(refused);
+        loop {
+            let accept = listener.accept();
+            pin_mut!(accept);
+            match select(accept, refused.as_mut()).await {
+                Either::Left((Ok((stream, _)), _)) => {
+                    compio::runtime::spawn(self.clone().connection(stream)).detach();
+                }
+                Either::Left((Err(_), _)) => {}
+                Either::Right(_) => return,
             }
         }
     }
 
+    fn set_knobs(&self, knobs: Knobs) {
+        if knobs.refuses_connections_ms > 0 {
+            self.refused.notify_one();
+        }
+        self.knobs.replace(knobs);
+    }
+
     async fn connection(self: Rc<Self>, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut buffer = BytesMut::new();
@@ -270,7 +293,7 @@
     async fn answer(&self, stream: &mut TcpStream, request: &ParsedRequest) -> bool {
         if request.method == "POST" && request.target == "/knobs" {
             let parsed = serde_json::from_str(&request.body).map(|knobs| {
-                *self.knobs.borrow_mut() = knobs;
+                self.set_knobs(knobs);
             });
             let status = if parsed.is_ok() {
                 "200 OK"
