--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -73,6 +73,14 @@
     Lost { reason: String },
 }
 
+impl DelegateError {
+    fn not_sent(e: impl std::fmt::Display) -> Self {
+        Self::NotSent {
+            reason: e.to_string(),
+        }
+    }
+}
+
 /// Connections to the other routers.
 #[derive(Clone)]
 pub(crate) struct PeerClient {
@@ -144,15 +152,13 @@
         addr: &Name,
         request: &DelegatedRequest,
     ) -> Result<Response<Incoming>, DelegateError> {
-        let not_sent = |e: &dyn std::fmt::Display| DelegateError::NotSent {
-            reason: e.to_string(),
-        };
-        let payload = frames::to_vec(request).map_err(|e| not_sent(&e))?;
+        let payload = frames::to_vec(request).map_err(DelegateError::not_sent)?;
         let request = Request::post(format!("http://{addr}{DELEGATE}"))
             .header(AUTHORIZATION, &*self.key)
             .body(Full::new(payload.into()))
-            .map_err(|e| not_sent(&e))?;
-        let mut link = self.link(addr).await.map_err(|e| not_sent(&e))?;
+            .map_err(DelegateError::not_sent)?;
+        let link = self.link(addr).await;
+        let mut link = link.map_err(DelegateError::not_sent)?;
         stats::hop();
         let sent = link.try_send_request(request).await;
         sent.map_err(|mut e| {
