A cut stream's line names the check that refused to let it go on

request_cut gave the cause upstream_failed alone, so the retry budget, a delegate's refusal and the lack of an eligible upstream looked alike.

--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -214,7 +214,7 @@
             }
             Err(refused) => {
                 let cause: &'static str = refused.cause.into();
-                self.abort("", cause);
+                self.abort("", &format!("{cause}: {}", refused.detail));
                 Err("no upstream available to resume the stream")
             }
         }
