Stand-in of an upstream: falls silent, breaks off after its head, has a version

The knob silent_ms lets an upstream send and read nothing for a time while its runs go on, as hosts do that are sound but stall. What it held is sent afterwards: events of a stream that fall due in a silence follow it at once, so events are now due at fixed intervals from the head on. Its entry in the store is still published; the knob mute keeps that back.

The fault head_only sends the head of an answer and closes the connection.

--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -1,23 +1,25 @@
 //! An upstream that speaks the users' platform's dialect of HTTP/1.1. It writes its responses byte
 //! by byte, because an HTTP library would refuse to send the malformed ones.
 
+mod silence;
 mod wire;
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::{BufMut, BytesMut};
 use compio::net::{TcpListener, TcpStream};
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 use serde::{Deserialize, Serialize};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::sync::Notify;
 
-use crate::backend::wire::{ParsedRequest, chunk, format_response, read_request, send};
+use crate::backend::silence::{Connection, Silence};
+use crate::backend::wire::{ParsedRequest, chunk, format_response, read_request};
 use crate::http::{post, print_run};
 
 /// Interval at which an upstream publishes its entry to the store.
@@ -53,6 +55,9 @@
     pub retry_after: String,
     /// Time for which new connections are refused, from the knobs' arrival on. Open ones live on.
     pub refuses_connections_ms: u64,
+    /// Time for which nothing is sent or read on any connection, from the knobs' arrival on. Requests
+    /// that run go on, and what they produce is sent afterwards. Other knobs wait for the end, too.
+    pub silent_ms: u64,
 }
 
 /// A fault in a response. The request has run in all cases but `Reject`.
@@ -70,6 +75,8 @@
     Busy,
     /// Closes the connection before the response.
     Cut,
+    /// Closes the connection after the head, before any event or the body.
+    HeadOnly,
     /// Closes the connection in the middle of the body.
     Half,
     /// Sends a second response immediately after the first.
@@ -103,6 +110,12 @@
     pub after: u64,
     /// Whether the request still carried the caller's key.
     pub had_key: bool,
+    /// Version of the software that ran the request; empty: none.
+    #[serde(default)]
+    pub software: String,
+    /// Value of the request's `resumes` header; empty if absent.
+    #[serde(default)]
+    pub resumes: String,
 }
 
 /// A request that reached an upstream, whether it runs or is rejected, printed before the response
@@ -134,6 +147,8 @@
     pub store: SocketAddr,
     /// Maximum number of concurrent requests; further ones are rejected.
     pub slots: u32,
+    /// Version of its software in its entry; empty: the entry has no version.
+    pub software: String,
 }
 
 /// A running upstream.
@@ -150,6 +165,7 @@
     knobs: RefCell<Knobs>,
     /// Notified when the knobs say that new connections are refused.
     refused: Notify,
+    silence: Silence,
     running: Cell<u32>,
 }
 
@@ -170,6 +186,7 @@
             addr,
             knobs: RefCell::default(),
             refused: Notify::new(),
+            silence: Silence::default(),
             running: Cell::default(),
         });
         compio::runtime::spawn(server.clone().publish_entries()).detach();
@@ -213,20 +230,27 @@
 }
 
 impl Server {
+    fn entry(&self, is_draining: bool) -> Value {
+        let mut entry = json!({
+            "service": self.config.service,
+            "address": self.addr.to_string(),
+            "zone": self.config.data_center,
+            "slots": self.config.slots,
+            "state": if is_draining { "draining" } else { "ready" },
+            "cold_remaining_ms": 0,
+            "born": self.started_ms,
+        });
+        if !self.config.software.is_empty() {
+            entry["version"] = json!(self.config.software);
+        }
+        entry
+    }
+
     async fn publish_entries(self: Rc<Self>) {
         loop {
             let knobs = self.knobs.borrow().clone();
             if !knobs.mute {
-                let entry = json!({
-                    "service": self.config.service,
-                    "address": self.addr.to_string(),
-                    "zone": self.config.data_center,
-                    "version": "v1",
-                    "slots": self.config.slots,
-                    "state": if knobs.draining { "draining" } else { "ready" },
-                    "cold_remaining_ms": 0,
-                    "born": self.started_ms,
-                });
+                let entry = self.entry(knobs.draining);
                 let store = self.config.store;
                 let url = format!("http://{store}/log-append?stream_name=keyed.servers&part=0");
                 // An empty value deletes the entry.
@@ -264,6 +288,8 @@
             pin_mut!(accept);
             match select(accept, refused.as_mut()).await {
                 Either::Left((Ok((stream, _)), _)) => {
+                    // An accept that was pending when the silence began may end within it.
+                    self.silence.ended().await;
                     compio::runtime::spawn(self.clone().connection(stream)).detach();
                 }
                 Either::Left((Err(_), _)) => {}
@@ -276,21 +302,25 @@
         if knobs.refuses_connections_ms > 0 {
             self.refused.notify_one();
         }
+        if knobs.silent_ms > 0 {
+            self.silence.begin(Duration::from_millis(knobs.silent_ms));
+        }
         self.knobs.replace(knobs);
     }
 
-    async fn connection(self: Rc<Self>, mut stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
+        let mut connection = Connection::new(stream, &self.silence);
         let mut buffer = BytesMut::new();
-        while let Some(request) = read_request(&mut stream, &mut buffer).await {
-            if !self.answer(&mut stream, &request).await {
-                return;
+        while let Some(request) = read_request(&mut connection, &mut buffer).await {
+            if !self.answer(&mut connection, &request).await {
+                break;
             }
         }
+        connection.close().await;
     }
 
     /// Answers one request; returns whether the connection stays open.
-    async fn answer(&self, stream: &mut TcpStream, request: &ParsedRequest) -> bool {
+    async fn answer(&self, connection: &mut Connection<'_>, request: &ParsedRequest) -> bool {
         if request.method == "POST" && request.target == "/knobs" {
             let parsed = serde_json::from_str(&request.body).map(|knobs| {
                 self.set_knobs(knobs);
@@ -300,30 +330,30 @@
             } else {
                 "400 Bad Request"
             };
-            return send(stream, &format_response(status, "", "")).await;
+            return connection
+                .send_at_once(&format_response(status, "", ""))
+                .await;
         }
         let target_instance = request.header("target-instance");
         if !target_instance.is_empty() && target_instance != self.id {
             let head = format!("instance-id: {}\r\n{}", self.id, self.leaving_header());
-            return send(
-                stream,
-                &format_response("421 Misdirected Request", &head, ""),
-            )
-            .await;
+            return connection
+                .send(&format_response("421 Misdirected Request", &head, ""))
+                .await;
         }
         let fault = self.take_fault();
         let is_rejected = fault == ResponseFault::Reject || self.running.get() >= self.config.slots;
         self.print_arrival(request, is_rejected);
         if is_rejected {
-            return self.reject(stream, request).await;
+            return self.reject(connection, request).await;
         }
         self.running.set(self.running.get() + 1);
-        let keep_open = self.run(stream, request, fault).await;
+        let keep_open = self.run(connection, request, fault).await;
         self.running.set(self.running.get() - 1);
         keep_open
     }
 
-    async fn reject(&self, stream: &mut TcpStream, request: &ParsedRequest) -> bool {
+    async fn reject(&self, connection: &mut Connection<'_>, request: &ParsedRequest) -> bool {
         let retry_after = self.knobs.borrow().retry_after.clone();
         let mut head = format!(
             "not-executed: 1\r\nattempt-id: {}\r\n{}",
@@ -334,7 +364,7 @@
             head.push_str(&format!("retry-after: {retry_after}\r\n"));
         }
         let response = format_response("503 Service Unavailable", &head, "");
-        send(stream, &response).await
+        connection.send(&response).await
     }
 
     fn print_arrival(&self, request: &ParsedRequest, is_rejected: bool) {
@@ -372,7 +402,7 @@
 
     async fn run(
         &self,
-        stream: &mut TcpStream,
+        connection: &mut Connection<'_>,
         request: &ParsedRequest,
         fault: ResponseFault,
     ) -> bool {
@@ -385,6 +415,8 @@
             body: request.body.clone(),
             after,
             had_key: !request.header("authorization").is_empty(),
+            software: self.config.software.clone(),
+            resumes: request.header("resumes").to_owned(),
         });
         if request.body.contains(HARMFUL_BODY) {
             std::process::abort();
@@ -394,13 +426,13 @@
             if knobs.crash_in_answer {
                 let head = self.response_headers(request.header("attempt-id"));
                 let text = format_response("200 OK", &head, &request.body);
-                send(stream, &text[..text.len() - 1]).await;
+                connection.send(&text[..text.len() - 1]).await;
             }
             std::process::abort();
         }
         let delay = Duration::from_millis(knobs.delay_ms);
         if request.target.contains("/stream") {
-            return self.stream(stream, request, after, delay, fault).await;
+            return self.stream(connection, request, after, delay, fault).await;
         }
         compio::time::sleep(delay).await;
         let id = request.header("attempt-id");
@@ -408,46 +440,55 @@
         let head = self.response_headers(id);
         match fault {
             ResponseFault::None | ResponseFault::Reject => {
-                send(stream, &format_response("200 OK", &head, &body)).await
+                connection
+                    .send(&format_response("200 OK", &head, &body))
+                    .await
             }
             ResponseFault::Fail => {
-                send(
-                    stream,
-                    &format_response("500 Internal Server Error", &head, ""),
-                )
-                .await
+                connection
+                    .send(&format_response("500 Internal Server Error", &head, ""))
+                    .await
             }
             ResponseFault::Busy => {
-                send(
-                    stream,
-                    &format_response("503 Service Unavailable", &head, ""),
-                )
-                .await
+                connection
+                    .send(&format_response("503 Service Unavailable", &head, ""))
+                    .await
             }
             ResponseFault::Cut => false,
+            ResponseFault::HeadOnly => {
+                let text = format_response("200 OK", &head, &body);
+                connection.send(&text[..text.len() - body.len()]).await;
+                false
+            }
             ResponseFault::Half => {
                 let text = format_response("200 OK", &head, &body);
-                send(stream, &text[..text.len() - body.len() / 2]).await;
+                connection.send(&text[..text.len() - body.len() / 2]).await;
                 false
             }
             ResponseFault::Extra => {
                 let text = format_response("200 OK", &head, &body);
-                send(stream, &format!("{text}{text}")).await
+                connection.send(&format!("{text}{text}")).await
             }
-            ResponseFault::Garbage => send(stream, "\u{1}\u{2} no answer at all\r\n\r\n").await,
+            ResponseFault::Garbage => connection.send("\u{1}\u{2} no answer at all\r\n\r\n").await,
             ResponseFault::Crossed => {
-                send(
-                    stream,
-                    &format_response("200 OK", &self.response_headers("another"), &body),
-                )
-                .await
+                connection
+                    .send(&format_response(
+                        "200 OK",
+                        &self.response_headers("another"),
+                        &body,
+                    ))
+                    .await
             }
             ResponseFault::Unproved => {
                 let head = format!("attempt-id: {id}\r\n");
-                send(stream, &format_response("200 OK", &head, &body)).await
+                connection
+                    .send(&format_response("200 OK", &head, &body))
+                    .await
             }
             ResponseFault::Unframed => {
-                send(stream, &format!("HTTP/1.1 200 OK\r\n{head}\r\n{body}")).await;
+                connection
+                    .send(&format!("HTTP/1.1 200 OK\r\n{head}\r\n{body}"))
+                    .await;
                 false
             }
             ResponseFault::Silent => std::future::pending().await,
@@ -467,7 +508,7 @@
     /// Streams events up to the number given in the body, each with its id.
     async fn stream(
         &self,
-        stream: &mut TcpStream,
+        connection: &mut Connection<'_>,
         request: &ParsedRequest,
         after: u64,
         delay: Duration,
@@ -481,25 +522,31 @@
             "HTTP/1.1 200 OK\r\n{head}content-type: text/event-stream\r\n\
              transfer-encoding: chunked\r\n\r\n"
         );
-        if !send(stream, &text).await {
+        if !connection.send(&text).await {
+            return false;
+        }
+        if fault == ResponseFault::HeadOnly {
             return false;
         }
+        let mut due = Instant::now();
         for event in after + 1..=last {
-            compio::time::sleep(delay).await;
+            // Events that fall due in a silence follow it at once.
+            due += delay;
+            compio::time::sleep_until(due).await;
             let text = format!("id: {event}\ndata: {event} of {last}\n\n");
             if fault == ResponseFault::Half && event > break_after {
                 // Ends in the middle of an event, as after a crash.
-                send(stream, &chunk(&text[..text.len() / 2])).await;
+                connection.send(&chunk(&text[..text.len() / 2])).await;
                 return false;
             }
             if fault == ResponseFault::Silent && event > break_after {
                 std::future::pending::<()>().await;
             }
-            if !send(stream, &chunk(&text)).await {
+            if !connection.send(&chunk(&text)).await {
                 return false;
             }
         }
-        send(stream, "0\r\n\r\n").await
+        connection.send("0\r\n\r\n").await
     }
 }
 
--- a/standins/src/backend/wire.rs
+++ b/standins/src/backend/wire.rs
@@ -1,11 +1,8 @@
 //! HTTP/1.1 as bytes: reading requests and formatting responses.
 
 use bytes::{Buf, BytesMut};
-use compio::BufResult;
-use compio::io::{AsyncRead, AsyncWriteExt};
-use compio::net::TcpStream;
 
-const BUFFER_BYTES: usize = 16 << 10;
+use crate::backend::silence::Connection;
 
 /// A request with its whole body.
 pub(super) struct ParsedRequest {
@@ -33,13 +30,9 @@
     )
 }
 
-pub(super) async fn send(stream: &mut TcpStream, text: &str) -> bool {
-    stream.write_all(text.as_bytes().to_vec()).await.0.is_ok()
-}
-
 /// Reads the next request; returns `None` when the connection ends.
 pub(super) async fn read_request(
-    stream: &mut TcpStream,
+    connection: &mut Connection<'_>,
     buffer: &mut BytesMut,
 ) -> Option<ParsedRequest> {
     const END: &[u8] = b"\r\n\r\n";
@@ -47,7 +40,7 @@
         if let Some(at) = buffer.windows(END.len()).position(|w| w == END) {
             break at + END.len();
         }
-        fill_buffer(stream, buffer).await?;
+        fill_buffer(connection, buffer).await?;
     };
     let head = String::from_utf8_lossy(&buffer[..head_bytes]).into_owned();
     buffer.advance(head_bytes);
@@ -61,7 +54,7 @@
     let length = headers.iter().find(|(n, _)| n == "content-length");
     let length: usize = length.map_or(Some(0), |(_, v)| v.parse().ok())?;
     while buffer.len() < length {
-        fill_buffer(stream, buffer).await?;
+        fill_buffer(connection, buffer).await?;
     }
     let body = buffer.split_to(length);
     Some(ParsedRequest {
@@ -72,9 +65,7 @@
     })
 }
 
-async fn fill_buffer(stream: &mut TcpStream, buffer: &mut BytesMut) -> Option<()> {
-    let BufResult(read, bytes) = stream.read(Vec::with_capacity(BUFFER_BYTES)).await;
-    let read = read.ok().filter(|n| *n > 0)?;
-    buffer.extend_from_slice(&bytes[..read]);
+async fn fill_buffer(connection: &mut Connection<'_>, buffer: &mut BytesMut) -> Option<()> {
+    buffer.extend_from_slice(&connection.read().await?);
     Some(())
 }
--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -71,6 +71,9 @@
         /// Maximum number of concurrent requests
         #[bpaf(long, argument("N"))]
         slots: u32,
+        /// Version of its software; empty: its entry has no version
+        #[bpaf(long, argument("VERSION"), fallback("v1".to_owned()))]
+        software: String,
         /// Address to listen on
         #[bpaf(positional("ADDR"))]
         addr: SocketAddr,
@@ -123,6 +126,7 @@
             data_center,
             store,
             slots,
+            software,
             addr,
         } => {
             let config = BackendConfig {
@@ -131,6 +135,7 @@
                 data_center,
                 store,
                 slots,
+                software,
             };
             Ok(Backend::bind(addr, config).await?.addr)
         }
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -203,6 +203,11 @@
         self.spawn_upstream_with(i, &["--id", id]);
     }
 
+    /// Starts or restarts upstream `i` with a new id and the given version of its software.
+    pub(crate) fn spawn_upstream_of(&mut self, i: u8, software: &str) {
+        self.spawn_upstream_with(i, &["--software", software]);
+    }
+
     fn spawn_upstream_with(&mut self, i: u8, more: &[&str]) {
         let name = format!("upstream-{i}-{}", self.upstream_names.len());
         let store = self.store.addr.to_string();
