--- a/tests/routed_evacuation.rs
+++ b/tests/routed_evacuation.rs
@@ -11,6 +11,7 @@
     upstreams: 3,
     store_relays: true,
     max_open_files: 0,
+    retry_burst: None,
 };
 
 /// Sends twelve requests, four through each router, and returns how many of them upstream 1, in
--- a/tests/routed_restart.rs
+++ b/tests/routed_restart.rs
@@ -16,6 +16,7 @@
     upstreams: 3,
     store_relays: false,
     max_open_files: 0,
+    retry_burst: None,
 };
 
 /// Kills all routers and starts them again, until each serves callers.
--- a/tests/routed_restore.rs
+++ b/tests/routed_restore.rs
@@ -23,6 +23,7 @@
     upstreams: 3,
     store_relays: true,
     max_open_files: 0,
+    retry_burst: None,
 };
 
 /// Starts a fleet whose routers know one another and have chosen their readers.
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -75,6 +75,8 @@
     pub(crate) body: String,
     /// Whether the response ended as the protocol requires.
     pub(crate) complete: bool,
+    /// Longest time without a byte of the body, from the request to the end of the response.
+    pub(crate) longest_gap: Duration,
 }
 
 /// The outcome that a caller can conclude from a response.
@@ -174,8 +176,9 @@
         for (name, value) in headers {
             request = request.header(*name, *value).unwrap();
         }
+        let sent = Instant::now();
         let response = request.body(body.to_owned()).send().await.ok()?;
-        Some(receive(response).await)
+        Some(receive(response, sent).await)
     }
 
     /// Requests a streamed chat answer.
@@ -192,7 +195,7 @@
     }
 }
 
-async fn receive(response: cyper::Response) -> Received {
+async fn receive(response: cyper::Response, sent: Instant) -> Received {
     let mut received = Received {
         status: response.status().as_u16(),
         headers: response
@@ -205,7 +208,10 @@
     };
     let mut bytes = Vec::new();
     let mut stream = Box::pin(response.bytes_stream());
+    let mut last_piece = sent;
     while let Some(piece) = stream.next().await {
+        received.longest_gap = received.longest_gap.max(last_piece.elapsed());
+        last_piece = Instant::now();
         match piece {
             Ok(piece) => bytes.extend_from_slice(&piece),
             Err(_) => {
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -43,6 +43,8 @@
     pub(crate) store_relays: bool,
     /// The open-file limit in each router's settings; 0: not set.
     pub(crate) max_open_files: u32,
+    /// The burst of retries in each router's settings; `None`: not set.
+    pub(crate) retry_burst: Option<u32>,
 }
 
 impl Default for FleetSize {
@@ -52,6 +54,7 @@
             upstreams: 2,
             store_relays: false,
             max_open_files: 0,
+            retry_burst: None,
         }
     }
 }
@@ -68,6 +71,7 @@
     /// Routers that were stopped and not restarted.
     pub(crate) stopping: Vec<usize>,
     max_open_files: u32,
+    retry_burst: Option<u32>,
     version: u64,
 }
 
@@ -159,6 +163,7 @@
             upstream_names: Vec::new(),
             stopping: Vec::new(),
             max_open_files: size.max_open_files,
+            retry_burst: size.retry_burst,
             version: 0,
         };
         routed.configure(json!({})).await;
@@ -259,7 +264,7 @@
         let at = |port| addr(self.prefix, 1 + i, port).to_string();
         let relay = self.store_relays.get(usize::from(i));
         let store = relay.map_or(self.store.addr, |r| r.process.addr);
-        json!({
+        let mut settings = json!({
             "host": { "name": format!("router-{i}"), "data_center": format!("dc-{}", i % 3) },
             "listen": {
                 "caller_addr": at(CALLER_PORT),
@@ -277,7 +282,11 @@
             },
             "limits": { "max_open_files": self.max_open_files },
             "operator": { "key": "operator-key-0123456789" },
-        })
+        });
+        if let Some(burst) = self.retry_burst {
+            settings["fleet"]["retry_burst"] = json!(burst);
+        }
+        settings
     }
 
     pub(crate) fn caller(&self, i: u8) -> SocketAddr {
