--- a/tests/routed_path.rs
+++ b/tests/routed_path.rs
@@ -150,6 +150,24 @@
     );
 }
 
+/// Some upstreams publish no version of their software, and a later start may have another version.
+/// Both serve like any other.
+#[compio::test]
+async fn upstreams_of_any_software_version_serve() {
+    let size = FleetSize {
+        upstreams: 1,
+        ..FleetSize::default()
+    };
+    let mut routed = RoutedFleet::start(size).await;
+    for software in ["v2", ""] {
+        routed.upstreams[0].kill();
+        routed.spawn_upstream_of(0, software);
+        routed.wait_status(0, "/get/1", 200).await;
+        let (id, _) = routed.call(0, "/get/1", "1").await;
+        assert_eq!(routed.runs()[&id][0].software, software);
+    }
+}
+
 #[compio::test]
 async fn metrics_count_requests() {
     let routed = RoutedFleet::start(FleetSize::default()).await;
