A silent upstream's answer is kept until another upstream answers

A call without an answer was given up the same way. A call is given up only once a retry is charged and another upstream can take it. An upstream whose answer is kept isn't called for the same request again, and a second call that was dropped before it left counts as no run.

--- a/src/gen/event.rs
+++ b/src/gen/event.rs
@@ -79,6 +79,8 @@
     RequestQuarantined = 29,
     KvMoved = 30,
     RequestCut = 31,
+    /// An upstream is silent, and its answer is waited for as no other one can take the request.
+    RequestKept = 32,
 }
 impl Kind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -119,6 +121,7 @@
             Self::RequestQuarantined => "REQUEST_QUARANTINED",
             Self::KvMoved => "KV_MOVED",
             Self::RequestCut => "REQUEST_CUT",
+            Self::RequestKept => "REQUEST_KEPT",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -156,6 +159,7 @@
             "REQUEST_QUARANTINED" => Some(Self::RequestQuarantined),
             "KV_MOVED" => Some(Self::KvMoved),
             "REQUEST_CUT" => Some(Self::RequestCut),
+            "REQUEST_KEPT" => Some(Self::RequestKept),
             _ => None,
         }
     }
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -5,10 +5,12 @@
 mod events;
 mod refusal;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::pin_mut;
 use http::StatusCode;
 use http::request::Parts;
 
@@ -27,7 +29,7 @@
 use crate::path::upstreams::Upstream;
 use crate::util::Name;
 
-/// Maximum number of upstreams tried for one request. Each attempt costs a round trip, and after
+/// Maximum number of upstreams tried for one answer. Each attempt costs a round trip, and after
 /// this many rejections the pool is most likely full, so a quick refusal serves the caller better.
 const MAX_UPSTREAMS_TRIED: usize = 4;
 /// Minimum remaining time for an attempt. With less, the answer would arrive after the deadline.
@@ -70,6 +72,14 @@
     runs: u32,
     /// Upstreams that may have received the request.
     delivered_to: Vec<Name>,
+    /// Upstream or router that is being called.
+    calling: Option<Name>,
+    /// Whether the request may have left for it.
+    is_sent: Cell<bool>,
+    /// Upstream whose answer is kept beside the next attempt.
+    kept: Option<Name>,
+    /// Whether the retry budget was charged for the next attempt before the last one was given up.
+    is_retry_reserved: bool,
     /// Held while the request runs as a suspect.
     trial: Option<Trial>,
     /// Released at the end of the answer.
@@ -92,6 +102,10 @@
             tried: before.delivered_to.clone(),
             runs: before.runs,
             delivered_to: before.delivered_to,
+            calling: None,
+            is_sent: Cell::default(),
+            kept: None,
+            is_retry_reserved: false,
             trial: None,
             _permit: permit,
         }
@@ -160,9 +174,22 @@
         promises_not_run && self.context.route.repeat.at_most_once()
     }
 
+    /// Like [`Self::next`], while the answer of `kept` is waited for: that upstream isn't called again.
+    pub(crate) async fn next_beside(
+        &mut self,
+        kept: Name,
+        resume_after: Option<u64>,
+    ) -> Result<Reply, Refused> {
+        self.kept = Some(kept);
+        let answered = self.next(resume_after).await;
+        self.kept = None;
+        answered
+    }
+
     /// Returns the answer of the next upstream. After the failure of a run that may have begun, the
     /// next attempt resumes after event `resume_after`.
     pub(crate) async fn next(&mut self, resume_after: Option<u64>) -> Result<Reply, Refused> {
+        let tried_before = self.tried.len();
         loop {
             let is_retry = !self.delivered_to.is_empty();
             if is_retry && self.is_suspected() {
@@ -181,6 +208,10 @@
             if let Some(left_ms) = self.quarantine_ms() {
                 return Err(self.refuse_quarantined(left_ms));
             }
+            if self.is_isolated() && self.kept.is_some() {
+                let detail = "another run of this suspected request is in progress";
+                return Err(self.refuse(Cause::Full, detail.to_owned()));
+            }
             if self.is_isolated() && self.trial.is_none() {
                 if let Some(reply) = self.delegate_trial(resume_after).await? {
                     return Ok(reply);
@@ -193,10 +224,11 @@
             {
                 return Ok(reply);
             }
-            let Some(choice) = self.choose() else {
+            let Some(choice) = self.choose(self.kept.as_ref()) else {
                 return Err(self.refuse_without_upstream());
             };
-            if is_retry && !self.context.path.state.take_retry(&self.context.service) {
+            let is_charged = std::mem::take(&mut self.is_retry_reserved);
+            if is_retry && !is_charged && !self.take_retry() {
                 let detail = "retry budget of the fleet is exhausted".to_owned();
                 // All upstreams rejected the request.
                 let cause = if self.runs == 0 {
@@ -215,7 +247,11 @@
             }
             let upstream = choice.upstream.clone();
             self.tried.push(upstream.id.clone());
-            let failed = match self.call(&choice, resume_after).await {
+            self.calling = Some(upstream.id.clone());
+            self.is_sent.set(false);
+            let called = self.call_or_replace(&choice, resume_after).await;
+            self.calling = None;
+            let failed = match called {
                 Ok(reply) => {
                     self.delivered_to.push(upstream.id.clone());
                     self.runs += 1;
@@ -256,7 +292,7 @@
                     return Err(self.refuse(cause, failed.reason));
                 }
             }
-            if self.tried.len() >= MAX_UPSTREAMS_TRIED {
+            if self.tried.len() - tried_before >= MAX_UPSTREAMS_TRIED {
                 let cause = if failed.kind == FailureKind::Rejected {
                     Cause::Full
                 } else {
@@ -267,6 +303,89 @@
         }
     }
 
+    /// Calls an upstream, and gives the call up if it takes long and another upstream can take the request.
+    ///
+    /// Failure guarded against: an upstream falls silent for a second. Its calls are given up, and then the
+    /// retry budget or the lack of an eligible upstream refuses the next attempt, though the first one would
+    /// have been answered.
+    async fn call_or_replace(
+        &mut self,
+        choice: &Choice,
+        resume_after: Option<u64>,
+    ) -> Result<Reply, CallError> {
+        let Some(limit) = self.attempt_timeout() else {
+            return self.call(choice, resume_after).await;
+        };
+        let reason = format!("no answer within {} ms", limit.as_millis());
+        {
+            let call = self.call(choice, resume_after);
+            pin_mut!(call);
+            let mut waits = 0_u32;
+            loop {
+                match compio::time::timeout(limit, &mut call).await {
+                    Ok(answered) => return answered,
+                    Err(_) => waits += 1,
+                }
+                if waits == 1 {
+                    self.record_silence(&choice.upstream, &reason);
+                }
+                if self.reserve_retry(&choice.upstream) {
+                    break;
+                }
+                self.emit(
+                    Kind::RequestKept,
+                    &choice.upstream.id,
+                    &format!("{reason}, and no other upstream can take it"),
+                );
+            }
+        }
+        self.is_retry_reserved = true;
+        Err(CallError {
+            kind: FailureKind::Lost,
+            reason,
+            timed_out: true,
+        })
+    }
+
+    /// Charges the retry budget if an upstream other than `current` can take the request now and has time to
+    /// answer.
+    fn reserve_retry(&self, current: &Upstream) -> bool {
+        let upstreams = self.context.path.replica.upstreams_fresh();
+        let RequestContext {
+            path,
+            route,
+            service,
+            ..
+        } = &self.context;
+        let may_try = self.remaining() >= Duration::from_millis(route.objective_ms)
+            && upstreams.may_decide()
+            && !path.state.is_cut_off(service)
+            && self.quarantine_ms().is_none()
+            && !self.is_suspected();
+        may_try && self.choose(Some(&current.id)).is_some() && self.take_retry()
+    }
+
+    fn take_retry(&self) -> bool {
+        self.context.path.state.take_retry(&self.context.service)
+    }
+
+    /// Records that the call beside an answer was dropped: if it was sent, the request may run there.
+    pub(crate) fn abandon_call(&mut self) {
+        self.kept = None;
+        let called = self.calling.take();
+        if let Some(called) = called.filter(|_| self.is_sent.get()) {
+            self.delivered_to.push(called);
+            self.runs += 1;
+        }
+    }
+
+    /// Records that `upstream` has been silent for long, as `reason` says. It may be alive.
+    pub(crate) fn record_silence(&self, upstream: &Upstream, reason: &str) {
+        let RequestContext { path, .. } = &self.context;
+        let now_ms = path.clock.now_ms();
+        path.state.record_overload(upstream, reason, now_ms);
+    }
+
     async fn call(&self, choice: &Choice, resume_after: Option<u64>) -> Result<Reply, CallError> {
         let context = &self.context;
         let remaining = self.remaining();
@@ -289,7 +408,8 @@
             body: context.body.clone(),
             request_id: context.head.request_id.as_deref(),
             new_connection: context.route.repeat.at_most_once(),
-            timeout: self.attempt_timeout().unwrap_or(remaining).min(remaining),
+            timeout: remaining,
+            is_sent: &self.is_sent,
         };
         let client = UpstreamClient {
             state: &context.path.state,
@@ -301,7 +421,7 @@
         client.call::<D>(choice.upstream.clone(), call).await
     }
 
-    /// Returns the time limit of one attempt while another attempt may still follow.
+    /// Returns the time after which an attempt is given up if another one can follow.
     fn attempt_timeout(&self) -> Option<Duration> {
         let route = &self.context.route;
         let is_last = self.runs + 1 >= route.max_attempts;
@@ -325,7 +445,7 @@
     }
 
     /// Whether at most one run of this request may be in progress in the whole fleet.
-    fn is_isolated(&self) -> bool {
+    pub(crate) fn is_isolated(&self) -> bool {
         let context = &self.context;
         context.path.state.is_isolated(context.fingerprint)
     }
--- a/src/path/attempts/choice.rs
+++ b/src/path/attempts/choice.rs
@@ -11,6 +11,7 @@
 use crate::path::router_state::Tried;
 use crate::path::upstreams::Upstream;
 use crate::schema::settings::Decisions;
+use crate::util::Name;
 
 /// Destination of the next attempt.
 pub(super) struct Choice {
@@ -20,13 +21,15 @@
 }
 
 impl<D: Dialect + Records> Attempts<D> {
-    /// Chooses the upstream of the next attempt, or `None` if none is eligible.
-    pub(super) fn choose(&self) -> Option<Choice> {
+    /// Chooses the upstream of the next attempt, or `None` if none is eligible. `kept` is one whose answer is
+    /// still waited for.
+    pub(super) fn choose(&self, kept: Option<&Name>) -> Option<Choice> {
         let context = &self.context;
         let now_ms = context.path.clock.now_ms();
         let tried = Tried {
             upstreams: &self.tried,
             may_repeat: self.runs > 0,
+            kept,
         };
         let max_open = self.connection_quota().open;
         let state = &context.path.state;
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -91,7 +91,6 @@
         resume_after: Option<u64>,
         reason: &str,
     ) -> Delegation {
-        let path = self.context.path.clone();
         let host = &router.host;
         self.emit(
             Kind::RequestHopped,
@@ -99,7 +98,17 @@
             &format!("delegated to {host}: {reason}"),
         );
         let request = self.delegated_request(resume_after);
-        let sent = path.peers.delegate(&router.peer_addr, &request);
+        self.calling = Some(host.clone());
+        self.is_sent.set(true);
+        let delegation = self.send_to(router, &request).await;
+        self.calling = None;
+        delegation
+    }
+
+    async fn send_to(&mut self, router: &Member, request: &DelegatedRequest) -> Delegation {
+        let path = self.context.path.clone();
+        let host = &router.host;
+        let sent = path.peers.delegate(&router.peer_addr, request);
         let sent = compio::time::timeout(self.remaining(), sent).await;
         let lost = match sent {
             Ok(Err(DelegateError::NotSent { reason })) => {
--- a/src/path/attempts/refusal.rs
+++ b/src/path/attempts/refusal.rs
@@ -43,7 +43,7 @@
 
     /// Builds the final refusal. Its run state is "not run" only if no upstream can have run the
     /// request.
-    pub(super) fn refuse(&self, cause: Cause, detail: String) -> Refused {
+    pub(crate) fn refuse(&self, cause: Cause, detail: String) -> Refused {
         let (run, retry_after_ms) = if self.runs > 0 {
             (RunState::Unknown, 0)
         } else {
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -1,5 +1,6 @@
 //! One call to one upstream: sends the request and reads the head of the answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -114,6 +115,8 @@
     /// request is in transit, and then it is unknown whether the request ran.
     pub(crate) new_connection: bool,
     pub(crate) timeout: Duration,
+    /// Set once the request may run.
+    pub(crate) is_sent: &'a Cell<bool>,
 }
 
 impl UpstreamClient<'_> {
@@ -157,6 +160,7 @@
             Ok(()) => self.state.record_error_answer(&upstream, now_ms),
             Err(failed) => {
                 if matches!(failed.kind, FailureKind::Rejected | FailureKind::Replaced) {
+                    call.is_sent.set(false);
                     self.drain_rejection(&upstream, body, connection, &parts)
                         .await;
                 }
@@ -202,6 +206,7 @@
             match self.send_on(connection, upstream, call).await {
                 // The upstream closed the idle connection; no byte was sent.
                 Err(failed) if failed.kind == FailureKind::NotSent => {
+                    call.is_sent.set(false);
                     self.send_on_new(upstream, call).await
                 }
                 answered => answered,
@@ -243,6 +248,7 @@
         {
             return Err(withheld());
         }
+        call.is_sent.set(true);
         let sent = connection.sender.try_send_request(build(call)).await;
         match sent {
             Ok(response) => {
--- a/src/path/call_tests.rs
+++ b/src/path/call_tests.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -91,6 +92,7 @@
             request_id,
             new_connection: false,
             timeout: Duration::from_secs(5),
+            is_sent: &Cell::new(false),
         };
         let client = UpstreamClient {
             state: &self.state,
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -4,7 +4,7 @@
 //! A request passes through the modules in this order: `callers` accepts the connection, `request`
 //! validates it and resolves its route and account, `admission_queue` queues it until its service
 //! has free capacity, `attempts` picks upstreams until one answers, `call` sends the request over a
-//! pooled `connection`, and `answer` forwards the answer and resumes a stream that breaks off.
+//! pooled `connection`, `stream` resumes a stream that breaks off, and `answer` forwards the answer.
 //! [`routes`], [`upstreams`] and `router_state` hold the state that these modules read; a
 //! [`dialect`] maps header names.
 
@@ -38,6 +38,7 @@
 pub mod routes;
 mod state_requests;
 pub(crate) mod stop;
+pub(crate) mod stream;
 pub(crate) mod suspects;
 pub(crate) mod suspend;
 pub(crate) mod trials;
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -91,6 +91,8 @@
     /// Whether the request may return to them if no other upstream is left: they ran the request
     /// and failed, rather than rejecting it.
     pub(crate) may_repeat: bool,
+    /// Upstream that still runs the request and never gets it again.
+    pub(crate) kept: Option<&'a Name>,
 }
 
 /// Counts one request at one upstream while it exists.
--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -124,6 +124,7 @@
         let mut open = Candidates::idle(&pool);
         self.count_requests(&mut open);
         self.close(&mut open, allowed_regions, max_open, now_ms);
+        open.change(tried.kept.into_iter(), exclude);
         self.mark_cache_sources(&mut open, service, now_ms);
         let mut candidates = open.clone();
         for relaxation in RELAXATIONS {
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -57,6 +57,7 @@
     let tried = Tried {
         upstreams: &[],
         may_repeat: false,
+        kept: None,
     };
     let (_, candidates) = state.pool("s", &tried, &[], u32::MAX, 1);
     candidates.iter().filter(|c| !c.excluded).count()
@@ -176,6 +177,7 @@
         let tried = Tried {
             upstreams: &[],
             may_repeat: false,
+            kept: None,
         };
         let (_, candidates) = state.pool("s", &tried, &[], u32::MAX, now_ms);
         candidates.iter().filter(|c| !c.excluded).count()
@@ -227,6 +229,7 @@
             let tried_before = Tried {
                 upstreams: &tried,
                 may_repeat: false,
+                kept: None,
             };
             let (pool, candidates) = state.pool("s", &tried_before, &[], u32::MAX, now_ms);
             let at = by_load(&candidates, Counts::Current, &mut rng).unwrap();
@@ -390,6 +393,7 @@
     let tried = Tried {
         upstreams: &[],
         may_repeat: false,
+        kept: None,
     };
     let open = |allowed_regions: &[&AllowedRegions]| {
         let (_, candidates) = state.pool("s", &tried, allowed_regions, u32::MAX, 1);
@@ -435,6 +439,7 @@
     let tried = Tried {
         upstreams: &[id(11)],
         may_repeat: false,
+        kept: None,
     };
     let (pool, candidates) = state.pool("large", &tried, &[], 3, 2);
     assert_eq!(candidates.len(), UPSTREAMS as usize);
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -28,6 +28,7 @@
 const LEAVING_NOTICES: &str = "cassiagrade_leaving_notices_total";
 const PUSHBACKS: &str = "cassiagrade_pushbacks_total";
 const SUSPICIONS: &str = "cassiagrade_suspicions_total";
+const SILENT_ANSWERS: &str = "cassiagrade_silent_answers_total";
 const SERVICES_CUT_OFF: &str = "cassiagrade_services_cut_off";
 const MEMBER_CHANGES: &str = "cassiagrade_member_changes_total";
 const SECOND_HOPS_AVOIDED: &str = "cassiagrade_second_hops_avoided_total";
@@ -96,6 +97,10 @@
         SERVICES_CUT_OFF,
         "Services of which this router reaches no upstream"
     );
+    describe_counter!(
+        SILENT_ANSWERS,
+        "Answers silent for so long that another upstream was sought, by outcome"
+    );
     describe_counter!(HOPS, "Requests passed on to another router");
     describe_counter!(
         CONTROL_BYTES,
@@ -323,6 +328,11 @@
     }
 }
 
+/// Counts an answer that was silent for so long that another upstream was sought.
+pub(crate) fn silent_answer(outcome: &'static str) {
+    counter!(SILENT_ANSWERS, "outcome" => outcome).increment(1);
+}
+
 /// Counts a change of a router's membership state.
 pub(crate) fn member_changed(state: &'static str) {
     counter!(MEMBER_CHANGES, "state" => state).increment(1);
