The head of a streamed answer waits for its first event

What callers saw: a whole request whose connection ended with neither an answer nor a refusal, or a 200 without events. Cause: the head was handed to the connection before anything of the stream had arrived; an upstream that breaks off then, with none to go on, leaves only a closed connection.

--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -15,6 +15,7 @@
 use crate::path::attempts::{Attempts, UpstreamAnswer};
 use crate::path::call::Reply;
 use crate::path::dialect::{Dialect, Records};
+use crate::path::refusal::Refused;
 use crate::path::stream::{EventStream, clone_head, describe};
 use crate::stats::Tally;
 
@@ -22,11 +23,14 @@
 const CHANNEL_CAPACITY: usize = 16;
 
 /// Forwards an upstream's answer to the caller.
-pub(crate) fn forward<D: Dialect + Records>(
+///
+/// # Errors
+/// Returns the refusal of a stream that broke off before its first event and can't go on.
+pub(crate) async fn forward<D: Dialect + Records>(
     attempts: Attempts<D>,
     answered: UpstreamAnswer,
-    mut tally: Tally,
-) -> Response<Answer> {
+    tally: &mut Tally,
+) -> Result<Response<Answer>, Refused> {
     match answered {
         UpstreamAnswer::Buffered(reply) => {
             attempts.emit(
@@ -40,9 +44,9 @@
             if !reply.parts.status.is_server_error() {
                 attempts.record_answered();
             }
-            respond(reply.parts, Answer::whole(reply.body))
+            Ok(respond(reply.parts, Answer::whole(reply.body)))
         }
-        UpstreamAnswer::Stream(reply) => stream(attempts, reply, tally),
+        UpstreamAnswer::Stream(reply) => stream(attempts, reply, tally).await,
     }
 }
 
@@ -86,35 +90,34 @@
     }
 }
 
-fn stream<D: Dialect + Records>(
+/// Begins a streamed answer once its first events have arrived: until then, a refusal can be sent instead.
+///
+/// Failure guarded against: an upstream sends its head and breaks off. With the head already handed to the
+/// connection, the caller's connection ends without an answer.
+async fn stream<D: Dialect + Records>(
     attempts: Attempts<D>,
     reply: Reply,
-    mut tally: Tally,
-) -> Response<Answer> {
-    tally.first_byte();
-    let events = EventStream::new(attempts, reply);
+    tally: &mut Tally,
+) -> Result<Response<Answer>, Refused> {
+    let mut events = EventStream::new(attempts, reply);
+    let first = events.next().await?;
     let parts = clone_head(events.head());
+    tally.first_byte();
     let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
-    compio::runtime::spawn(relay(events, tx, tally.take())).detach();
-    respond(parts, Answer::Stream(rx))
+    let tally = tally.take();
+    compio::runtime::spawn(relay(events, first, tx, tally)).detach();
+    Ok(respond(parts, Answer::Stream(rx)))
 }
 
-/// Forwards events until the stream ends or the caller disconnects.
+/// Forwards events, `next` first, until the stream ends or the caller disconnects.
 async fn relay<D: Dialect + Records>(
     mut events: EventStream<D>,
+    first: Option<Bytes>,
     tx: mpsc::Sender<io::Result<Bytes>>,
     mut tally: Tally,
 ) {
+    let mut next = Ok(first);
     loop {
-        let next = {
-            let following = events.next();
-            let closed = tx.closed();
-            pin_mut!(following, closed);
-            match select(following, closed).await {
-                Either::Left((following, _)) => following,
-                Either::Right(_) => break,
-            }
-        };
         match next {
             Ok(Some(bytes)) => {
                 if tx.send(Ok(bytes)).await.is_err() {
@@ -130,6 +133,15 @@
                 return;
             }
         }
+        next = {
+            let following = events.next();
+            let closed = tx.closed();
+            pin_mut!(following, closed);
+            match select(following, closed).await {
+                Either::Left((following, _)) => following,
+                Either::Right(_) => break,
+            }
+        };
     }
     events.emit(Kind::RequestCancelled, "caller closed its connection");
 }
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -260,7 +260,7 @@
     };
     let mut attempts = Attempts::new(context, permit);
     let answered = attempts.answer().await?;
-    Ok(answer::forward(attempts, answered, tally.take()))
+    answer::forward(attempts, answered, tally).await
 }
 
 /// Waits until the service has capacity for the request.
