Connections to upstreams outlive a silence of two seconds

Cause: the limit of unacknowledged data, 1.5 s for every connection, also decides when keepalive gives up. What is sent into a silence of two seconds is acknowledged three seconds after its beginning, as retransmissions double their pauses. Now the limit of connections to upstreams is 4 s; callers, peers and the platform keep 1.5 s.

--- a/src/front/pages.rs
+++ b/src/front/pages.rs
@@ -14,7 +14,7 @@
 
 use crate::front::body::Answer;
 use crate::front::listen::{self, ConnectionPermit, ConnectionPermits};
-use crate::socket::set_keepalive;
+use crate::socket::{OtherEnd, set_keepalive};
 
 /// Limit on open connections; more are expected only if all callers lose their addresses at once.
 const MAX_CONNECTIONS: usize = 512;
@@ -45,7 +45,7 @@
 }
 
 async fn serve<P: Page>(stream: TcpStream, pages: Rc<P>, _permit: ConnectionPermit) {
-    set_keepalive(&stream);
+    set_keepalive(&stream, OtherEnd::Plain);
     let service = service_fn(move |request| {
         let response = pages.page(&request);
         async move { Ok::<_, Infallible>(response) }
--- a/src/path/callers.rs
+++ b/src/path/callers.rs
@@ -16,7 +16,7 @@
 use crate::path::routes::CallerLimits;
 use crate::path::{RequestPath, request};
 use crate::schema::settings::Limits;
-use crate::socket::set_keepalive;
+use crate::socket::{OtherEnd, set_keepalive};
 
 /// The connection of a caller that reads nothing for this long is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -53,7 +53,7 @@
     path: Rc<RequestPath<D>>,
     _permit: ConnectionPermit,
 ) {
-    set_keepalive(&stream);
+    set_keepalive(&stream, OtherEnd::Plain);
     let bounds = bounds(&path.state.deployment().limits);
     let drain = path.drain.clone();
     let handle = move |request| request::handle(path.clone(), request);
--- a/src/path/connection.rs
+++ b/src/path/connection.rs
@@ -17,7 +17,7 @@
 
 use crate::decide::connections::ConnectionQuota;
 use crate::path::upstreams::Upstream;
-use crate::socket::set_keepalive;
+use crate::socket::{OtherEnd, set_keepalive};
 use crate::util::Name;
 
 /// Share of the upstream's idle timeout during which a connection is reused. The rest covers the
@@ -153,7 +153,7 @@
         .await
         .map_err(|_| ConnectError::TimedOut)?
         .context(RefusedSnafu)?;
-    set_keepalive(&stream);
+    set_keepalive(&stream, OtherEnd::Upstream);
     let io = HyperStream::new_plain(stream);
     let (sender, conn) = http1::handshake(io).await.context(HandshakeSnafu)?;
     compio::runtime::spawn(async move {
--- a/src/peers/http2.rs
+++ b/src/peers/http2.rs
@@ -10,7 +10,7 @@
 use hyper::rt::Executor;
 use snafu::{ResultExt, Snafu};
 
-use crate::socket::set_keepalive;
+use crate::socket::{OtherEnd, set_keepalive};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -48,7 +48,7 @@
         .await
         .map_err(|_| ConnectError::TimedOut)?
         .context(RefusedSnafu)?;
-    set_keepalive(&stream);
+    set_keepalive(&stream, OtherEnd::Plain);
     let io = HyperStream::new_plain(stream);
     let (send, conn) = hyper::client::conn::http2::Builder::new(LocalExec)
         .timer(CompioTimer)
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -22,7 +22,7 @@
 use crate::peers::http2::LocalExec;
 use crate::peers::{frames, kind};
 use crate::schema::peer::{self, MembersReply, MembersRequest};
-use crate::socket::set_keepalive;
+use crate::socket::{OtherEnd, set_keepalive};
 use crate::stats;
 use crate::util::Name;
 
@@ -53,7 +53,7 @@
 }
 
 async fn serve<H: PeerHandler>(stream: TcpStream, key: Name, drain: Drain, handler: H) {
-    set_keepalive(&stream);
+    set_keepalive(&stream, OtherEnd::Plain);
     let service = service_fn(move |request: Request<Incoming>| {
         let (key, drain, handler) = (key.clone(), drain.clone(), handler.clone());
         async move {
