Routers know the software version of each upstream

Upstreams of several software versions serve one service side by side, but the version in their records was dropped. Upstream now has it, a record with another version counts as a change, and an id that returns with another version is another start of the upstream.

A caller's head has the id of the request that brought the first event of the stream that it takes up again, and Origin names where a stream began.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -29,7 +29,7 @@
 mod types;
 
 pub use crate::util::Name;
-pub use types::{ChatKey, Cost, Incarnation, Job, JobId, PoolView, Priority, Rates};
+pub use types::{ChatKey, Cost, Incarnation, Job, JobId, Origin, PoolView, Priority, Rates};
 
 #[cfg(test)]
 mod admission_tests;
--- a/src/decide/types.rs
+++ b/src/decide/types.rs
@@ -32,6 +32,16 @@
     pub started_ms: u64,
 }
 
+/// Where a stream began. What upstreams of different software write doesn't fit together, so it may
+/// go on only there.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Origin {
+    /// Service of the upstream that brought the first event.
+    pub service: Name,
+    /// Version of its software; `None` if its record names none.
+    pub software: Option<Name>,
+}
+
 /// Identifies a job at one home.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct JobId(pub u64);
--- a/src/path/admission_queue_tests.rs
+++ b/src/path/admission_queue_tests.rs
@@ -25,6 +25,7 @@
         started_ms: 5,
         draining: false,
         cold_ms: 0,
+        software: None,
     }
 }
 
--- a/src/path/call_tests.rs
+++ b/src/path/call_tests.rs
@@ -53,6 +53,7 @@
             started_ms: 5,
             draining: false,
             cold_ms: 0,
+            software: None,
         });
         state.change_upstreams(|upstreams| upstreams.put((*upstream).clone()));
         let now_ms: &'static AtomicU64 = Box::leak(Box::new(AtomicU64::new(10_000)));
--- a/src/path/connection_tests.rs
+++ b/src/path/connection_tests.rs
@@ -21,6 +21,7 @@
         started_ms,
         draining: false,
         cold_ms: 0,
+        software: None,
     }
 }
 
--- a/src/path/dialect.rs
+++ b/src/path/dialect.rs
@@ -25,6 +25,8 @@
     pub output_tokens: u32,
     /// Last event that the caller received of a stream that broke off.
     pub resume_after: Option<u64>,
+    /// Id of the caller's request that brought the first event of that stream.
+    pub resumes: Option<String>,
 }
 
 /// What one call to an upstream carries in addition to what the caller sent.
--- a/src/path/health_tests.rs
+++ b/src/path/health_tests.rs
@@ -17,6 +17,7 @@
         started_ms: 0,
         draining: false,
         cold_ms: 0,
+        software: None,
     };
     (0..6).map(|i| Rc::new(upstream(i))).collect()
 }
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use tokio::sync::{Notify, watch};
 
-use crate::decide::Incarnation;
 use crate::fleet::log_reads::ReadSchedule;
 use crate::mutation::{Mutation, mutated};
 use crate::path::change_log::{Change, ChangeLog};
@@ -371,14 +370,8 @@
             None => self.departures.borrow_mut().forget(&upstream.incarnation()),
         }
         let draining = upstream.draining;
-        let started_ms = upstream.started_ms;
-        let before = self.state.incarnation(id);
-        // The clock of its host may have stepped back in between, so any different start time is a
-        // restart. Zero means unknown.
-        let is_different = |before: &Incarnation| {
-            before.started_ms != started_ms && before.started_ms > 0 && started_ms > 0
-        };
-        let restarted = before.filter(is_different);
+        let before = self.state.upstream(id);
+        let restarted = before.filter(|before| upstream.is_restart_of(before));
         let is_restart = restarted.is_some();
         let is_new = !self.state.has_upstream(id) && self.upstreams_at.get().is_known();
         self.missing.borrow_mut().remove(id);
@@ -392,7 +385,7 @@
         self.state.report_cold(&cold, now_ms);
         if let Some(before) = restarted {
             log::info!("upstream {id} restarted");
-            self.state.record_restart(&before, now_ms);
+            self.state.record_restart(&before.incarnation(), now_ms);
         }
         if is_new || is_restart {
             self.state.record_join(id, now_ms);
@@ -484,7 +477,7 @@
     }
 
     fn drop_upstream(&self, at: StreamPosition, id: &str) {
-        let Some(incarnation) = self.state.incarnation(id) else {
+        let Some(incarnation) = self.state.upstream(id).map(|u| u.incarnation()) else {
             return;
         };
         let now_ms = self.clock.now_ms();
--- a/src/path/log_replica_tests.rs
+++ b/src/path/log_replica_tests.rs
@@ -21,7 +21,7 @@
 use test_case::test_case;
 
 /// Records as plain text: a version; or whether an upstream drains, followed by `@` and its start
-/// time.
+/// time, and by `/` and its software.
 pub(super) struct Plain;
 
 impl Records for Plain {
@@ -37,8 +37,10 @@
     }
 
     fn upstream(id: &str, record: &[u8]) -> Result<Upstream, Self::Error> {
-        let text = String::from_utf8_lossy(record);
-        let (state, started) = text.split_once('@').unwrap_or((&text, "0"));
+        let record_text = String::from_utf8_lossy(record);
+        let (text, software) = record_text.split_once('/').unzip();
+        let text = text.unwrap_or(&record_text);
+        let (state, started) = text.split_once('@').unwrap_or((text, "0"));
         Ok(Upstream {
             id: id.into(),
             service: "s".into(),
@@ -48,6 +50,7 @@
             started_ms: started.parse()?,
             draining: state == "draining",
             cold_ms: 0,
+            software: software.map(Into::into),
         })
     }
 }
@@ -271,6 +274,23 @@
     assert_eq!(router.state.slots_open("s", 20), Some(1));
 }
 
+/// An upstream whose record names no start time returns under its id with other software. It must
+/// be listed as the new version, and observations of the old one must not keep it without work.
+#[test]
+fn other_software_under_the_same_id_is_a_restart() {
+    let router = Router::new();
+    let ready = |version: &str| Bytes::from(format!("ready@0/{version}"));
+    router.replica.put(at(1), "i-1", ready("1"));
+    let started = router.state.upstream("i-1").unwrap();
+    router.state.record_replaced(&started, 10);
+    router.replica.put(at(2), "i-1", ready("1"));
+    assert_eq!(router.state.slots_open("s", 20), None);
+    router.replica.put(at(3), "i-1", ready("2"));
+    assert_eq!(router.state.slots_open("s", 20), Some(1));
+    let listed = router.state.upstream("i-1").unwrap();
+    assert_eq!(listed.software.as_deref(), Some("2"));
+}
+
 /// A router learns of one that has read more of the log, but keeps no changes from before its own
 /// read. If all upstreams were sent each time, hundreds of such routers would overload one
 /// another's links; the log provides the missing changes. The answer must not be taken for
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -228,9 +228,9 @@
         self.upstreams.borrow().get(id).is_some()
     }
 
-    /// The start of upstream `id` that is listed, if any.
-    pub(crate) fn incarnation(&self, id: &str) -> Option<Incarnation> {
-        self.upstreams.borrow().get(id).map(|u| u.incarnation())
+    /// Upstream `id` as listed, if it is.
+    pub(crate) fn upstream(&self, id: &str) -> Option<Rc<Upstream>> {
+        self.upstreams.borrow().get(id).cloned()
     }
 
     /// Handles the restart of an upstream under the same id, which was `before`.
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -24,6 +24,7 @@
         started_ms: 0,
         draining: false,
         cold_ms: 0,
+        software: None,
     }
 }
 
@@ -416,6 +417,7 @@
     let of = |i: u32| Upstream {
         id: id(i),
         cold_ms: if i == 5 { 4_000 } else { 0 },
+        software: None,
         draining: i == 6,
         data_center: if i >= 1_990 { "south" } else { "north" }.into(),
         service: "large".into(),
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -34,6 +34,8 @@
     pub draining: bool,
     /// Remaining time that it stays cold, as of its report.
     pub cold_ms: u64,
+    /// Version of the software that it runs; `None` if its record names none.
+    pub software: Option<Name>,
 }
 
 impl Upstream {
@@ -45,6 +47,18 @@
         }
     }
 
+    /// Whether this is another start of the upstream that was listed as `before`: its start time or
+    /// its software differs.
+    ///
+    /// The clock of its host may have stepped back in between, so any different start time is a
+    /// restart.
+    pub(crate) fn is_restart_of(&self, before: &Self) -> bool {
+        let has_starts = self.started_ms > 0 && before.started_ms > 0;
+        let has_versions = self.software.is_some() && before.software.is_some();
+        has_starts && self.started_ms != before.started_ms
+            || has_versions && self.software != before.software
+    }
+
     /// Whether `next` adds nothing of relevance to this record: it differs at most in a shorter
     /// remaining cold time.
     ///
@@ -93,6 +107,7 @@
     ///     started_ms: 0,
     ///     draining: false,
     ///     cold_ms: 0,
+    ///     software: None,
     /// };
     /// let mut upstreams = Upstreams::default();
     /// assert!(upstreams.put(one.clone()));
@@ -149,6 +164,7 @@
     ///     started_ms: 5,
     ///     draining: false,
     ///     cold_ms: 0,
+    ///     software: None,
     /// };
     /// let mut upstreams = Upstreams::default();
     /// upstreams.put(one.clone());
@@ -276,6 +292,7 @@
     ///     started_ms: 0,
     ///     draining,
     ///     cold_ms: 0,
+    ///     software: None,
     /// };
     /// let mut upstreams = Upstreams::local_to("north".into());
     /// upstreams.put(upstream("i-2", true));
