A stream goes on only at the software version that began it

Upstreams of two software versions serve one service side by side, and what they write doesn't fit together. The attempts of a request now keep to the service and version of the upstream that brought the first event, or at which the stream began that the caller takes up again. No relaxation of the choice lifts this, prompt parts are fetched only within a version, and delegation carries the origin. If no upstream of the version takes work any more, the request is refused at once with that reason; refusals by another router count the runs before the delegation.

A request that takes up a resumable stream after an event needs a known origin, and is refused as not run without one. stream_origins is a stub that knows none; Attempts::record_first_event isn't called yet.

--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -519,6 +519,17 @@
     #[prost(message, repeated, tag = "2")]
     pub suspicions: ::prost::alloc::vec::Vec<Suspicion>,
 }
+/// Where a stream began.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Unset if the upstream named none.
+    #[prost(string, optional, tag = "2")]
+    pub software: ::core::option::Option<::prost::alloc::string::String>,
+}
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -652,6 +663,9 @@
     /// What the sender knows against the request.
     #[prost(message, optional, tag = "12")]
     pub suspicion: ::core::option::Option<Suspicion>,
+    /// Where the stream began that the request goes on with.
+    #[prost(message, optional, tag = "13")]
+    pub origin: ::core::option::Option<StreamOrigin>,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -12,6 +12,7 @@
 use http::StatusCode;
 use http::request::Parts;
 
+use crate::decide::Origin;
 use crate::decide::refusal::Cause;
 use crate::event::Kind;
 use crate::path::RequestPath;
@@ -57,6 +58,8 @@
     pub(crate) started: Instant,
     /// Earlier of the time limits of the caller and of the route.
     pub(crate) deadline: Instant,
+    /// Where the stream began that the caller takes up again, if it does.
+    pub(crate) origin: Option<Origin>,
     /// Set if another router delegated the request to this one, which then does not delegate it
     /// again.
     pub(crate) delegated: Option<Delegated>,
@@ -70,6 +73,8 @@
     runs: u32,
     /// Upstreams that may have received the request.
     delivered_to: Vec<Name>,
+    /// Where the stream began that the answer is or goes on with; all further attempts keep to it.
+    origin: Option<Origin>,
     /// Held while the request runs as a suspect.
     trial: Option<Trial>,
     /// Released at the end of the answer.
@@ -87,8 +92,10 @@
 impl<D: Dialect + Records> Attempts<D> {
     pub(crate) fn new(context: RequestContext<D>, permit: Option<Permit>) -> Self {
         let before = context.delegated.clone().unwrap_or_default();
+        let origin = context.origin.clone();
         Self {
             context,
+            origin,
             tried: before.delivered_to.clone(),
             runs: before.runs,
             delivered_to: before.delivered_to,
@@ -366,6 +373,11 @@
         death_check::spawn(path, upstream.clone(), self.trial.take());
     }
 
+    /// Records that `upstream` brought the first event of a stream.
+    pub(crate) fn record_first_event(&mut self, upstream: &Upstream) {
+        self.origin.get_or_insert_with(|| upstream.origin());
+    }
+
     /// Whether the request may run again after a run that may have begun.
     pub(crate) fn may_retry(&self) -> bool {
         !self.context.route.repeat.at_most_once() && self.runs < self.context.route.max_attempts
--- a/src/path/attempts/choice.rs
+++ b/src/path/attempts/choice.rs
@@ -8,7 +8,7 @@
 use crate::path::attempts::Attempts;
 use crate::path::dialect::{Dialect, Records};
 use crate::path::regions::AllowedRegions;
-use crate::path::router_state::Tried;
+use crate::path::router_state::{Bounds, Tried};
 use crate::path::upstreams::Upstream;
 use crate::schema::settings::Decisions;
 
@@ -30,9 +30,9 @@
         };
         let max_open = self.connection_quota().open;
         let state = &context.path.state;
-        let allowed_regions = self.allowed_regions();
-        let (pool, candidates) =
-            state.pool(&context.service, &tried, &allowed_regions, max_open, now_ms);
+        let regions = self.allowed_regions();
+        let bounds = self.bounds(&regions);
+        let (pool, candidates) = state.pool(&context.service, &tried, bounds, max_open, now_ms);
         let decisions = state.decisions();
         let selection = match shared_part(&context.head.prompt_parts) {
             Some(part) if context.route.cached_prompts && decisions.part_order => {
@@ -47,15 +47,24 @@
                 }
             }
         };
+        let upstream = pool.upstreams()[selection.at].clone();
+        let source = selection.source.map(|at| &pool.upstreams()[at]);
+        let source =
+            source.filter(|source| decisions.fetch && source.software == upstream.software);
         Some(Choice {
-            upstream: pool.upstreams()[selection.at].clone(),
-            fetch_from: selection
-                .source
-                .filter(|_| decisions.fetch)
-                .map(|at| pool.upstreams()[at].addr),
+            fetch_from: source.map(|source| source.addr),
+            upstream,
         })
     }
 
+    /// Limits that the upstreams of all attempts must be within.
+    pub(super) fn bounds<'a>(&'a self, regions: &'a [&'a AllowedRegions]) -> Bounds<'a> {
+        Bounds {
+            regions,
+            origin: self.origin.as_ref(),
+        }
+    }
+
     /// Connections that this router may open to each upstream of the service.
     pub(super) fn connection_quota(&self) -> ConnectionQuota {
         let path = &self.context.path;
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -52,7 +52,7 @@
             let reason = "runs of this suspected request take place there";
             match self.delegate(router, resume_after, reason).await {
                 Delegation::Answered(reply) => return Ok(Some(reply)),
-                Delegation::Refused(refused) => return Err(refused),
+                Delegation::Refused(refused) => return Err(refused.after(self.runs)),
                 Delegation::NotSent => {}
             }
         }
@@ -76,11 +76,11 @@
             match self.delegate(&router, resume_after, reason).await {
                 Delegation::Answered(reply) => return Ok(Some(reply)),
                 Delegation::Refused(refused) if refused.is_of_router() => refusal = Some(refused),
-                Delegation::Refused(refused) => return Err(refused),
+                Delegation::Refused(refused) => return Err(refused.after(self.runs)),
                 Delegation::NotSent => {}
             }
         }
-        refusal.map_or(Ok(None), Err)
+        refusal.map_or(Ok(None), |refused| Err(refused.after(self.runs)))
     }
 
     /// Delegates this request to `router`. An answer through another router is final, as this one
@@ -147,6 +147,7 @@
             runs: self.runs,
             resume_after,
             suspicion: context.path.state.suspicion(context.fingerprint, now_ms),
+            origin: self.origin.as_ref().map(Into::into),
         }
     }
 
--- a/src/path/attempts/refusal.rs
+++ b/src/path/attempts/refusal.rs
@@ -3,15 +3,18 @@
 use crate::decide::refusal::{Cause, RunState, jittered_ms};
 use crate::path::attempts::Attempts;
 use crate::path::dialect::{Dialect, Records};
-use crate::path::refusal::{QUARANTINED, Refused};
-
-/// Least base of `Retry-After` if all upstreams of a service are full or unreachable: the duration
-/// of a few requests.
-const RETRY_AFTER_MS: u64 = 300;
+use crate::path::refusal::{QUARANTINED, RETRY_AFTER_MS, Refused, no_version_left};
+use crate::stats::{self, NotResumed};
 
 impl<D: Dialect + Records> Attempts<D> {
     /// Returns the refusal if no upstream can be chosen.
     pub(super) fn refuse_without_upstream(&self) -> Refused {
+        if let Some(origin) = self.origin.as_ref()
+            && !self.context.path.state.has_version(origin)
+        {
+            stats::not_resumed(NotResumed::NoUpstream);
+            return self.refuse(Cause::NoUpstream, no_version_left(origin));
+        }
         if let Some(left_ms) = self.pushback_ms() {
             let detail = format!("all upstreams want no requests for {left_ms} ms");
             return self.refuse(Cause::Full, detail);
@@ -63,6 +66,7 @@
         let context = &self.context;
         let now_ms = context.path.clock.now_ms();
         let state = &context.path.state;
-        state.pushback_ms(&context.service, &self.allowed_regions(), now_ms)
+        let regions = self.allowed_regions();
+        state.pushback_ms(&context.service, self.bounds(&regions), now_ms)
     }
 }
--- a/src/path/delegate.rs
+++ b/src/path/delegate.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
+use crate::decide::Origin;
 use crate::decide::refusal::{Cause, RunState};
 use crate::front::body::Answer;
 use crate::path::RequestPath;
@@ -30,6 +31,8 @@
     pub(crate) delivered_to: Vec<Name>,
     /// Number of upstreams that may have run it.
     pub(crate) runs: u32,
+    /// Where the stream began that the request goes on with, if it does.
+    pub(crate) origin: Option<Origin>,
 }
 
 /// Answer of the router to which a request was delegated.
@@ -74,7 +77,7 @@
     }
 }
 
-fn decode<D: Dialect>(bytes: &[u8]) -> Result<request::Received, String> {
+pub(super) fn decode<D: Dialect>(bytes: &[u8]) -> Result<request::Received, String> {
     let message: DelegatedRequest = frames::from_slice(bytes).map_err(|e| e.to_string())?;
     let mut request = Request::builder()
         .method(message.method.as_str())
@@ -99,6 +102,7 @@
             is_counted: message.is_counted,
             delivered_to: message.delivered_to.into_iter().map(Name::from).collect(),
             runs: message.runs,
+            origin: message.origin.map(Into::into),
         },
     })
 }
--- /dev/null
+++ b/src/path/delegate_tests.rs
@@ -0,0 +1,41 @@
+use super::delegate::decode;
+use super::refusal::Refused;
+use crate::decide::Origin;
+use crate::decide::refusal::{Cause, RunState};
+use crate::peers::frames;
+use crate::platform::Headers;
+use crate::schema::peer::DelegatedRequest;
+use test_case::test_case;
+
+/// A stream goes on through another router, which draws among all upstreams unless it is told where
+/// the stream began. A version without a name is another one than the empty name.
+#[test_case(None; "unnamed")]
+#[test_case(Some(""); "empty")]
+#[test_case(Some("2.1"); "named")]
+fn origin_reaches_the_other_router(software: Option<&str>) {
+    let origin = Origin {
+        service: "s".into(),
+        software: software.map(Into::into),
+    };
+    let request = DelegatedRequest {
+        method: "POST".to_owned(),
+        target: "/x/1".to_owned(),
+        resume_after: Some(7),
+        origin: Some((&origin).into()),
+        ..DelegatedRequest::default()
+    };
+    let received = decode::<Headers>(&frames::to_vec(&request).unwrap()).unwrap();
+    assert_eq!(received.delegated.origin, Some(origin));
+    assert_eq!(received.head.resume_after, Some(7));
+}
+
+/// An upstream may have run the request before it was delegated, and the other router refuses it.
+/// The caller must not be told that it didn't run.
+#[test]
+fn refusal_by_another_router_counts_earlier_runs() {
+    let refused = || Refused::not_run(Cause::NoUpstream, 300, "none left");
+    let unrun = refused().after(0);
+    assert_eq!((unrun.run, unrun.retry_after_ms), (RunState::NotRun, 300));
+    let run = refused().after(1);
+    assert_eq!((run.run, run.retry_after_ms), (RunState::Unknown, 0));
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -38,6 +38,7 @@
 pub mod routes;
 mod state_requests;
 pub(crate) mod stop;
+pub(crate) mod stream_origins;
 pub(crate) mod suspects;
 pub(crate) mod suspend;
 pub(crate) mod trials;
@@ -54,6 +55,8 @@
 #[cfg(test)]
 mod connection_tests;
 #[cfg(test)]
+mod delegate_tests;
+#[cfg(test)]
 mod departures_tests;
 #[cfg(test)]
 mod freshness_tests;
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -3,11 +3,16 @@
 use http::header::CONNECTION;
 use http::{HeaderValue, Response, StatusCode};
 
+use crate::decide::Origin;
 use crate::decide::refusal::{Cause, RunState};
 use crate::front::body::Answer;
 use crate::front::refusal::{ErrorBody, status};
 use crate::path::dialect::Dialect;
 
+/// Least base of `Retry-After` if all upstreams of a service are full or unreachable: the duration
+/// of a few requests.
+pub(crate) const RETRY_AFTER_MS: u64 = 300;
+
 /// Detail of a refusal by a router whose state is too old to decide by.
 pub(crate) const STALE_STATE: &str =
     "this router has not run for a while, and its state is too old";
@@ -15,6 +20,13 @@
 /// Detail of a refusal of a quarantined request.
 pub(crate) const QUARANTINED: &str = "identical requests crashed upstreams";
 
+/// Detail of a refusal to go on with a stream whose software version no upstream runs any more.
+pub(crate) fn no_version_left(origin: &Origin) -> String {
+    let Origin { service, software } = origin;
+    let version = software.as_deref().unwrap_or("unnamed");
+    format!("no upstream of software version {version} of {service} is left")
+}
+
 /// Reason why a request ends without an answer of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Refused {
@@ -35,6 +47,18 @@
         }
     }
 
+    /// The refusal of a request of which `runs` earlier attempts may have run.
+    pub(crate) fn after(self, runs: u32) -> Self {
+        if runs == 0 {
+            return self;
+        }
+        Self {
+            run: RunState::Unknown,
+            retry_after_ms: 0,
+            ..self
+        }
+    }
+
     /// Whether the request did not run for a reason that concerns the refusing router alone.
     pub(crate) fn is_of_router(&self) -> bool {
         let concerns_router = matches!(self.cause, Cause::NoUpstream | Cause::Draining);
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::decide::refusal::{Cause, STARTING_MS, jittered_ms};
-use crate::decide::{ChatKey, Cost, Job};
+use crate::decide::{ChatKey, Cost, Job, Origin};
 use crate::decide::{admission, quarantine};
 use crate::event::{Events, Kind};
 use crate::front::body::Answer;
@@ -22,11 +22,12 @@
 use crate::path::delegate::Delegated;
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::log_replica::LogReplica;
-use crate::path::refusal::{QUARANTINED, Refused, STALE_STATE};
-use crate::path::routes::{Account, CallerLimits, Deployment, Route};
+use crate::path::refusal::{QUARANTINED, RETRY_AFTER_MS, Refused, STALE_STATE, no_version_left};
+use crate::path::routes::{Account, CallerLimits, Deployment, Repeat, Route};
+use crate::path::stream_origins::{self, Found};
 use crate::path::{RequestPath, answer};
 use crate::schema::peer::Suspicion;
-use crate::stats::{self, Tally};
+use crate::stats::{self, NotResumed, Tally};
 use crate::util::Name;
 
 /// `Retry-After` of a router that is stopping or was suspended: the caller can retry at another
@@ -65,6 +66,7 @@
     route: Rc<Route>,
     account: Option<Rc<Account>>,
     service: Name,
+    origin: Option<Origin>,
     started: Instant,
     caller_ms: u64,
     delegated: Option<Delegated>,
@@ -134,14 +136,20 @@
     let (route, account) = resolve(&path, &deployment, &parts, &head)?;
     let max_bytes = deployment.limits.max_body_bytes;
     let body = check::body(&parts.headers, &mut body, max_bytes, BODY_TIMEOUT).await;
-    let service = route.draw_service(&mut rand::rng()).clone();
+    let body = body.map_err(|e| malformed(&e))?;
+    let origin = origin(&path, &head, &route).await?;
+    let service = match &origin {
+        Some(origin) => origin.service.clone(),
+        None => route.draw_service(&mut rand::rng()).clone(),
+    };
     let admitted = Admitted {
         parts,
         head,
-        body: body.map_err(|e| malformed(&e))?,
+        body,
         route,
         account,
         service,
+        origin,
         started,
         caller_ms,
         delegated: None,
@@ -162,7 +170,11 @@
     }
     let deployment = usable_deployment(&path, &head, caller_ms).await?;
     let (route, account) = resolve(&path, &deployment, &parts, &head)?;
-    let service = if route.leads_to(&received.service) {
+    let origin = received.delegated.origin.clone();
+    check_origin(&head, &route, origin.as_ref())?;
+    let service = if let Some(origin) = &origin {
+        origin.service.clone()
+    } else if route.leads_to(&received.service) {
         received.service
     } else {
         route.draw_service(&mut rand::rng()).clone()
@@ -174,6 +186,7 @@
         route,
         account,
         service,
+        origin,
         started,
         caller_ms,
         delegated: Some(received.delegated),
@@ -181,6 +194,59 @@
     run(path, admitted, tally).await
 }
 
+/// Returns where the stream began that the caller takes up again, if it does.
+///
+/// Failure guarded against: upstreams of two software versions serve one service. A stream that
+/// began at one version goes on at the other, and its caller gets two answers joined in one.
+async fn origin<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    head: &CallerHead,
+    route: &Route,
+) -> Result<Option<Origin>, Refused> {
+    if !takes_up_stream(head, route) {
+        return Ok(None);
+    }
+    let origin = match stream_origins::find(path, head.resumes.as_deref(), route).await {
+        Found::Origin(origin) | Found::Only(origin) => Some(origin),
+        Found::Unknown => None,
+    };
+    check_origin(head, route, origin.as_ref())?;
+    if let Some(origin) = origin.as_ref()
+        && !path.state.has_version(origin)
+    {
+        return Err(not_resumed(NotResumed::NoUpstream, no_version_left(origin)));
+    }
+    Ok(origin)
+}
+
+/// Whether the caller takes up a stream of which it has received events.
+fn takes_up_stream(head: &CallerHead, route: &Route) -> bool {
+    let is_resumable = route.repeat == Repeat::Stream { resumable: true };
+    is_resumable && head.resume_after.is_some_and(|event| event > 0)
+}
+
+/// Checks that the request's stream can go on at its `origin`, if it takes up a stream.
+fn check_origin(head: &CallerHead, route: &Route, origin: Option<&Origin>) -> Result<(), Refused> {
+    match origin {
+        None if takes_up_stream(head, route) => {
+            let detail = "it is not known at which software version the stream began";
+            Err(not_resumed(NotResumed::Unknown, detail.to_owned()))
+        }
+        Some(Origin { service, .. }) if !route.leads_to(service) => {
+            let name = &route.name;
+            let detail = format!("the stream began at {service}, where route {name} leads no more");
+            Err(not_resumed(NotResumed::OffRoute, detail))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn not_resumed(reason: NotResumed, detail: String) -> Refused {
+    stats::not_resumed(reason);
+    let retry_after_ms = jittered_ms(RETRY_AFTER_MS, &mut rand::rng());
+    Refused::not_run(Cause::NoUpstream, retry_after_ms, detail)
+}
+
 /// Waits until this router may decide requests, and returns the configuration in force.
 async fn usable_deployment<D: Records>(
     path: &RequestPath<D>,
@@ -228,6 +294,7 @@
         route,
         account,
         service,
+        origin,
         started,
         caller_ms,
         delegated,
@@ -256,6 +323,7 @@
         fingerprint,
         started,
         deadline,
+        origin,
         delegated,
     };
     let mut attempts = Attempts::new(context, permit);
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -12,18 +12,18 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::config::ALL_ON;
-use crate::decide::Incarnation;
 use crate::decide::cold_start::ColdStarts;
 use crate::decide::connections::{self, ConnectionQuota};
 use crate::decide::pushback::Pushbacks;
 use crate::decide::reach::Reach;
 use crate::decide::retry::RetryBudget;
+use crate::decide::{Incarnation, Origin};
 use crate::fleet::gossip::{Gossip, OwnLoad, Publish};
 use crate::fleet::loads::digest;
 use crate::mutation::{Mutation, mutated};
 use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
-use crate::path::regions::Regions;
+use crate::path::regions::{AllowedRegions, Regions};
 use crate::path::router_state::pool::CACHE_WARMUP_MS;
 use crate::path::routes::Deployment;
 use crate::path::suspects::Suspects;
@@ -93,6 +93,14 @@
     pub(crate) may_repeat: bool,
 }
 
+/// Limits that an upstream must be within to get a request, even if no other upstream is left.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Bounds<'a> {
+    pub(crate) regions: &'a [&'a AllowedRegions],
+    /// Where the stream began that the request goes on with, if it does.
+    pub(crate) origin: Option<&'a Origin>,
+}
+
 /// Counts one request at one upstream while it exists.
 pub(crate) struct RunningGuard {
     state: Rc<RouterState>,
--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -3,12 +3,11 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 
-use crate::decide::Incarnation;
 use crate::decide::spread::{Candidate, CountEstimate};
+use crate::decide::{Incarnation, Origin};
 use crate::fleet::in_flight::FleetInFlight;
 use crate::path::health::Health;
-use crate::path::regions::AllowedRegions;
-use crate::path::router_state::{RouterState, Tried};
+use crate::path::router_state::{Bounds, RouterState, Tried};
 use crate::path::upstreams::{Pool, Upstream};
 use crate::util::Name;
 
@@ -93,6 +92,17 @@
         }
     }
 
+    /// Excludes the upstreams that can't go on with a stream that began at `origin`, nor keep prompt
+    /// parts for one that can.
+    fn keep_to(&mut self, origin: &Origin) {
+        for (candidate, upstream) in self.all.iter_mut().zip(self.pool.upstreams()) {
+            if !upstream.continues(origin) {
+                candidate.excluded = true;
+                candidate.has_parts = false;
+            }
+        }
+    }
+
     fn has_open(&self) -> bool {
         self.all.iter().any(|c| !c.excluded)
     }
@@ -116,14 +126,14 @@
         &self,
         service: &str,
         tried: &Tried<'_>,
-        allowed_regions: &[&AllowedRegions],
+        bounds: Bounds<'_>,
         max_open: u32,
         now_ms: u64,
     ) -> (Rc<Pool>, Vec<Candidate>) {
         let pool = self.upstreams.borrow().shared_pool(service);
         let mut open = Candidates::idle(&pool);
         self.count_requests(&mut open);
-        self.close(&mut open, allowed_regions, max_open, now_ms);
+        self.close(&mut open, bounds, max_open, now_ms);
         self.mark_cache_sources(&mut open, service, now_ms);
         let mut candidates = open.clone();
         for relaxation in RELAXATIONS {
@@ -176,25 +186,35 @@
     fn close(
         &self,
         candidates: &mut Candidates<'_>,
-        allowed_regions: &[&AllowedRegions],
+        bounds: Bounds<'_>,
         max_open: u32,
         now_ms: u64,
     ) {
         candidates.change(self.cold_starts.borrow().refusing(now_ms), withhold);
         candidates.change_incarnations(self.pushbacks.borrow().active(now_ms), withhold);
-        self.withdraw(candidates, allowed_regions);
+        self.withdraw(candidates, bounds);
         let running = self.running.borrow();
         let full = running.iter().filter(|(_, own)| **own >= max_open);
         candidates.change(full.map(|(id, _)| id), exclude);
     }
 
     /// Excludes the upstreams that must not get the request and will not take it soon either.
-    fn withdraw(&self, candidates: &mut Candidates<'_>, allowed_regions: &[&AllowedRegions]) {
+    fn withdraw(&self, candidates: &mut Candidates<'_>, bounds: Bounds<'_>) {
         let evacuations = self.evacuations.borrow();
         candidates.change_data_centers(|name| evacuations.contains(name), withhold);
         candidates.change(self.health.borrow().replaced(), exclude);
-        let is_forbidden = |name: &str| !self.regions.allow(allowed_regions, name);
+        let is_forbidden = |name: &str| !self.regions.allow(bounds.regions, name);
         candidates.change_data_centers(is_forbidden, exclude);
+        if let Some(origin) = bounds.origin {
+            candidates.keep_to(origin);
+        }
+    }
+
+    /// Whether some upstream that takes work can go on with a stream that began at `origin`.
+    pub(crate) fn has_version(&self, origin: &Origin) -> bool {
+        let pool = self.upstreams.borrow().shared_pool(&origin.service);
+        let mut upstreams = pool.candidates().iter().zip(pool.upstreams());
+        upstreams.any(|(candidate, u)| !candidate.excluded && u.continues(origin))
     }
 
     /// Returns the time until an upstream of `service` takes requests again, if all of them want
@@ -202,14 +222,14 @@
     pub(crate) fn pushback_ms(
         &self,
         service: &str,
-        allowed_regions: &[&AllowedRegions],
+        bounds: Bounds<'_>,
         now_ms: u64,
     ) -> Option<u64> {
         let pushbacks = self.pushbacks.borrow();
         pushbacks.active(now_ms).next()?;
         let pool = self.upstreams.borrow().shared_pool(service);
         let mut candidates = Candidates::idle(&pool);
-        self.withdraw(&mut candidates, allowed_regions);
+        self.withdraw(&mut candidates, bounds);
         let upstreams = candidates.all.iter().zip(pool.upstreams());
         let available = upstreams.filter(|(candidate, _)| !candidate.excluded);
         let left = available.map(|(_, u)| pushbacks.left_ms(&u.incarnation(), now_ms));
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -3,10 +3,10 @@
 use super::dialect::AnswerHead;
 use super::position::StreamPosition;
 use super::regions::{AllowedRegions, Regions};
-use super::router_state::{RetryLimit, RouterState, RunningGuard, Tried};
+use super::router_state::{Bounds, RetryLimit, RouterState, RunningGuard, Tried};
 use super::upstreams::Upstream;
 use crate::decide::ejection::{EJECTION_MS, FAILURES};
-use crate::decide::spread::{Counts, by_load};
+use crate::decide::spread::{Candidate, Counts, by_load};
 use crate::fleet::gossip::Gossip;
 use crate::util::Name;
 use rand::SeedableRng;
@@ -59,7 +59,7 @@
         upstreams: &[],
         may_repeat: false,
     };
-    let (_, candidates) = state.pool("s", &tried, &[], u32::MAX, 1);
+    let (_, candidates) = state.pool("s", &tried, Bounds::default(), u32::MAX, 1);
     candidates.iter().filter(|c| !c.excluded).count()
 }
 
@@ -178,7 +178,7 @@
             upstreams: &[],
             may_repeat: false,
         };
-        let (_, candidates) = state.pool("s", &tried, &[], u32::MAX, now_ms);
+        let (_, candidates) = state.pool("s", &tried, Bounds::default(), u32::MAX, now_ms);
         candidates.iter().filter(|c| !c.excluded).count()
     };
     assert_eq!(open_at(EJECTION_MS + 1), 0);
@@ -191,7 +191,10 @@
 #[test]
 fn refused_callers_come_back_when_the_first_pushback_ends() {
     let state = state();
-    let pushback_ms = |regions: &[&AllowedRegions]| state.pushback_ms("s", regions, 100);
+    let pushback_ms = |regions: &[&AllowedRegions]| {
+        let origin = None;
+        state.pushback_ms("s", Bounds { regions, origin }, 100)
+    };
     for i in 1..6 {
         let left_ms = 1_000 * u64::from(i);
         state.record_notices(&upstream(i), &pushback(left_ms), 0);
@@ -229,7 +232,8 @@
                 upstreams: &tried,
                 may_repeat: false,
             };
-            let (pool, candidates) = state.pool("s", &tried_before, &[], u32::MAX, now_ms);
+            let (pool, candidates) =
+                state.pool("s", &tried_before, Bounds::default(), u32::MAX, now_ms);
             let at = by_load(&candidates, Counts::Current, &mut rng).unwrap();
             let chosen = pool.upstreams()[at].clone();
             if *chosen.id != *"i-0" {
@@ -392,8 +396,10 @@
         upstreams: &[],
         may_repeat: false,
     };
-    let open = |allowed_regions: &[&AllowedRegions]| {
-        let (_, candidates) = state.pool("s", &tried, allowed_regions, u32::MAX, 1);
+    let open = |regions: &[&AllowedRegions]| {
+        let origin = None;
+        let bounds = Bounds { regions, origin };
+        let (_, candidates) = state.pool("s", &tried, bounds, u32::MAX, 1);
         candidates.iter().filter(|c| !c.excluded).count()
     };
     assert_eq!(open(&[&home, &None]), 6);
@@ -438,7 +444,7 @@
         upstreams: &[id(11)],
         may_repeat: false,
     };
-    let (pool, candidates) = state.pool("large", &tried, &[], 3, 2);
+    let (pool, candidates) = state.pool("large", &tried, Bounds::default(), 3, 2);
     assert_eq!(candidates.len(), UPSTREAMS as usize);
     for (upstream, candidate) in pool.upstreams().iter().zip(&candidates) {
         let i: u32 = upstream.id[2..].parse().unwrap();
@@ -456,3 +462,103 @@
     // Of 1,990 in the north without the cold, draining, replaced, unreachable and ejected ones.
     assert_eq!(state.slots_open("large", 2), Some(1_985 * SLOTS));
 }
+
+/// Two software versions serve side by side. A stream that began at one of them must go on only
+/// there, whatever speaks against its upstreams, and fetch no prompt parts from the other.
+#[test]
+fn stream_keeps_to_the_version_that_began_it() {
+    let state = state();
+    let of = |i: u8, software: &str| Upstream {
+        software: Some(software.into()),
+        ..upstream(i)
+    };
+    for i in 0..6 {
+        let software = ["", "2", "1"][usize::from(i) % 3];
+        let listed = if software.is_empty() {
+            upstream(i)
+        } else {
+            of(i, software)
+        };
+        state.change_upstreams(|upstreams| upstreams.put(listed));
+    }
+    for (origin, members) in [(upstream(0), [0, 3]), (of(1, "2"), [1, 4])] {
+        for i in members {
+            state.record_unreachable(&upstream(i), 1);
+            for _ in 0..FAILURES {
+                state.record_failure(&upstream(i), "connection reset", 1);
+            }
+        }
+        let tried_upstreams = members.map(|i| upstream(i).id);
+        let tried = Tried {
+            upstreams: &tried_upstreams,
+            may_repeat: true,
+        };
+        let origin = origin.origin();
+        let bounds = Bounds {
+            origin: Some(&origin),
+            ..Bounds::default()
+        };
+        let (pool, candidates) = state.pool("s", &tried, bounds, u32::MAX, 1);
+        let positions = |is_in: fn(&Candidate) -> bool| -> Vec<Name> {
+            let all = candidates.iter().zip(pool.upstreams());
+            all.filter(|(c, _)| is_in(c))
+                .map(|(_, u)| u.id.clone())
+                .collect()
+        };
+        assert_eq!(positions(|c| !c.excluded), tried_upstreams);
+        assert!(
+            positions(|c| c.has_parts)
+                .iter()
+                .all(|id| tried_upstreams.contains(id))
+        );
+        assert!(state.has_version(&origin));
+    }
+}
+
+/// All upstreams of the version that began a stream have gone or shut down. Other versions must not
+/// go on with it, and the refusal must be able to say so.
+#[test]
+fn stream_of_a_version_without_upstreams_gets_none() {
+    let state = state();
+    let of = |i: u8, draining| Upstream {
+        software: Some("1".into()),
+        draining,
+        ..upstream(i)
+    };
+    let origin = of(0, false).origin();
+    assert!(!state.has_version(&origin));
+    state.change_upstreams(|upstreams| upstreams.put(of(0, false)));
+    assert!(state.has_version(&origin));
+    state.change_upstreams(|upstreams| upstreams.put(of(0, true)));
+    assert!(!state.has_version(&origin));
+    let tried = Tried {
+        upstreams: &[],
+        may_repeat: true,
+    };
+    let bounds = Bounds {
+        origin: Some(&origin),
+        ..Bounds::default()
+    };
+    let (_, candidates) = state.pool("s", &tried, bounds, u32::MAX, 1);
+    assert!(candidates.iter().all(|c| c.excluded));
+}
+
+/// All upstreams of the version that began a stream want no requests for a while, and other
+/// versions take some. The caller must come back when the pause ends.
+#[test]
+fn pause_of_the_version_that_began_a_stream_is_told() {
+    let state = state();
+    let one = Upstream {
+        software: Some("1".into()),
+        ..upstream(0)
+    };
+    state.change_upstreams(|upstreams| upstreams.put(one.clone()));
+    state.record_notices(&one, &pushback(2_000), 0);
+    let origin = one.origin();
+    let pushback_ms = |origin| {
+        let regions = &[];
+        state.pushback_ms("s", Bounds { regions, origin }, 100)
+    };
+    assert_eq!(pushback_ms(None), None);
+    assert_eq!(pushback_ms(Some(&origin)), Some(1_900));
+}
--- a/src/path/upstreams.rs
+++ b/src/path/upstreams.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use crate::decide::Incarnation;
+use crate::decide::{Incarnation, Origin};
 use crate::fleet::leaving::incarnation_digest;
 use crate::fleet::loads::digest;
 use crate::path::leaving::LeavingUpstreams;
@@ -47,6 +47,19 @@
         }
     }
 
+    /// Origin of the streams that it begins.
+    pub(crate) fn origin(&self) -> Origin {
+        Origin {
+            service: self.service.clone(),
+            software: self.software.clone(),
+        }
+    }
+
+    /// Whether it may go on with a stream that began at `origin`.
+    pub(crate) fn continues(&self, origin: &Origin) -> bool {
+        self.service == origin.service && self.software == origin.software
+    }
+
     /// Whether this is another start of the upstream that was listed as `before`: its start time or
     /// its software differs.
     ///
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -27,6 +27,7 @@
 const INVALID_NOTICES: &str = "cassiagrade_invalid_notices_total";
 const LEAVING_NOTICES: &str = "cassiagrade_leaving_notices_total";
 const PUSHBACKS: &str = "cassiagrade_pushbacks_total";
+const STREAMS_NOT_RESUMED: &str = "cassiagrade_streams_not_resumed_total";
 const SUSPICIONS: &str = "cassiagrade_suspicions_total";
 const SERVICES_CUT_OFF: &str = "cassiagrade_services_cut_off";
 const MEMBER_CHANGES: &str = "cassiagrade_member_changes_total";
@@ -75,6 +76,18 @@
     CallerGone,
 }
 
+/// Why a stream wasn't resumed for want of the software version that began it.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum NotResumed {
+    /// No upstream of the version takes work any more.
+    NoUpstream,
+    /// The version isn't known.
+    Unknown,
+    /// The route leads to another service now.
+    OffRoute,
+}
+
 /// Registers the help texts of all metrics.
 pub(crate) fn describe() {
     describe_counter!(REQUESTS, "Callers' requests by service and outcome");
@@ -125,6 +138,10 @@
         PUSHBACKS,
         "Answers in which an upstream asked for a time without requests"
     );
+    describe_counter!(
+        STREAMS_NOT_RESUMED,
+        "Streams not resumed for want of the software version that began them, by reason"
+    );
     describe_counter!(SUSPICIONS, "Suspicions against requests, by event");
     describe_counter!(MEMBER_CHANGES, "Changes of what is believed of a router");
     describe_counter!(
@@ -309,6 +326,12 @@
     counter!(PUSHBACKS).increment(1);
 }
 
+/// Counts a stream that wasn't resumed for want of the software version that began it.
+pub(crate) fn not_resumed(reason: NotResumed) {
+    let reason: &str = reason.into();
+    counter!(STREAMS_NOT_RESUMED, "reason" => reason).increment(1);
+}
+
 /// Counts a suspicion against a request that this router recorded, received or cleared.
 pub(crate) fn suspicion(event: &'static str) {
     counter!(SUSPICIONS, "event" => event).increment(1);
