Decision module: software versions that a service had lately

A router that is to resume a stream it didn't begin may conclude where the stream began only if the service had one version for as long as any stream lasts, and only if it knows all of that time. Histories of routers merge by ages.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
 pub mod spread;
 pub mod take_over;
 mod types;
+pub mod versions;
 
 pub use crate::util::Name;
 pub use types::{ChatKey, Cost, Incarnation, Job, JobId, PoolView, Priority, Rates};
@@ -73,3 +74,5 @@
 mod spread_tests;
 #[cfg(test)]
 mod take_over_tests;
+#[cfg(test)]
+mod versions_tests;
--- /dev/null
+++ b/src/decide/versions_tests.rs
@@ -0,0 +1,180 @@
+use test_case::test_case;
+
+use super::versions::{Listing, MAX_GAP_MS, Report, VersionHistory, WINDOW_MS};
+use crate::decide::Name;
+
+const STEP_MS: u64 = 1_000;
+
+fn name(text: &str) -> Name {
+    text.into()
+}
+
+fn look(history: &mut VersionHistory, listed: &[&str], now_ms: u64) {
+    history.record_look(now_ms);
+    for software in listed {
+        history.record_listed(&name("s"), Some(&name(software)), now_ms);
+    }
+}
+
+/// Looks once a second from `from_ms` for `for_ms`, and returns the time of the last look.
+fn look_for(history: &mut VersionHistory, listed: &[&str], from_ms: u64, for_ms: u64) -> u64 {
+    let until_ms = from_ms + for_ms;
+    for now_ms in (from_ms..=until_ms).step_by(STEP_MS as usize) {
+        look(history, listed, now_ms);
+    }
+    until_ms
+}
+
+fn only(history: &VersionHistory, now_ms: u64) -> Option<String> {
+    let only = history.only("s", now_ms)?;
+    only.map(|software| software.to_string())
+}
+
+fn listing(software: &str, age_ms: u64) -> Listing {
+    Listing {
+        service: name("s"),
+        software: Some(name(software)),
+        age_ms,
+    }
+}
+
+/// A stream that began at a version which has been removed would go on at the one that replaced it.
+#[test]
+fn replaced_version_counts_until_its_streams_have_ended() {
+    let mut history = VersionHistory::default();
+    let mut now_ms = look_for(&mut history, &["v1"], 1, WINDOW_MS);
+    assert_eq!(only(&history, now_ms).as_deref(), Some("v1"));
+    let removed_ms = now_ms;
+    now_ms = look_for(
+        &mut history,
+        &["v2"],
+        now_ms + STEP_MS,
+        WINDOW_MS - 2 * STEP_MS,
+    );
+    assert_eq!(only(&history, now_ms), None);
+    look(&mut history, &["v2"], removed_ms + WINDOW_MS - 1);
+    assert_eq!(only(&history, removed_ms + WINDOW_MS - 1), None);
+    look(&mut history, &["v2"], removed_ms + WINDOW_MS);
+    assert_eq!(
+        only(&history, removed_ms + WINDOW_MS).as_deref(),
+        Some("v2")
+    );
+}
+
+/// A router that has just started would take the listed version for the only one, and join a stream of
+/// one that was removed before.
+#[test]
+fn router_that_started_knows_nothing_of_earlier_versions() {
+    let mut history = VersionHistory::default();
+    let now_ms = look_for(&mut history, &["v2"], 1, WINDOW_MS - STEP_MS);
+    assert!(!history.is_complete(now_ms));
+    assert_eq!(only(&history, now_ms), None);
+}
+
+/// Upstreams whose records name no version would be taken for those of any version.
+#[test]
+fn missing_version_is_a_version_of_its_own() {
+    let mut history = VersionHistory::default();
+    history.complete(1);
+    history.record_look(1);
+    history.record_listed(&name("s"), None, 1);
+    assert_eq!(history.only("s", 1), Some(None));
+    history.record_listed(&name("s"), Some(&name("v1")), 1);
+    assert_eq!(history.only("s", 1), None);
+}
+
+/// A service that was never listed has no version that could be the only one.
+#[test]
+fn unknown_service_has_no_only_version() {
+    let mut history = VersionHistory::default();
+    history.complete(1);
+    assert!(history.is_complete(1));
+    assert_eq!(history.only("s", 1), None);
+}
+
+/// A router was suspended while a version came and went, and would miss it.
+#[test_case(MAX_GAP_MS, true; "short pause")]
+#[test_case(MAX_GAP_MS + 1, false; "long pause")]
+fn pause_ends_what_is_known(pause_ms: u64, is_complete: bool) {
+    let mut history = VersionHistory::default();
+    let now_ms = look_for(&mut history, &["v1"], 1, WINDOW_MS) + pause_ms;
+    assert_eq!(history.is_complete(now_ms), is_complete);
+    look(&mut history, &["v1"], now_ms);
+    assert_eq!(history.is_complete(now_ms), is_complete);
+}
+
+/// A router that has started learns from a peer what it can't have seen.
+#[test]
+fn history_of_a_peer_completes_that_of_a_router_that_started() {
+    let mut peer = VersionHistory::default();
+    let peer_ms = look_for(&mut peer, &["v1"], 50_000, WINDOW_MS);
+    let mut history = VersionHistory::default();
+    look(&mut history, &["v1"], 500);
+    history.merge(&peer.report(peer_ms), 500);
+    assert_eq!(only(&history, 500).as_deref(), Some("v1"));
+}
+
+/// The peer knows a version that was removed before this router started.
+#[test]
+fn removed_versions_of_a_peer_count_by_their_age() {
+    let report = Report {
+        reach_ms: WINDOW_MS,
+        listings: vec![listing("v1", WINDOW_MS - 1_000), listing("v2", 0)],
+    };
+    let mut history = VersionHistory::default();
+    look(&mut history, &["v2"], 500);
+    history.merge(&report, 500);
+    assert!(history.is_complete(500));
+    assert_eq!(only(&history, 500), None);
+    look(&mut history, &["v2"], 1_500);
+    assert_eq!(only(&history, 1_500).as_deref(), Some("v2"));
+}
+
+/// A peer that has itself just started would make the history of another one look complete.
+#[test]
+fn short_history_of_a_peer_completes_nothing() {
+    let mut peer = VersionHistory::default();
+    let peer_ms = look_for(&mut peer, &["v1"], 1, 30_000);
+    let report = peer.report_of("s", peer_ms);
+    assert_eq!(report.reach_ms, 30_000);
+    let mut history = VersionHistory::default();
+    look(&mut history, &["v1"], 500);
+    history.merge(&report, 500);
+    assert!(!history.is_complete(500));
+}
+
+/// A report with an absurd reach or age, from a faulty peer.
+#[test]
+fn absurd_ages_are_harmless() {
+    let report = Report {
+        reach_ms: u64::MAX,
+        listings: vec![listing("v1", u64::MAX), listing("v2", 3)],
+    };
+    let mut history = VersionHistory::default();
+    history.merge(&report, 1);
+    assert_eq!(only(&history, 1).as_deref(), Some("v2"));
+}
+
+/// What expired would accumulate, one version for each release.
+#[test]
+fn expired_versions_are_dropped() {
+    let mut history = VersionHistory::default();
+    let mut now_ms = 1;
+    for release in 0..50 {
+        now_ms = look_for(&mut history, &[&format!("v{release}")], now_ms, WINDOW_MS);
+    }
+    assert!(history.listings("s", now_ms).count() <= 2);
+    now_ms = look_for(&mut history, &[], now_ms, WINDOW_MS);
+    assert!(history.report(now_ms).listings.is_empty());
+}
+
+/// Services that have to be stored are those with several versions.
+#[test]
+fn mixed_services_have_several_versions() {
+    let mut history = VersionHistory::default();
+    look(&mut history, &["v1"], 1);
+    assert_eq!(history.mixed(1).count(), 0);
+    look(&mut history, &["v1", "v2"], 2);
+    let mixed: Vec<&Name> = history.mixed(2).collect();
+    assert_eq!(mixed, [&name("s")]);
+}
