--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,7 +30,7 @@
 pub mod versions;
 
 pub use crate::util::Name;
-pub use types::{ChatKey, Cost, Incarnation, Job, JobId, PoolView, Priority, Rates};
+pub use types::{ChatKey, Cost, Incarnation, Job, JobId, Origin, PoolView, Priority, Rates};
 
 #[cfg(test)]
 mod admission_tests;
