Routers find where a stream began, and learn the versions of services when they start

A router that is to resume a stream it didn't begin asks the stream's two keepers and then some more routers, unless the service had one version for as long as any stream lasts. Keepers are told only while a service has several versions, and of the streams in progress when the second one is listed. A router that starts learns the versions from a peer, or from records on the platform, which readers write for services with several versions.

--- a/src/decide/versions.rs
+++ b/src/decide/versions.rs
@@ -46,13 +46,20 @@
     listed_ms: i64,
 }
 
+#[derive(Clone, Debug, Default)]
+struct Service {
+    /// Time from which on its versions are known, if that is earlier than for all services.
+    since_ms: Option<i64>,
+    versions: Vec<Version>,
+}
+
 /// Versions of each service in the last [`WINDOW_MS`].
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
-    /// Time from which on all versions are known.
+    /// Time from which on the versions of all services are known.
     since_ms: Option<i64>,
     looked_ms: u64,
-    services: HashMap<Name, Vec<Version>>,
+    services: HashMap<Name, Service>,
 }
 
 impl VersionHistory {
@@ -72,14 +79,11 @@
     /// assert_eq!(history.only("s", WINDOW_MS), None);
     /// ```
     pub fn record_look(&mut self, now_ms: u64) {
-        if self.has_gap(now_ms) {
-            self.since_ms = None;
-        }
         self.reach_back(0, now_ms);
         let oldest_ms = before(now_ms, WINDOW_MS);
-        self.services.retain(|_, versions| {
-            versions.retain(|v| v.listed_ms > oldest_ms);
-            !versions.is_empty()
+        self.services.retain(|_, service| {
+            service.versions.retain(|v| v.listed_ms > oldest_ms);
+            !service.versions.is_empty()
         });
     }
 
@@ -93,15 +97,15 @@
         self.reach_back(WINDOW_MS, now_ms);
     }
 
-    /// Whether all versions of the whole window are known.
+    /// Whether all versions of the whole window are known, of all services.
     pub fn is_complete(&self, now_ms: u64) -> bool {
-        self.reach_ms(now_ms) == WINDOW_MS
+        self.reach_ms(None, now_ms) == WINDOW_MS
     }
 
     /// The only version at which a stream of `service` that is in progress can have begun, if that is
     /// known.
     pub fn only(&self, service: &str, now_ms: u64) -> Option<Option<Name>> {
-        if !self.is_complete(now_ms) {
+        if self.reach_ms(Some(service), now_ms) < WINDOW_MS {
             return None;
         }
         let mut listings = self.listings(service, now_ms);
@@ -118,7 +122,8 @@
     /// The versions of `service` in the window.
     pub fn listings(&self, service: &str, now_ms: u64) -> impl Iterator<Item = Listing> {
         let known = self.services.get_key_value(service).into_iter();
-        let all = known.flat_map(|(service, versions)| versions.iter().map(move |v| (service, v)));
+        let all =
+            known.flat_map(|(service, known)| known.versions.iter().map(move |v| (service, v)));
         let listings = all.map(move |(service, version)| Listing {
             service: service.clone(),
             software: version.software.clone(),
@@ -132,7 +137,7 @@
         let services = self.services.keys();
         let listings = services.flat_map(|service| self.listings(service, now_ms));
         Report {
-            reach_ms: self.reach_ms(now_ms),
+            reach_ms: self.reach_ms(None, now_ms),
             listings: listings.collect(),
         }
     }
@@ -140,7 +145,7 @@
     /// The history of one service, for another router.
     pub fn report_of(&self, service: &str, now_ms: u64) -> Report {
         Report {
-            reach_ms: self.reach_ms(now_ms),
+            reach_ms: self.reach_ms(Some(service), now_ms),
             listings: self.listings(service, now_ms).collect(),
         }
     }
@@ -159,17 +164,28 @@
         self.reach_back(report.reach_ms.min(WINDOW_MS), now_ms);
     }
 
+    /// Applies the history of one service of another router.
+    pub fn merge_service(&mut self, service: &str, report: &Report, now_ms: u64) {
+        self.add(&report.listings, now_ms);
+        let has_gap = self.has_gap(now_ms);
+        if let Some(known) = self.services.get_mut(service) {
+            let from_ms = before(now_ms, report.reach_ms.min(WINDOW_MS));
+            let since_ms = known.since_ms.filter(|_| !has_gap);
+            known.since_ms = Some(since_ms.map_or(from_ms, |since_ms| since_ms.min(from_ms)));
+        }
+    }
+
     fn record(&mut self, service: &Name, software: Option<&Name>, listed_ms: i64) {
         if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Vec::new());
+            self.services.insert(service.clone(), Service::default());
         }
-        let Some(versions) = self.services.get_mut(service) else {
+        let Some(known) = self.services.get_mut(service) else {
             return;
         };
-        let known = versions.iter_mut();
-        match known.into_iter().find(|v| v.software.as_ref() == software) {
+        let mut versions = known.versions.iter_mut();
+        match versions.find(|v| v.software.as_ref() == software) {
             Some(version) => version.listed_ms = version.listed_ms.max(listed_ms),
-            None => versions.push(Version {
+            None => known.versions.push(Version {
                 software: software.cloned(),
                 listed_ms,
             }),
@@ -178,15 +194,25 @@
 
     /// Records that all versions from `reach_ms` ago until now are known.
     fn reach_back(&mut self, reach_ms: u64, now_ms: u64) {
+        if self.has_gap(now_ms) {
+            self.since_ms = None;
+            for service in self.services.values_mut() {
+                service.since_ms = None;
+            }
+        }
         let from_ms = before(now_ms, reach_ms);
-        let known = self.since_ms.filter(|_| !self.has_gap(now_ms));
-        self.since_ms = Some(known.map_or(from_ms, |since_ms| since_ms.min(from_ms)));
+        let since_ms = self.since_ms.unwrap_or(from_ms);
+        self.since_ms = Some(since_ms.min(from_ms));
         self.looked_ms = self.looked_ms.max(now_ms);
     }
 
-    /// Time over which all versions are known, at most the window.
-    fn reach_ms(&self, now_ms: u64) -> u64 {
-        let since_ms = self.since_ms.filter(|_| !self.has_gap(now_ms));
+    /// Time over which all versions are known, at most the window: those of `service`, or of all services.
+    fn reach_ms(&self, service: Option<&str>, now_ms: u64) -> u64 {
+        if self.has_gap(now_ms) {
+            return 0;
+        }
+        let of_service = service.and_then(|service| self.services.get(service)?.since_ms);
+        let since_ms = self.since_ms.into_iter().chain(of_service).min();
         since_ms.map_or(0, |since_ms| age(since_ms, now_ms).min(WINDOW_MS))
     }
 
--- a/src/decide/versions_tests.rs
+++ b/src/decide/versions_tests.rs
@@ -143,6 +143,25 @@
     assert!(!history.is_complete(500));
 }
 
+/// A peer tells the versions of one service, and those of others would count as known.
+#[test]
+fn history_of_one_service_completes_no_other() {
+    let report = Report {
+        reach_ms: WINDOW_MS,
+        listings: vec![listing("v1", 0)],
+    };
+    let mut history = VersionHistory::default();
+    look(&mut history, &["v1"], 500);
+    history.record_listed(&name("t"), None, 500);
+    history.merge_service("s", &report, 500);
+    assert_eq!(only(&history, 500).as_deref(), Some("v1"));
+    assert_eq!(history.only("t", 500), None);
+    assert!(!history.is_complete(500));
+    let late_ms = 500 + MAX_GAP_MS + 1;
+    look(&mut history, &["v1"], late_ms);
+    assert_eq!(only(&history, late_ms), None);
+}
+
 /// A report with an absurd reach or age, from a faulty peer.
 #[test]
 fn absurd_ages_are_harmless() {
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -503,7 +503,8 @@
     #[prost(message, repeated, tag = "1")]
     pub members: ::prost::alloc::vec::Vec<Member>,
 }
-/// Requests what a router knows against requests; sent by a router that starts.
+/// Requests what a router knows against requests, and which versions services had; sent by a router
+/// that starts.
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -518,6 +519,67 @@
     /// Requests under which several upstreams died.
     #[prost(message, repeated, tag = "2")]
     pub suspicions: ::prost::alloc::vec::Vec<Suspicion>,
+    /// Versions of all services.
+    #[prost(message, optional, tag = "3")]
+    pub versions: ::core::option::Option<VersionReport>,
+}
+/// A version of a service's software, and the time since some upstream of it was last listed.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct VersionListing {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Unset if the upstreams name none.
+    #[prost(string, optional, tag = "2")]
+    pub software: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct VersionReport {
+    /// Time over which the sender knows all versions, up to now; 0 if its upstreams are out of date.
+    #[prost(uint64, tag = "1")]
+    pub reach_ms: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub listings: ::prost::alloc::vec::Vec<VersionListing>,
+}
+/// Where a stream began.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Unset if the upstream named none.
+    #[prost(string, optional, tag = "2")]
+    pub software: ::core::option::Option<::prost::alloc::string::String>,
+}
+/// Tells where streams began, or asks where one did.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OriginRequest {
+    /// Digests of the ids of the requests that brought the first events.
+    #[prost(uint64, repeated, tag = "1")]
+    pub streams: ::prost::alloc::vec::Vec<u64>,
+    /// Where they began; unset in a question.
+    #[prost(message, optional, tag = "2")]
+    pub origin: ::core::option::Option<StreamOrigin>,
+    /// Service whose versions the reply states if the origin is unknown.
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+}
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OriginReply {
+    #[prost(message, optional, tag = "1")]
+    pub origin: ::core::option::Option<StreamOrigin>,
+    #[prost(message, optional, tag = "2")]
+    pub versions: ::core::option::Option<VersionReport>,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/path/catch_up.rs
+++ b/src/path/catch_up.rs
@@ -1,20 +1,23 @@
 //! What a router that has started learns from the others before it sends requests to upstreams: the
-//! requests that are suspected of crashing them.
+//! requests that are suspected of crashing them, and the software versions that services had lately.
 //!
 //! Failure guarded against: a router restarts while the others refuse a harmful request. Gossip reaches
-//! it within a second, and until then it sends the request to upstreams, which end.
+//! it within a second, and until then it sends the request to upstreams, which end. Or it resumes a
+//! stream at the only version that it knows, when the stream began at one that was removed before.
 
 use std::cell::Cell;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use rand::seq::IteratorRandom;
 use tokio::sync::Notify;
 
 use crate::fleet::member::MemberState;
 use crate::path::RequestPath;
+use crate::path::dialect::Records;
+use crate::path::versions::{self, StoredVersions};
 use crate::peers::{PeerClient, SUSPICIONS};
 use crate::schema::peer::{Suspicion, SuspicionsReply, SuspicionsRequest};
 use crate::util::{Clock, Name};
@@ -103,13 +106,20 @@
     }
 }
 
-/// Asks other routers for their suspicions, until one answers that didn't just start itself. If none
-/// does, reads the stored ones.
-pub(crate) async fn run<D, S: StoredSuspicions>(
+/// Where the platform keeps what outlives a restart of all routers.
+pub(crate) struct Stored<S, V> {
+    pub(crate) suspicions: Rc<S>,
+    pub(crate) versions: Rc<V>,
+}
+
+/// Asks other routers for what they know, until one answers that didn't just start itself. If none
+/// does, reads what is stored. The stored versions are read also if those of the others don't reach back
+/// far enough.
+pub(crate) async fn run<D: Records, S: StoredSuspicions, V: StoredVersions>(
     path: Rc<RequestPath<D>>,
     client: PeerClient,
     seeds: Vec<Name>,
-    stored: Rc<S>,
+    stored: Stored<S, V>,
 ) {
     let mut asked: HashSet<Name> = HashSet::new();
     let end = loop {
@@ -123,8 +133,11 @@
         let queries = addrs.iter().map(|addr| query(&client, addr));
         let replies = join_all(queries).await;
         if replies.iter().flatten().any(|reply| reply.has_caught_up) {
-            let known = replies.into_iter().flatten();
-            apply(&path, known.flat_map(|reply| reply.suspicions));
+            for reply in replies.into_iter().flatten() {
+                apply(&path, reply.suspicions);
+                let versions = reply.versions.unwrap_or_default();
+                path.versions.merge(versions, path.clock.now_ms());
+            }
             break End::Answered;
         }
         for (addr, reply) in addrs.into_iter().zip(replies) {
@@ -134,9 +147,13 @@
         }
         compio::time::sleep(PAUSE).await;
     };
-    if end != End::Answered {
-        apply(&path, stored.read().await.unwrap_or_default());
-    }
+    let suspicions = async {
+        if end != End::Answered {
+            let stored = stored.suspicions.read().await;
+            apply(&path, stored.unwrap_or_default());
+        }
+    };
+    join(suspicions, apply_stored_versions(&path, &*stored.versions)).await;
     path.catch_up.end(end, asked.len());
 }
 
@@ -179,10 +196,19 @@
     }
 }
 
+async fn apply_stored_versions<D, V: StoredVersions>(path: &RequestPath<D>, stored: &V) {
+    if !path.versions.is_complete(path.clock.now_ms())
+        && let Some(listings) = stored.read().await
+    {
+        path.versions.apply_stored(&listings, path.clock.now_ms());
+    }
+}
+
 /// Answers another router that has started.
-pub(crate) fn reply<D>(path: &RequestPath<D>) -> SuspicionsReply {
+pub(crate) fn reply<D: Records>(path: &RequestPath<D>) -> SuspicionsReply {
     SuspicionsReply {
         has_caught_up: path.catch_up.is_done(),
         suspicions: path.state.isolated_suspicions(path.clock.now_ms()),
+        versions: Some(versions::report(path)),
     }
 }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -38,10 +38,12 @@
 pub mod routes;
 mod state_requests;
 pub(crate) mod stop;
+pub(crate) mod stream_origins;
 pub(crate) mod suspects;
 pub(crate) mod suspend;
 pub(crate) mod trials;
 pub mod upstreams;
+pub(crate) mod versions;
 
 #[cfg(test)]
 mod admission_queue_tests;
@@ -113,7 +115,9 @@
 use crate::path::dialect::Records;
 use crate::path::log_replica::LogReplica;
 use crate::path::router_state::RouterState;
+use crate::path::stream_origins::StreamOrigins;
 use crate::path::trials::Trials;
+use crate::path::versions::ServiceVersions;
 use crate::peers::PeerClient;
 use crate::stats;
 use crate::util::{Clock, Name};
@@ -161,6 +165,8 @@
     pub(crate) peers: PeerClient,
     pub(crate) trials: Trials,
     pub(crate) catch_up: Rc<CatchUp>,
+    pub(crate) versions: ServiceVersions,
+    pub(crate) origins: StreamOrigins,
 }
 
 /// Cache of the [`FleetSummary`] of the newest view.
@@ -294,6 +300,8 @@
         path.state.exchange_leaving(&path.fleet.borrow().leaving);
         path.state.eject_failing(path.clock.now_ms());
         path.assign_cold();
+        versions::look_and_store(&path);
+        stream_origins::share_newly_mixed(&path);
         if publishes.is_multiple_of(PUBLISHES_PER_SWEEP) {
             path.connections.sweep(|id| path.state.has_upstream(id));
             path.state.sweep(path.clock.now_ms());
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -18,8 +18,9 @@
 use crate::path::delegate;
 use crate::path::dialect::{Dialect, Records};
 use crate::path::state_requests::StateRequests;
+use crate::path::stream_origins;
 use crate::peers::server::{self, PeerHandler};
-use crate::peers::{DELEGATE, LOG_SYNC, MEMBERS, PeerClient, SUSPICIONS};
+use crate::peers::{DELEGATE, LOG_SYNC, MEMBERS, ORIGIN, PeerClient, SUSPICIONS};
 use crate::schema::peer::{
     LogSyncReply, LogSyncRequest, MembersReply, MembersRequest, SuspicionsRequest,
 };
@@ -75,6 +76,12 @@
                 })
                 .await
             }
+            ORIGIN => {
+                server::reply(ORIGIN, body, async |request| {
+                    stream_origins::reply(self, request)
+                })
+                .await
+            }
             DELEGATE => delegate::answer(self, body).await,
             _ => server::status(StatusCode::NOT_FOUND),
         }
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -191,6 +191,15 @@
         change(&mut self.upstreams.borrow_mut())
     }
 
+    /// Calls `record` with each service and each software version of its listed upstreams.
+    pub(crate) fn for_each_version(&self, mut record: impl FnMut(&Name, Option<&Name>)) {
+        for (service, pool) in self.upstreams.borrow().pools() {
+            for software in pool.versions() {
+                record(service, software);
+            }
+        }
+    }
+
     /// Evacuated data centres, which receive no new work.
     pub(crate) fn evacuations(&self) -> Ref<'_, Evacuations> {
         self.evacuations.borrow()
--- /dev/null
+++ b/src/path/stream_origins.rs
@@ -0,0 +1,317 @@
+//! Finds the version of the upstream that began a stream, which is the only one that may go on with it.
+//!
+//! Load pattern: upstreams of two versions serve one service side by side. A stream breaks off, and its
+//! caller resumes it at any router: the one that began it may have ended, or know nothing any more after
+//! a restart. Two versions in one stream are worse than a refusal, so a router that can't learn where a
+//! stream began refuses to resume it.
+//!
+//! The origin of a stream is known to the router that began it and, while its service has several
+//! versions, to two more, its keepers: the first ones in a rendezvous order. A router that is to resume
+//! the stream asks its keepers, and then some more, which reaches the router that began it in a small
+//! fleet. While a service has had one version for longer than any stream lasts, nobody is told, and that
+//! version is the origin. When a second one is listed, the keepers are told of the streams in progress.
+//!
+//! Cost, by the code and not measured: a stream that begins beside a second version costs two queries of
+//! some 30 bytes, answered by 2 bytes, whatever the size of the fleet; none otherwise. A stream that is
+//! resumed at a router that didn't begin it costs two queries of some 25 bytes, answered by some 30; if
+//! that settles nothing, 6 more at 9 routers and 14 more at 390 or 985. Keepers are chosen by one of 16
+//! groups of streams, so a router connects to at most 32 of them; at 985 routers that begin a stream a
+//! second each, a keeper is told of 123 a second and keeps 15,000.
+
+mod table;
+
+#[cfg(test)]
+mod table_tests;
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
+use crate::decide::Origin;
+use crate::fleet::homes;
+use crate::path::RequestPath;
+use crate::path::dialect::Records;
+use crate::path::routes::Route;
+use crate::path::stream_origins::table::OriginTable;
+use crate::path::versions;
+use crate::peers::ORIGIN;
+use crate::schema::peer::{OriginReply, OriginRequest, StreamOrigin};
+use crate::util::{self, Name};
+
+/// Number of routers besides its own that are told where a stream began.
+const KEEPERS: usize = 2;
+/// Number of routers that are asked after the keepers.
+const MORE_ASKED: usize = 14;
+/// Number of groups of streams, each of which has its own keepers. If each stream had its own, every
+/// router of a large fleet would connect to every other one.
+const GROUPS: u64 = 16;
+/// Time limit of a round of queries; routers answer within milliseconds.
+const ROUND_LIMIT: Duration = Duration::from_millis(150);
+
+/// Where a stream began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Found {
+    /// There, by the record of a router.
+    Origin(Origin),
+    /// There, as its service has had no other version for longer than any stream lasts.
+    Only(Origin),
+    /// It may not go on anywhere.
+    Unknown,
+}
+
+/// The streams whose origins this router knows.
+#[derive(Debug, Default)]
+pub(crate) struct StreamOrigins {
+    table: RefCell<OriginTable>,
+    /// Services that had several versions when that was last determined.
+    mixed: RefCell<HashSet<Name>>,
+}
+
+impl StreamOrigins {
+    fn get(&self, stream: u64, now_ms: u64) -> Option<Origin> {
+        self.table.borrow().get(stream, now_ms).cloned()
+    }
+
+    fn insert(&self, stream: u64, origin: Origin, is_shared: bool, now_ms: u64) {
+        let mut table = self.table.borrow_mut();
+        table.insert(stream, origin, is_shared, now_ms);
+    }
+}
+
+/// What a round of queries told.
+#[derive(Default)]
+struct Told {
+    origin: Option<Origin>,
+    /// Whether a router answered that knows all versions.
+    is_whole: bool,
+}
+
+/// Finds where the stream began of which `request_id` brought the first event. The time limit of all
+/// queries together is 300 ms.
+pub(crate) async fn find<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    request_id: Option<&str>,
+    route: &Route,
+) -> Found {
+    versions::look(path);
+    let service = only_service(route);
+    let found = match request_id {
+        Some(id) => find_by_id(path, digest(id), service).await,
+        None => only(path, service, false),
+    };
+    log::debug!("stream of request {request_id:?} began at {found:?}");
+    found
+}
+
+async fn find_by_id<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    stream: u64,
+    service: Option<&Name>,
+) -> Found {
+    if let Some(origin) = path.origins.get(stream, path.clock.now_ms()) {
+        return Found::Origin(origin);
+    }
+    let addrs = other_routers(path, group(stream), KEEPERS + MORE_ASKED);
+    let (keepers, more) = addrs.split_at(addrs.len().min(KEEPERS));
+    // A version that was listed a moment ago may not be known here, but its streams' keepers know it.
+    for round in [keepers, more] {
+        let told = ask(path, round, stream, service).await;
+        if let Some(origin) = told.origin {
+            let now_ms = path.clock.now_ms();
+            path.origins.insert(stream, origin.clone(), true, now_ms);
+            return Found::Origin(origin);
+        }
+        let only = only(path, service, told.is_whole);
+        if only != Found::Unknown {
+            return only;
+        }
+    }
+    Found::Unknown
+}
+
+/// The only version of `service`. Whether no other one can be missing here is decided by the state of
+/// this router, unless a router that knows all versions has just told them.
+fn only<D: Records>(path: &RequestPath<D>, service: Option<&Name>, is_told: bool) -> Found {
+    let Some(service) = service.filter(|_| is_told || versions::is_current(path)) else {
+        return Found::Unknown;
+    };
+    match path.versions.only(service, path.clock.now_ms()) {
+        Some(software) => Found::Only(Origin {
+            service: service.clone(),
+            software,
+        }),
+        None => Found::Unknown,
+    }
+}
+
+/// The service of all streams of `route`, if there is just one.
+fn only_service(route: &Route) -> Option<&Name> {
+    match route.targets.as_slice() {
+        [target] => Some(&target.service),
+        _ => None,
+    }
+}
+
+/// Asks these routers at once where the stream began, until one knows, and applies the versions of
+/// `service` that they know.
+async fn ask<D>(
+    path: &RequestPath<D>,
+    addrs: &[Name],
+    stream: u64,
+    service: Option<&Name>,
+) -> Told {
+    let question = OriginRequest {
+        streams: vec![stream],
+        origin: None,
+        service: service.map_or_else(String::new, |service| service.to_string()),
+    };
+    let queries = addrs.iter().map(|addr| query(path, addr, &question));
+    let mut queries: FuturesUnordered<_> = queries.collect();
+    let mut told = Told::default();
+    let round = async {
+        while let Some(reply) = queries.next().await {
+            let Some(reply) = reply else { continue };
+            if let Some(origin) = reply.origin {
+                told.origin = Some(origin.into());
+                return;
+            }
+            let report = reply.versions.unwrap_or_default();
+            told.is_whole |= versions::is_whole(&report);
+            let now_ms = path.clock.now_ms();
+            path.versions
+                .merge_service(&question.service, report, now_ms);
+        }
+    };
+    // What was told until the time limit counts.
+    let _ = compio::time::timeout(ROUND_LIMIT, round).await;
+    told
+}
+
+async fn query<D>(
+    path: &RequestPath<D>,
+    addr: &Name,
+    request: &OriginRequest,
+) -> Option<OriginReply> {
+    let reply = path.peers.query(addr, ORIGIN, request).await;
+    reply
+        .inspect_err(|e| log::debug!("{addr}: query about a stream's origin failed: {e}"))
+        .ok()
+}
+
+/// Records that the stream of which `request_id` brought the first event began at `origin`.
+pub(crate) fn record<D: Records>(path: &Rc<RequestPath<D>>, request_id: &str, origin: &Origin) {
+    let now_ms = path.clock.now_ms();
+    let software = origin.software.as_ref();
+    path.versions
+        .record_answer(&origin.service, software, now_ms);
+    let is_shared = path.versions.only(&origin.service, now_ms).is_none();
+    let stream = digest(request_id);
+    path.origins
+        .insert(stream, origin.clone(), is_shared, now_ms);
+    if is_shared {
+        share(path, origin, &[stream]);
+    }
+}
+
+/// Looks for services that have a second version since the last call, and tells the keepers of their
+/// streams in progress where these began.
+pub(crate) fn share_newly_mixed<D: Records>(path: &Rc<RequestPath<D>>) {
+    let now_ms = path.clock.now_ms();
+    let mixed = path.versions.mixed(now_ms).into_iter();
+    let mixed: HashSet<Name> = mixed.map(|m| m.service).collect();
+    let before = path.origins.mixed.replace(mixed.clone());
+    for service in mixed.difference(&before) {
+        log::info!(service:%; "streams of several versions may be in progress");
+        let mut table = path.origins.table.borrow_mut();
+        let unshared = table.take_unshared(service, now_ms);
+        drop(table);
+        for (origin, streams) in unshared {
+            share(path, &origin, &streams);
+        }
+    }
+    for service in before.difference(&mixed) {
+        log::info!(service:%; "all streams in progress are of one version");
+    }
+}
+
+/// Tells the keepers of these streams that they began at `origin`, without waiting.
+fn share<D: Records>(path: &Rc<RequestPath<D>>, origin: &Origin, streams: &[u64]) {
+    let mut groups: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+    for stream in streams {
+        groups.entry(group(*stream)).or_default().push(*stream);
+    }
+    for (group, streams) in groups {
+        let request = Rc::new(OriginRequest {
+            streams,
+            origin: Some(origin.into()),
+            service: String::new(),
+        });
+        for addr in other_routers(path, group, KEEPERS) {
+            let (path, request) = (path.clone(), request.clone());
+            compio::runtime::spawn(async move {
+                query(&path, &addr, &request).await;
+            })
+            .detach();
+        }
+    }
+}
+
+/// Answers another router.
+pub(crate) fn reply<D: Records>(path: &RequestPath<D>, request: OriginRequest) -> OriginReply {
+    let now_ms = path.clock.now_ms();
+    if let Some(origin) = request.origin {
+        let origin = Origin::from(origin);
+        let software = origin.software.as_ref();
+        path.versions
+            .record_answer(&origin.service, software, now_ms);
+        for stream in request.streams {
+            path.origins.insert(stream, origin.clone(), true, now_ms);
+        }
+        return OriginReply::default();
+    }
+    let mut streams = request.streams.into_iter();
+    let known = streams.find_map(|stream| path.origins.get(stream, now_ms));
+    let is_known = known.is_some() || request.service.is_empty();
+    OriginReply {
+        origin: known.as_ref().map(Into::into),
+        versions: (!is_known).then(|| versions::report_of(path, &request.service)),
+    }
+}
+
+/// Addresses of the first `max` other routers in the order in which they keep the origins of streams of
+/// this group.
+fn other_routers<D>(path: &RequestPath<D>, group: u64, max: usize) -> Vec<Name> {
+    let fleet = path.fleet.borrow();
+    let routers = homes::order(&fleet, &format!("origins/{group}"), "").into_iter();
+    let others = routers.filter(|m| m.host != path.host).take(max);
+    others.map(|m| m.peer_addr.clone()).collect()
+}
+
+fn digest(request_id: &str) -> u64 {
+    util::hash_bytes(request_id.as_bytes())
+}
+
+fn group(stream: u64) -> u64 {
+    stream % GROUPS
+}
+
+impl From<StreamOrigin> for Origin {
+    fn from(received: StreamOrigin) -> Self {
+        Self {
+            service: received.service.into(),
+            software: received.software.map(Into::into),
+        }
+    }
+}
+
+impl From<&Origin> for StreamOrigin {
+    fn from(origin: &Origin) -> Self {
+        Self {
+            service: origin.service.to_string(),
+            software: origin.software.as_ref().map(ToString::to_string),
+        }
+    }
+}
--- /dev/null
+++ b/src/path/stream_origins/table.rs
@@ -0,0 +1,83 @@
+//! Where streams began, of those that began lately.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::decide::Origin;
+use crate::decide::versions::WINDOW_MS;
+use crate::util::Name;
+
+/// Largest number of streams that are kept. With some 100 bytes each they take 7 MB.
+pub(crate) const MAX_STREAMS: usize = 1 << 16;
+
+#[derive(Debug)]
+struct Entry {
+    origin: Origin,
+    at_ms: u64,
+    /// Whether other routers were told.
+    is_shared: bool,
+}
+
+/// Origins of streams by the digest of the id of the request that brought the first event. Each expires
+/// after [`WINDOW_MS`], and the oldest make room for new ones.
+#[derive(Debug, Default)]
+pub(crate) struct OriginTable {
+    entries: HashMap<u64, Entry>,
+    by_age: VecDeque<(u64, u64)>,
+}
+
+impl OriginTable {
+    pub(crate) fn insert(&mut self, stream: u64, origin: Origin, is_shared: bool, now_ms: u64) {
+        self.remove_expired(now_ms);
+        if self.by_age.len() >= MAX_STREAMS {
+            self.remove_oldest();
+        }
+        let entry = Entry {
+            origin,
+            at_ms: now_ms,
+            is_shared,
+        };
+        self.entries.insert(stream, entry);
+        self.by_age.push_back((stream, now_ms));
+    }
+
+    pub(crate) fn get(&self, stream: u64, now_ms: u64) -> Option<&Origin> {
+        let entry = self.entries.get(&stream)?;
+        (now_ms.saturating_sub(entry.at_ms) < WINDOW_MS).then_some(&entry.origin)
+    }
+
+    /// Returns the streams of `service` of which no other router was told, by their origin. They count
+    /// as told from now on.
+    pub(crate) fn take_unshared(
+        &mut self,
+        service: &Name,
+        now_ms: u64,
+    ) -> HashMap<Origin, Vec<u64>> {
+        self.remove_expired(now_ms);
+        let mut unshared: HashMap<Origin, Vec<u64>> = HashMap::new();
+        let entries = self.entries.iter_mut();
+        for (stream, entry) in entries.filter(|(_, e)| !e.is_shared && e.origin.service == *service)
+        {
+            entry.is_shared = true;
+            let streams = unshared.entry(entry.origin.clone()).or_default();
+            streams.push(*stream);
+        }
+        unshared
+    }
+
+    fn remove_expired(&mut self, now_ms: u64) {
+        let is_expired = |at_ms: u64| now_ms.saturating_sub(at_ms) >= WINDOW_MS;
+        while self.by_age.front().is_some_and(|(_, at)| is_expired(*at)) {
+            self.remove_oldest();
+        }
+    }
+
+    /// A stream that was recorded again is kept for its later record.
+    fn remove_oldest(&mut self) {
+        let Some((stream, at_ms)) = self.by_age.pop_front() else {
+            return;
+        };
+        if self.entries.get(&stream).is_some_and(|e| e.at_ms == at_ms) {
+            self.entries.remove(&stream);
+        }
+    }
+}
--- a/src/path/upstreams/pool.rs
+++ b/src/path/upstreams/pool.rs
@@ -20,6 +20,8 @@
     upstreams: Vec<Rc<Upstream>>,
     candidates: Vec<Candidate>,
     slots: HashMap<Name, u32>,
+    /// Number of upstreams of each software version, by its name.
+    versions: HashMap<Option<Name>, u32>,
 }
 
 impl Pool {
@@ -38,6 +40,11 @@
         &self.slots
     }
 
+    /// Software versions of the upstreams, draining ones included.
+    pub fn versions(&self) -> impl Iterator<Item = Option<&Name>> {
+        self.versions.keys().map(Option::as_ref)
+    }
+
     /// Position of upstream `id` in the pool, by binary search.
     pub fn position(&self, id: &str) -> Option<usize> {
         self.search(id).ok()
@@ -64,6 +71,7 @@
             ..Candidate::default()
         };
         self.slots.entry(upstream.data_center.clone()).or_default();
+        *self.versions.entry(upstream.software.clone()).or_default() += 1;
         self.candidates.insert(at, candidate);
         self.upstreams.insert(at, upstream);
         self.set_takes_work(at, takes_work);
@@ -92,7 +100,13 @@
         };
         self.set_takes_work(at, false);
         self.candidates.remove(at);
-        self.upstreams.remove(at);
+        let removed = self.upstreams.remove(at);
+        if let Some(count) = self.versions.get_mut(&removed.software) {
+            *count -= 1;
+            if *count == 0 {
+                self.versions.remove(&removed.software);
+            }
+        }
     }
 }
 
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -29,6 +29,7 @@
 pub(crate) const DEMAND: &str = "/demand";
 pub(crate) const DELEGATE: &str = "/delegate";
 pub(crate) const SUSPICIONS: &str = "/suspicions";
+pub(crate) const ORIGIN: &str = "/origin";
 pub(crate) const CONVICTED: &str = "/convicted";
 
 /// Returns the label under which bytes of queries at `path` are counted.
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -19,16 +19,19 @@
 use crate::log::view::ConfigView;
 use crate::logs;
 use crate::path::admission_queue::AdmissionQueues;
-use crate::path::catch_up::{self, CatchUp};
+use crate::path::catch_up::{self, CatchUp, Stored};
 use crate::path::connection::ConnectionPool;
 use crate::path::log_replica::{LogReplica, ReadSchedules};
 use crate::path::regions::Regions;
 use crate::path::router_state::{RetryLimit, RouterState};
+use crate::path::stream_origins::StreamOrigins;
 use crate::path::trials::Trials;
+use crate::path::versions::ServiceVersions;
 use crate::path::{RequestPath, SummaryCache, callers, peers, reach_check, run_maintenance, stop};
 use crate::peers::{PeerClient, Probes, probes};
 use crate::platform::{
-    Headers, Pages, RouterRegistry, Store, SuspicionStore, follow_orders, follow_upstreams,
+    Headers, Pages, RouterRegistry, Store, SuspicionStore, VersionStore, follow_orders,
+    follow_upstreams,
 };
 use crate::router::{AddrSnafu, BindSnafu, Outputs, RouterError};
 use crate::schema::settings::{Limits, Listen, Settings};
@@ -97,6 +100,8 @@
             peers: client.clone(),
             trials: Trials::default(),
             catch_up: Rc::new(CatchUp::new(clock)),
+            versions: ServiceVersions::default(),
+            origins: StreamOrigins::default(),
         });
         let platform = settings.platform.clone().unwrap_or_default();
         let store = parse("platform.addr", &platform.addr)?;
@@ -115,8 +120,14 @@
         let seeds = seeds(&policy.seed_addrs, peer_addr);
         compio::runtime::spawn(peers::follow_positions(path.clone(), client.clone())).detach();
         compio::runtime::spawn(peers::refresh_on_demand(path.clone(), client.clone())).detach();
-        let (stored, suspicions) = SuspicionStore::open(open());
+        let (stored_suspicions, suspicions) = SuspicionStore::open(open());
         path.state.set_stored_suspicions(suspicions);
+        let (stored_versions, versions) = VersionStore::open(open());
+        path.versions.set_store(versions);
+        let stored = Stored {
+            suspicions: stored_suspicions,
+            versions: stored_versions,
+        };
         let catch_up = catch_up::run(path.clone(), client.clone(), seeds.clone(), stored);
         compio::runtime::spawn(catch_up).detach();
         compio::runtime::spawn(peers::join(path.clone(), client, seeds)).detach();
