--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -31,6 +31,10 @@
     pub(crate) fn unfreeze(self) {
         let _ = kill(self.0, Signal::SIGCONT);
     }
+
+    pub(crate) fn kill(self) {
+        let _ = kill(self.0, Signal::SIGKILL);
+    }
 }
 
 impl Drop for Process {
