--- a/src/path/routes.rs
+++ b/src/path/routes.rs
@@ -1,6 +1,6 @@
 //! Routes, accounts and limits as configured by operators. No I/O and no clock.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use rand::Rng;
@@ -145,6 +145,8 @@
     has_accounts: bool,
     max_connections: HashMap<Name, u32>,
     cold_per_s: HashMap<Name, f64>,
+    /// Services that share a route of resumable streams with others.
+    split_streams: HashSet<Name>,
     /// Distinct priorities of the routes of each service, in order.
     route_priorities: HashMap<Name, Vec<u8>>,
     /// Distinct priorities of the accounts, in order.
@@ -172,6 +174,7 @@
     fn from(draft: Draft) -> Self {
         let mut routes: HashMap<Name, HostRoutes> = HashMap::new();
         let route_priorities = route_priorities(&draft.routes);
+        let split_streams = split_streams(&draft.routes);
         let accounts = draft.accounts.iter().flatten();
         let mut account_priorities: Vec<u8> = accounts.filter_map(|(_, a)| a.priority).collect();
         account_priorities.sort_unstable();
@@ -191,12 +194,21 @@
             accounts: draft.accounts.into_iter().flatten().collect(),
             max_connections: draft.max_connections.into_iter().collect(),
             cold_per_s: draft.cold_per_s.into_iter().collect(),
+            split_streams,
             route_priorities,
             account_priorities,
         }
     }
 }
 
+fn split_streams(routes: &[(Name, Route)]) -> HashSet<Name> {
+    let resumable = Repeat::Stream { resumable: true };
+    let routes = routes.iter().map(|(_, route)| route);
+    let split = routes.filter(|route| route.repeat == resumable && route.targets.len() > 1);
+    let targets = split.flat_map(|route| &route.targets);
+    targets.map(|target| target.service.clone()).collect()
+}
+
 fn route_priorities(routes: &[(Name, Route)]) -> HashMap<Name, Vec<u8>> {
     let mut priorities: HashMap<Name, Vec<u8>> = HashMap::new();
     for (_, route) in routes {
@@ -284,6 +296,11 @@
         u8::try_from(rank).unwrap_or(u8::MAX)
     }
 
+    /// Services that share a route of resumable streams with others.
+    pub(crate) fn split_streams(&self) -> &HashSet<Name> {
+        &self.split_streams
+    }
+
     /// Whether requests need a key at all.
     pub fn requires_keys(&self) -> bool {
         self.has_accounts
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -6,13 +6,13 @@
 //! stream began refuses to resume it.
 //!
 //! The origin of a stream is known to the router that began it and, while its service has several
-//! versions, to two more, its keepers: the first ones in a rendezvous order. A router that is to resume
-//! the stream asks its keepers, and then some more, which reaches the router that began it in a small
-//! fleet. While a service has had one version for longer than any stream lasts, nobody is told, and that
-//! version is the origin. When a second one is listed, the keepers are told of the streams in progress.
+//! versions or shares a route with another one, to two more, its keepers: the first ones in a rendezvous
+//! order. A router that is to resume the stream asks its keepers, and then some more, which reaches the
+//! router that began it in a small fleet. While a service has had one version for longer than any stream
+//! lasts, nobody is told, and that version is the origin. When a second one is listed, the keepers are
+//! told of the streams in progress.
 //!
-//! Cost, by the code and not measured: a stream that begins beside a second version costs two queries of
-//! some 30 bytes, answered by 2 bytes, whatever the size of the fleet; none otherwise. A stream that is
+//! Cost, by the code and not measured: a stream of which keepers are told costs two queries of some 30 bytes, answered by 2 bytes, whatever the size of the fleet; none otherwise. A stream that is
 //! resumed at a router that didn't begin it costs two queries of some 25 bytes, answered by some 30; if
 //! that settles nothing, 6 more at 9 routers and 14 more at 390 or 985. Keepers are chosen by one of 16
 //! groups of streams, so a router connects to at most 32 of them; at 985 routers that begin a stream a
@@ -66,8 +66,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamOrigins {
     table: RefCell<OriginTable>,
-    /// Services that had several versions when that was last determined.
-    mixed: RefCell<HashSet<Name>>,
+    /// Services of whose streams keepers were told when that was last determined.
+    told: RefCell<HashSet<Name>>,
 }
 
 impl StreamOrigins {
@@ -207,7 +207,8 @@
     let software = origin.software.as_ref();
     path.versions
         .record_answer(&origin.service, software, now_ms);
-    let is_shared = path.versions.only(&origin.service, now_ms).is_none();
+    let is_shared =
+        path.versions.only(&origin.service, now_ms).is_none() || is_split(path, &origin.service);
     let stream = digest(request_id);
     path.origins
         .insert(stream, origin.clone(), is_shared, now_ms);
@@ -216,15 +217,22 @@
     }
 }
 
-/// Looks for services that have a second version since the last call, and tells the keepers of their
-/// streams in progress where these began.
+/// Tells the keepers of streams in progress where these began, of services that have got a second version
+/// or a common route with another service since the last call.
 pub(crate) fn share_newly_mixed<D: Records>(path: &Rc<RequestPath<D>>) {
     let now_ms = path.clock.now_ms();
     let mixed = path.versions.mixed(now_ms).into_iter();
-    let mixed: HashSet<Name> = mixed.map(|m| m.service).collect();
-    let before = path.origins.mixed.replace(mixed.clone());
-    for service in mixed.difference(&before) {
-        log::info!(service:%; "streams of several versions may be in progress");
+    let mut told: HashSet<Name> = mixed.map(|m| m.service).collect();
+    told.extend(path.state.deployment().split_streams().iter().cloned());
+    if *path.origins.told.borrow() == told {
+        return;
+    }
+    let before = path.origins.told.replace(told.clone());
+    for service in before.difference(&told) {
+        log::info!(service:%; "all its streams in progress began at one version");
+    }
+    for service in told.difference(&before) {
+        log::info!(service:%; "its streams in progress may have begun at several versions or services");
         let mut table = path.origins.table.borrow_mut();
         let unshared = table.take_unshared(service, now_ms);
         drop(table);
@@ -232,9 +240,10 @@
             share(path, &origin, &streams);
         }
     }
-    for service in before.difference(&mixed) {
-        log::info!(service:%; "all streams in progress are of one version");
-    }
+}
+
+fn is_split<D>(path: &RequestPath<D>, service: &Name) -> bool {
+    path.state.deployment().split_streams().contains(service)
 }
 
 /// Tells the keepers of these streams that they began at `origin`, without waiting.
