--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -714,6 +714,9 @@
     /// What the sender knows against the request.
     #[prost(message, optional, tag = "12")]
     pub suspicion: ::core::option::Option<Suspicion>,
+    /// Where the stream began that the request goes on with.
+    #[prost(message, optional, tag = "13")]
+    pub origin: ::core::option::Option<StreamOrigin>,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -56,6 +56,8 @@
 #[cfg(test)]
 mod connection_tests;
 #[cfg(test)]
+mod delegate_tests;
+#[cfg(test)]
 mod departures_tests;
 #[cfg(test)]
 mod freshness_tests;
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -12,11 +12,12 @@
 //! lasts, nobody is told, and that version is the origin. When a second one is listed, the keepers are
 //! told of the streams in progress.
 //!
-//! Cost, by the code and not measured: a stream of which keepers are told costs two queries of some 30 bytes, answered by 2 bytes, whatever the size of the fleet; none otherwise. A stream that is
-//! resumed at a router that didn't begin it costs two queries of some 25 bytes, answered by some 30; if
-//! that settles nothing, 6 more at 9 routers and 14 more at 390 or 985. Keepers are chosen by one of 16
-//! groups of streams, so a router connects to at most 32 of them; at 985 routers that begin a stream a
-//! second each, a keeper is told of 123 a second and keeps 15,000.
+//! Cost, by the code and not measured: a stream of which keepers are told costs two queries of some 30
+//! bytes, answered by 2 bytes, whatever the size of the fleet; none otherwise. A stream that is resumed
+//! at a router that didn't begin it costs two queries of some 25 bytes, answered by some 30; if that
+//! settles nothing, 6 more at 9 routers and 14 more at 390 or 985. Keepers are chosen by one of 16 groups
+//! of streams, so a router connects to at most 32 of them; at 985 routers that begin a stream a second
+//! each, a keeper is told of 123 a second and keeps 15,000.
 
 mod table;
 
