--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -257,7 +257,13 @@
             let Some(events) = self.splitter.push(bytes) else {
                 return StreamEnd::Broken("an event exceeds the size limit".to_owned());
             };
-            if !events.is_empty() && self.tx.send(Ok(events)).await.is_err() {
+            if events.is_empty() {
+                continue;
+            }
+            if let Some(upstream) = reply.upstream() {
+                self.attempts.record_first_event(upstream);
+            }
+            if self.tx.send(Ok(events)).await.is_err() {
                 return StreamEnd::CallerDisconnected;
             }
         }
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -23,7 +23,8 @@
 use crate::path::delegate::Delegated;
 use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
 use crate::path::refusal::{Refused, STALE_STATE};
-use crate::path::routes::{Account, Route};
+use crate::path::routes::{Account, Repeat, Route};
+use crate::path::stream_origins;
 use crate::path::trials::Trial;
 use crate::path::upstreams::Upstream;
 use crate::util::Name;
@@ -373,9 +374,20 @@
         death_check::spawn(path, upstream.clone(), self.trial.take());
     }
 
-    /// Records that `upstream` brought the first event of a stream.
+    /// Records that `upstream` brought the first event of a stream, unless the stream began before.
     pub(crate) fn record_first_event(&mut self, upstream: &Upstream) {
-        self.origin.get_or_insert_with(|| upstream.origin());
+        if self.origin.is_some() {
+            return;
+        }
+        let origin = upstream.origin();
+        let RequestContext {
+            path, head, route, ..
+        } = &self.context;
+        let is_resumable = route.repeat == Repeat::Stream { resumable: true };
+        if let Some(id) = head.request_id.as_deref().filter(|_| is_resumable) {
+            stream_origins::record(path, id, &origin);
+        }
+        self.origin = Some(origin);
     }
 
     /// Whether the request may run again after a run that may have begun.
