Process tests: streams taken up through another router, or off their route

A stream that a cut-off router delegates keeps to its version, and one whose route leads to another service now is refused. Withheld upstreams of other versions no longer count towards the mean load of a bound request.

--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -98,6 +98,7 @@
         for (candidate, upstream) in self.all.iter_mut().zip(self.pool.upstreams()) {
             if !upstream.continues(origin) {
                 candidate.excluded = true;
+                candidate.withheld = false;
                 candidate.has_parts = false;
             }
         }
--- a/tests/routed_versions.rs
+++ b/tests/routed_versions.rs
@@ -8,8 +8,8 @@
 use futures_util::future::{join, join_all};
 use serde_json::json;
 use standins::backend::Run;
-use support::routed::{FleetSize, RoutedFleet};
-use support::{Received, get, set_knobs, wait_until};
+use support::routed::{FleetSize, RoutedFleet, routes};
+use support::{Received, get, set_knobs, sleep_ms, wait_until};
 
 /// Number of events of each stream.
 const EVENTS: u64 = 12;
@@ -19,7 +19,12 @@
 
 /// Starts a router with as many upstreams of "v1" and then "v2".
 async fn start(v1: u8, v2: u8) -> RoutedFleet {
+    start_routers(1, v1, v2).await
+}
+
+async fn start_routers(routers: u8, v1: u8, v2: u8) -> RoutedFleet {
     let size = FleetSize {
+        routers,
         upstreams: v1,
         ..FleetSize::default()
     };
@@ -27,7 +32,9 @@
     for i in v1..v1 + v2 {
         routed.spawn_upstream_of(i, "v2");
     }
-    routed.wait_ready(0).await;
+    for i in 0..routers {
+        routed.wait_ready(i).await;
+    }
     routed
 }
 
@@ -36,12 +43,12 @@
 }
 
 /// Requests the stream that began with request `id` after event `after`.
-async fn resume(routed: &RoutedFleet, id: &str, after: u64) -> (String, Received) {
+async fn resume(routed: &RoutedFleet, router: u8, id: &str, after: u64) -> (String, Received) {
     let after = after.to_string();
     let headers = [("last-event-id", after.as_str()), ("resumes", id)];
     let body = EVENTS.to_string();
     let (id, received) = routed
-        .call_with(0, "/resumed/stream", &body, &headers)
+        .call_with(router, "/resumed/stream", &body, &headers)
         .await;
     (id, received.unwrap())
 }
@@ -95,7 +102,7 @@
         })
         .await;
         // Some events reach the callers first.
-        support::sleep_ms(800).await;
+        sleep_ms(800).await;
         victim.kill();
     };
     let (streams, ()) = join(streams, kill).await;
@@ -124,7 +131,7 @@
     for n in 0..STREAMS {
         let (first, received) = routed.call(0, "/resumed/stream", &EVENTS.to_string()).await;
         assert!(received.unwrap().complete);
-        let (again, received) = resume(&routed, &first, 4).await;
+        let (again, received) = resume(&routed, 0, &first, 4).await;
         assert_eq!(received.status, 200, "stream {n}: {received:?}");
         assert_eq!(received.data(), data(5..=EVENTS));
         let runs = routed.runs();
@@ -136,6 +143,65 @@
     assert_eq!(begun.len(), 2, "{begun:?}");
 }
 
+/// Callers take up streams at a router that reaches no upstream, and another one sends them. It must
+/// keep to the version that began each, as it is told where that was.
+#[compio::test]
+async fn stream_taken_up_through_another_router_goes_on_at_its_version() {
+    let routed = start_routers(2, 1, 1).await;
+    // The routers hear of each other's loads first.
+    sleep_ms(600).await;
+    let mut streams = Vec::new();
+    for _ in 0..STREAMS {
+        let (id, received) = routed.call(0, "/resumed/stream", &EVENTS.to_string()).await;
+        assert!(received.unwrap().complete);
+        streams.push(id);
+    }
+    // Router 0 has connections to both upstreams, the other one none.
+    let refuses = json!({ "refuses_connections_ms": 3_000 });
+    routed.upstream_knobs(refuses).await;
+    sleep_ms(100).await;
+    // Router 1 tries both upstreams and learns that it reaches neither.
+    let (_, received) = routed.call(1, "/get/1", "1").await;
+    assert_eq!(received.map(|r| r.status), Some(200));
+    let mut begun = HashSet::new();
+    for first in streams {
+        let (again, received) = resume(&routed, 1, &first, 4).await;
+        assert_eq!(received.data(), data(5..=EVENTS), "{received:?}");
+        let runs = routed.runs();
+        assert_eq!(runs[&again].len(), 1);
+        assert_eq!(runs[&again][0].software, runs[&first][0].software);
+        begun.insert(runs[&first][0].software.clone());
+    }
+    assert_eq!(begun.len(), 2, "{begun:?}");
+    let log = routed.log_until_now(1).await;
+    assert!(log.matches("delegated to router-0").count() >= STREAMS);
+}
+
+/// A new configuration leads the route to another service while a caller has part of a stream. Its
+/// upstreams would go on with a stream that they didn't begin.
+#[compio::test]
+async fn stream_of_a_service_off_its_route_is_refused() {
+    let mut routed = start(1, 0).await;
+    let (first, received) = routed.call(0, "/resumed/stream", &EVENTS.to_string()).await;
+    assert!(received.unwrap().complete);
+    let mut routes = routes();
+    for route in &mut routes {
+        route["service"] = json!("s2");
+    }
+    let version = routed.configure(json!({ "routes": routes })).await;
+    wait_until("the configuration", || async {
+        let in_force = format!("configuration {version} in force");
+        routed.log(0).contains(&in_force)
+    })
+    .await;
+    let (id, received) = resume(&routed, 0, &first, 4).await;
+    assert_eq!(received.status, 503, "{received:?}");
+    assert!(received.not_run(), "{received:?}");
+    let wanted = "the stream began at s1, where route resumed leads no more";
+    assert!(received.body.contains(wanted), "{received:?}");
+    assert_eq!(routed.runs_of(&id), 0);
+}
+
 /// A caller takes up a stream whose version has left. It must be refused at once as not run, with
 /// the reason, rather than get events of another version.
 #[compio::test]
@@ -151,7 +217,7 @@
         page.lines().any(|l| l == "cassiagrade_upstreams_known 1")
     })
     .await;
-    let (id, received) = resume(&routed, &first, 4).await;
+    let (id, received) = resume(&routed, 0, &first, 4).await;
     assert_eq!(received.status, 503, "{received:?}");
     assert!(received.not_run(), "{received:?}");
     let wanted = "no upstream of software version v1 of s1 is left";
@@ -170,10 +236,10 @@
 #[compio::test]
 async fn stream_of_unknown_version_is_refused() {
     let routed = start(1, 1).await;
-    let (id, received) = resume(&routed, "unknown", 4).await;
+    let (id, received) = resume(&routed, 0, "unknown", 4).await;
     assert_eq!(received.status, 503, "{received:?}");
     assert!(received.not_run(), "{received:?}");
     assert_eq!(routed.runs_of(&id), 0);
-    let (_, received) = resume(&routed, "unknown", 0).await;
+    let (_, received) = resume(&routed, 0, "unknown", 0).await;
     assert_eq!(received.data(), data(1..=EVENTS));
 }
