Merge: a stream goes on only at the software version that began it

Cause: a router dropped the version of an upstream's record, so each resumption drew among all versions, in one answer, at a delegate and over a caller's tries. Now Upstream has its version; an answer is bound to the service and version of the upstream that brought its first event, through delegations too; a caller's try names the attempt that brought it, and the router looks its origin up.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -14,6 +14,7 @@
 use http::StatusCode;
 use http::request::Parts;
 
+use crate::decide::Origin;
 use crate::decide::refusal::Cause;
 use crate::event::Kind;
 use crate::path::RequestPath;
@@ -24,7 +25,8 @@
 use crate::path::delegate::Delegated;
 use crate::path::dialect::{CallHead, CallerHead, Dialect, Records};
 use crate::path::refusal::{Refused, STALE_STATE};
-use crate::path::routes::{Account, Route};
+use crate::path::routes::{Account, Repeat, Route};
+use crate::path::stream_origins;
 use crate::path::trials::Trial;
 use crate::path::upstreams::Upstream;
 use crate::util::Name;
@@ -59,6 +61,8 @@
     pub(crate) started: Instant,
     /// Earlier of the time limits of the caller and of the route.
     pub(crate) deadline: Instant,
+    /// Where the stream began that the caller takes up again, if it does.
+    pub(crate) origin: Option<Origin>,
     /// Set if another router delegated the request to this one, which then does not delegate it
     /// again.
     pub(crate) delegated: Option<Delegated>,
@@ -80,6 +84,8 @@
     kept: Option<Name>,
     /// Whether the retry budget was charged for the next attempt before the last one was given up.
     is_retry_reserved: bool,
+    /// Where the stream began that the answer is or goes on with; all further attempts keep to it.
+    origin: Option<Origin>,
     /// Held while the request runs as a suspect.
     trial: Option<Trial>,
     /// Released at the end of the answer.
@@ -97,8 +103,10 @@
 impl<D: Dialect + Records> Attempts<D> {
     pub(crate) fn new(context: RequestContext<D>, permit: Option<Permit>) -> Self {
         let before = context.delegated.clone().unwrap_or_default();
+        let origin = context.origin.clone();
         Self {
             context,
+            origin,
             tried: before.delivered_to.clone(),
             runs: before.runs,
             delivered_to: before.delivered_to,
@@ -486,6 +494,22 @@
         death_check::spawn(path, upstream.clone(), self.trial.take());
     }
 
+    /// Records that `upstream` brought the first event of a stream, unless the stream began before.
+    pub(crate) fn record_first_event(&mut self, upstream: &Upstream) {
+        if self.origin.is_some() {
+            return;
+        }
+        let origin = upstream.origin();
+        let RequestContext {
+            path, head, route, ..
+        } = &self.context;
+        let is_resumable = route.repeat == Repeat::Stream { resumable: true };
+        if let Some(id) = head.request_id.as_deref().filter(|_| is_resumable) {
+            stream_origins::record(path, id, &origin);
+        }
+        self.origin = Some(origin);
+    }
+
     /// Whether the request may run again after a run that may have begun.
     pub(crate) fn may_retry(&self) -> bool {
         !self.context.route.repeat.at_most_once() && self.runs < self.context.route.max_attempts
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -12,18 +12,18 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::config::ALL_ON;
-use crate::decide::Incarnation;
 use crate::decide::cold_start::ColdStarts;
 use crate::decide::connections::{self, ConnectionQuota};
 use crate::decide::pushback::Pushbacks;
 use crate::decide::reach::Reach;
 use crate::decide::retry::RetryBudget;
+use crate::decide::{Incarnation, Origin};
 use crate::fleet::gossip::{Gossip, OwnLoad, Publish};
 use crate::fleet::loads::digest;
 use crate::mutation::{Mutation, mutated};
 use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
-use crate::path::regions::Regions;
+use crate::path::regions::{AllowedRegions, Regions};
 use crate::path::router_state::pool::CACHE_WARMUP_MS;
 use crate::path::routes::Deployment;
 use crate::path::suspects::Suspects;
@@ -95,6 +95,14 @@
     pub(crate) kept: Option<&'a Name>,
 }
 
+/// Limits that an upstream must be within to get a request, even if no other upstream is left.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Bounds<'a> {
+    pub(crate) regions: &'a [&'a AllowedRegions],
+    /// Where the stream began that the request goes on with, if it does.
+    pub(crate) origin: Option<&'a Origin>,
+}
+
 /// Counts one request at one upstream while it exists.
 pub(crate) struct RunningGuard {
     state: Rc<RouterState>,
@@ -193,6 +201,15 @@
         change(&mut self.upstreams.borrow_mut())
     }
 
+    /// Calls `record` with each service and each software version of its listed upstreams.
+    pub(crate) fn for_each_version(&self, mut record: impl FnMut(&Name, Option<&Name>)) {
+        for (service, pool) in self.upstreams.borrow().pools() {
+            for software in pool.versions() {
+                record(service, software);
+            }
+        }
+    }
+
     /// Evacuated data centres, which receive no new work.
     pub(crate) fn evacuations(&self) -> Ref<'_, Evacuations> {
         self.evacuations.borrow()
@@ -230,9 +247,9 @@
         self.upstreams.borrow().get(id).is_some()
     }
 
-    /// The start of upstream `id` that is listed, if any.
-    pub(crate) fn incarnation(&self, id: &str) -> Option<Incarnation> {
-        self.upstreams.borrow().get(id).map(|u| u.incarnation())
+    /// Upstream `id` as listed, if it is.
+    pub(crate) fn upstream(&self, id: &str) -> Option<Rc<Upstream>> {
+        self.upstreams.borrow().get(id).cloned()
     }
 
     /// Handles the restart of an upstream under the same id, which was `before`.
--- a/src/path/stream.rs
+++ b/src/path/stream.rs
@@ -91,7 +91,10 @@
                 }
                 Progress::Bytes(bytes) => match self.splitter.push(bytes) {
                     Some(events) if events.is_empty() => continue,
-                    Some(events) => return Ok(Some(events)),
+                    Some(events) => {
+                        self.record_first_event();
+                        return Ok(Some(events));
+                    }
                     None => "an event exceeds the size limit".to_owned(),
                 },
                 Progress::Broken(reason) => reason,
@@ -104,6 +107,15 @@
         }
     }
 
+    /// Binds the rest of the stream to the software version of the upstream that is read, unless an earlier
+    /// event did.
+    fn record_first_event(&mut self) {
+        let upstream = self.reply.as_ref().and_then(Reply::upstream).cloned();
+        if let Some(upstream) = upstream {
+            self.attempts.record_first_event(&upstream);
+        }
+    }
+
     /// Waits until the upstream sends something or ends.
     async fn progress(&mut self) -> Result<Progress, Refused> {
         loop {
