Process tests of streams that are taken up beside several software versions

Streams of a killed router go on at their version, also those that began before the second version was listed.

--- /dev/null
+++ b/tests/routed_origins.rs
@@ -0,0 +1,287 @@
+//! Streams that broke off, taken up at routers that didn't begin them, while upstreams of several software
+//! versions serve.
+
+mod support;
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use serde_json::json;
+use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
+use support::{Caller, Received, get, set_knobs, sleep_ms, wait_until};
+use test_case::test_case;
+
+const STREAMS: usize = 20;
+const PATH: &str = "/resumed/stream";
+/// Number of events of each stream.
+const EVENTS: u64 = 60;
+const EVENT_INTERVAL_MS: u64 = 100;
+
+/// A stream that broke off.
+struct Broken {
+    /// Id of the request that brought the first event.
+    id: String,
+    /// Last event that arrived.
+    last: u64,
+}
+
+/// Three routers, and upstreams of these versions in order, which send their events slowly.
+async fn start(versions: &[&str]) -> RoutedFleet {
+    let size = FleetSize {
+        routers: 0,
+        upstreams: 0,
+        ..FleetSize::default()
+    };
+    let mut routed = RoutedFleet::start(size).await;
+    for version in versions {
+        spawn_upstream(&mut routed, version).await;
+    }
+    for i in 0..3 {
+        routed.spawn_router(i);
+    }
+    wait_all_ready(&routed).await;
+    routed
+}
+
+async fn spawn_upstream(routed: &mut RoutedFleet, version: &str) {
+    let i = u8::try_from(routed.upstreams.len()).unwrap();
+    routed.spawn_upstream_of(i, version);
+    let at = routed.upstreams[usize::from(i)].addr;
+    wait_until("an upstream", || async {
+        get(at, "/healthz").await.is_some()
+    })
+    .await;
+    set_knobs(at, &json!({ "delay_ms": EVENT_INTERVAL_MS })).await;
+}
+
+async fn wait_all_ready(routed: &RoutedFleet) {
+    for i in 0..u8::try_from(routed.routers.len()).unwrap() {
+        routed.wait_ready(i).await;
+    }
+}
+
+/// Ends all upstreams from the third on, and waits until all routers know it.
+async fn end_upstreams(routed: &mut RoutedFleet) {
+    for i in 2..routed.upstreams.len() {
+        set_knobs(routed.upstreams[i].addr, &json!({ "withdrawn": true })).await;
+        routed.wait_entry(u8::try_from(i).unwrap(), "").await;
+    }
+    routed.upstreams.truncate(2);
+    wait_all_ready(routed).await;
+}
+
+/// Begins streams at router 0, and breaks them off after a second by `cut`.
+async fn break_streams(
+    routed: &mut RoutedFleet,
+    cut: impl AsyncFnOnce(&mut RoutedFleet),
+) -> Vec<Broken> {
+    let at = routed.caller(0);
+    let begun = (0..STREAMS).map(|_| {
+        compio::runtime::spawn(async move {
+            let id = new_request_id();
+            let headers = [
+                ("attempt-id", id.as_str()),
+                ("host", HOST),
+                ("deadline-ms", "8000"),
+            ];
+            let body = EVENTS.to_string();
+            let caller = Caller::new(KEY);
+            let received = caller.call(at, "POST", PATH, &headers, &body).await;
+            (id, received)
+        })
+    });
+    let begun: Vec<_> = begun.collect();
+    sleep_ms(1_000).await;
+    cut(routed).await;
+    let ended = join_all(begun).await.into_iter().map(|s| s.unwrap());
+    let broken: Vec<Broken> = ended.map(|(id, received)| broken(id, received)).collect();
+    assert!(broken.iter().all(|b| b.last > 0 && b.last < EVENTS));
+    broken
+}
+
+fn broken(id: String, received: Option<Received>) -> Broken {
+    let received = received.expect("an answer begins");
+    assert_eq!(received.status, 200);
+    let last = last_event(&received);
+    Broken { id, last }
+}
+
+/// Id of the last event that arrived as a whole.
+fn last_event(received: &Received) -> u64 {
+    let (whole, _) = received.body.rsplit_once("\n\n").unwrap_or_default();
+    let ids = whole.lines().filter_map(|l| l.strip_prefix("id: "));
+    ids.last().map_or(0, |id| id.parse().unwrap())
+}
+
+/// Takes up a stream at router `i`. Returns the id of the request, and the answer.
+async fn take_up(routed: &RoutedFleet, i: u8, broken: &Broken) -> (String, Option<Received>) {
+    let last = broken.last.to_string();
+    let headers = [
+        ("deadline-ms", "8000"),
+        ("last-event-id", last.as_str()),
+        ("resumes", broken.id.as_str()),
+    ];
+    routed
+        .call_with(i, PATH, &EVENTS.to_string(), &headers)
+        .await
+}
+
+/// Versions of the upstreams that ran a request.
+fn versions_of(routed: &RoutedFleet, id: &str) -> Vec<String> {
+    let runs = routed.runs().remove(id).unwrap_or_default();
+    runs.into_iter().map(|run| run.software).collect()
+}
+
+/// Takes up all streams at router `i`, and returns how many of them went on to their end. None may go on at
+/// another version.
+async fn resumed(routed: &RoutedFleet, i: u8, streams: &[Broken]) -> usize {
+    let taken_up = join_all(streams.iter().map(|b| take_up(routed, i, b))).await;
+    let mut resumed = 0;
+    for (stream, (id, received)) in streams.iter().zip(taken_up) {
+        let began = versions_of(routed, &stream.id);
+        let went_on = versions_of(routed, &id);
+        assert!(
+            went_on.iter().all(|version| began.contains(version)),
+            "a stream of {began:?} went on at {went_on:?}"
+        );
+        assert_eq!(began.len(), 1);
+        let received = received.expect("an answer");
+        if received.status == 200 {
+            assert_eq!(last_event(&received), EVENTS);
+            resumed += 1;
+        } else {
+            assert_eq!(received.status, 503, "{}", received.body);
+            assert!(went_on.is_empty());
+        }
+    }
+    resumed
+}
+
+async fn restart_all(routed: &mut RoutedFleet) {
+    for router in &mut routed.routers {
+        router.kill();
+    }
+    for i in 0..3 {
+        routed.spawn_router(i);
+    }
+    wait_all_ready(routed).await;
+}
+
+/// The router that began the streams is killed. Those that are left must know where each of them began,
+/// whichever they are.
+#[test_case(1)]
+#[test_case(2)]
+#[compio::test]
+async fn streams_of_a_killed_router_go_on_at_their_version(router: u8) {
+    let mut routed = start(&["v1", "v1", "v2", "v2"]).await;
+    let streams = break_streams(&mut routed, async |r| r.routers[0].kill()).await;
+    assert_eq!(resumed(&routed, router, &streams).await, STREAMS);
+}
+
+/// The streams began when there was one version, and nobody was told of them. A second one is listed, and
+/// then the router that began them is killed.
+#[compio::test]
+async fn streams_in_progress_when_a_second_version_is_listed_go_on() {
+    let mut routed = start(&["v1", "v1"]).await;
+    let cut = async |routed: &mut RoutedFleet| {
+        spawn_upstream(routed, "v2").await;
+        wait_all_ready(routed).await;
+        sleep_ms(300).await;
+        routed.routers[0].kill();
+    };
+    let streams = break_streams(&mut routed, cut).await;
+    assert_eq!(resumed(&routed, 1, &streams).await, STREAMS);
+}
+
+/// All routers restart, and none knows where the streams began. With a second version they may not go on
+/// anywhere.
+#[compio::test]
+async fn streams_of_unknown_version_are_refused_after_a_restart_of_all() {
+    let mut routed = start(&["v1", "v1", "v2", "v2"]).await;
+    let streams = break_streams(&mut routed, restart_all).await;
+    for i in 0..3 {
+        assert_eq!(resumed(&routed, i, &streams).await, 0, "router {i}");
+    }
+}
+
+/// All routers restart after the last upstream of one version was removed. The other one, the only one
+/// that is listed, may not go on with streams of the removed one.
+#[compio::test]
+async fn removed_version_is_known_after_a_restart_of_all() {
+    let mut routed = start(&["v2", "v2", "v1", "v1"]).await;
+    let cut = async |routed: &mut RoutedFleet| {
+        end_upstreams(routed).await;
+        restart_all(routed).await;
+    };
+    let streams = break_streams(&mut routed, cut).await;
+    for i in 0..3 {
+        assert_eq!(resumed(&routed, i, &streams).await, 0, "router {i}");
+    }
+}
+
+/// All routers restart on an ordinary day. Streams would be refused for two minutes though nothing else
+/// than the only version can have begun them.
+#[compio::test]
+async fn streams_of_the_only_version_go_on_after_a_restart_of_all() {
+    let mut routed = start(&["v1", "v1", "v1"]).await;
+    let streams = break_streams(&mut routed, restart_all).await;
+    for i in 0..3 {
+        let routed = &routed;
+        assert_eq!(resumed(routed, i, &streams).await, STREAMS, "router {i}");
+    }
+}
+
+/// A stream whose first request is unknown, as its caller names none or one that never was.
+#[test_case(&[]; "none")]
+#[test_case(&[("resumes", "unheard-of")]; "unknown")]
+#[compio::test]
+async fn stream_of_unknown_origin_goes_on_only_if_there_is_one_version(more: &[(&str, &str)]) {
+    let mut routed = start(&["v1", "v1"]).await;
+    let mut headers = vec![("last-event-id", "38")];
+    headers.extend_from_slice(more);
+    let (id, received) = routed.call_with(1, PATH, "40", &headers).await;
+    assert_eq!(received.map(|r| r.status), Some(200));
+    assert_eq!(versions_of(&routed, &id), ["v1"]);
+    spawn_upstream(&mut routed, "v2").await;
+    wait_all_ready(&routed).await;
+    sleep_ms(300).await;
+    let (id, received) = routed.call_with(1, PATH, "40", &headers).await;
+    assert_eq!(received.map(|r| r.status), Some(503));
+    assert_eq!(routed.runs_of(&id), 0);
+}
+
+/// A router is restarted while a second version is listed, and learns from the others that a version was
+/// removed. It may not take the one that is left for the only one.
+#[compio::test]
+async fn restarted_router_learns_of_a_removed_version() {
+    let mut routed = start(&["v2", "v2", "v1", "v1"]).await;
+    end_upstreams(&mut routed).await;
+    routed.routers[1].kill();
+    routed.spawn_router(1);
+    let headers = [("last-event-id", "38"), ("resumes", "unheard-of")];
+    wait_until("an answer of the restarted router", || async {
+        let (id, received) = routed.call_with(1, PATH, "40", &headers).await;
+        assert_eq!(routed.runs_of(&id), 0);
+        received.is_some_and(|r| r.status == 503 && r.body.contains("version"))
+    })
+    .await;
+}
+
+/// A stream that has ended at all routers is forgotten, but not while its caller may resume it.
+#[compio::test]
+async fn stream_is_resumed_again_and_again() {
+    let mut routed = start(&["v1", "v2"]).await;
+    let streams = break_streams(&mut routed, async |r| r.routers[0].kill()).await;
+    let stream = &streams[0];
+    let began = versions_of(&routed, &stream.id);
+    for router in [1, 2, 1] {
+        let later = Broken {
+            id: stream.id.clone(),
+            last: EVENTS - 1,
+        };
+        let (id, received) = take_up(&routed, router, &later).await;
+        assert_eq!(received.map(|r| r.status), Some(200), "router {router}");
+        assert_eq!(versions_of(&routed, &id), began);
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
