--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -95,6 +95,8 @@
 mod suspects_tests;
 #[cfg(test)]
 mod trials_tests;
+#[cfg(test)]
+mod versions_tests;
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -21,6 +21,8 @@
 
 mod table;
 
+#[cfg(test)]
+mod message_tests;
 #[cfg(test)]
 mod table_tests;
 
--- a/src/path/versions.rs
+++ b/src/path/versions.rs
@@ -4,7 +4,7 @@
 //! count. What it can't have seen it learns from other routers, or from the platform if all of them have
 //! just started. Records on the platform are written for services with several versions alone.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 
 use tokio::sync::mpsc;
@@ -45,13 +45,15 @@
     history: RefCell<VersionHistory>,
     /// Versions of each service as they were last sent to be stored.
     stored: RefCell<HashMap<Name, MixedService>>,
+    /// Era of the log in which they were stored. One that is restored from an older copy may lack them.
+    stored_in: Cell<u64>,
     /// Where the versions go that are to outlive this router.
     store: RefCell<Option<mpsc::Sender<MixedService>>>,
 }
 
 impl ServiceVersions {
     /// Records the versions of the listed upstreams.
-    fn look(&self, state: &RouterState, now_ms: u64) {
+    pub(super) fn look(&self, state: &RouterState, now_ms: u64) {
         let mut history = self.history.borrow_mut();
         history.record_look(now_ms);
         state.for_each_version(|service, software| {
@@ -99,8 +101,12 @@
         self.store.replace(Some(store));
     }
 
-    /// Has the services with several versions stored whose versions have changed.
-    pub(crate) fn store_changed(&self, now_ms: u64) {
+    /// Has the services with several versions stored whose versions have changed, and all of them in a new
+    /// era of the log.
+    pub(crate) fn store_changed(&self, era: u64, now_ms: u64) {
+        if self.stored_in.replace(era) != era {
+            self.stored.borrow_mut().clear();
+        }
         let store = self.store.borrow();
         let Some(store) = store.as_ref() else {
             return;
@@ -202,7 +208,8 @@
     let now_ms = path.clock.now_ms();
     look(path);
     if path.is_reader() {
-        path.versions.store_changed(now_ms);
+        let era = *path.replica.era().borrow();
+        path.versions.store_changed(era, now_ms);
     }
 }
 
--- a/tests/routed_origins.rs
+++ b/tests/routed_origins.rs
@@ -157,6 +157,12 @@
     resumed
 }
 
+/// The records about versions in the store.
+async fn stored_versions(routed: &RoutedFleet) -> String {
+    let stored = "/log-newest?stream_name=keyed.versions&part=0";
+    get(routed.store.addr, stored).await.unwrap()
+}
+
 async fn restart_all(routed: &mut RoutedFleet) {
     for router in &mut routed.routers {
         router.kill();
@@ -193,6 +199,59 @@
     assert_eq!(resumed(&routed, 1, &streams).await, STREAMS);
 }
 
+/// On an ordinary day streams would cost messages between routers, and records on the platform.
+#[compio::test]
+async fn streams_of_the_only_version_cost_no_message() {
+    let mut routed = start(&["v1", "v1"]).await;
+    let at = routed.admin(0);
+    let cut = async |routed: &mut RoutedFleet| {
+        let page = get(at, "/metrics").await.unwrap();
+        assert!(page.contains("cassiagrade_control_bytes_total"));
+        assert!(!page.contains("kind=\"origin\""));
+        routed.routers[0].kill();
+    };
+    break_streams(&mut routed, cut).await;
+    let stored = stored_versions(&routed).await;
+    assert!(!stored.contains("\"key\""), "{stored}");
+}
+
+/// A router whose list of upstreams is old and that reaches no other router. A second version may have been
+/// listed meanwhile, so it may not take the one that it knows for the only one.
+#[compio::test]
+async fn router_that_is_cut_off_resumes_no_stream_of_unknown_origin() {
+    let mut routed = start(&["v1", "v1"]).await;
+    let headers = [("last-event-id", "38"), ("resumes", "unheard-of")];
+    let (_, received) = routed.call_with(1, PATH, "40", &headers).await;
+    assert_eq!(received.map(|r| r.status), Some(200));
+    routed.store.kill();
+    routed.routers[0].kill();
+    routed.routers[2].kill();
+    sleep_ms(4_000).await;
+    let (id, received) = routed.call_with(1, PATH, "40", &headers).await;
+    let received = received.unwrap();
+    assert_eq!(received.status, 503, "{}", received.body);
+    assert_eq!(routed.runs_of(&id), 0);
+    let (_, received) = routed.call(1, PATH, "2").await;
+    assert_eq!(received.map(|r| r.status), Some(200));
+}
+
+/// The store is away, which all routers know of each other. Nothing can be listed meanwhile that one of
+/// them knows, and streams go on.
+#[compio::test]
+async fn streams_go_on_while_the_store_is_away() {
+    let mut routed = start(&["v1", "v1"]).await;
+    let cut = async |routed: &mut RoutedFleet| {
+        routed.store.kill();
+        sleep_ms(3_000).await;
+        for upstream in &routed.upstreams {
+            set_knobs(upstream.addr, &json!({ "delay_ms": 20 })).await;
+        }
+        routed.routers[0].kill();
+    };
+    let streams = break_streams(&mut routed, cut).await;
+    assert_eq!(resumed(&routed, 1, &streams).await, STREAMS);
+}
+
 /// All routers restart, and none knows where the streams began. With a second version they may not go on
 /// anywhere.
 #[compio::test]
@@ -211,6 +270,8 @@
     let mut routed = start(&["v2", "v2", "v1", "v1"]).await;
     let cut = async |routed: &mut RoutedFleet| {
         end_upstreams(routed).await;
+        let stored = stored_versions(routed).await;
+        assert!(stored.contains("\"key\""), "{stored}");
         restart_all(routed).await;
     };
     let streams = break_streams(&mut routed, cut).await;
