--- a/tests/routed_origins.rs
+++ b/tests/routed_origins.rs
@@ -109,8 +109,8 @@
 /// Id of the last event that arrived as a whole.
 fn last_event(received: &Received) -> u64 {
     let (whole, _) = received.body.rsplit_once("\n\n").unwrap_or_default();
-    let ids = whole.lines().filter_map(|l| l.strip_prefix("id: "));
-    ids.last().map_or(0, |id| id.parse().unwrap())
+    let mut ids = whole.lines().filter_map(|l| l.strip_prefix("id: "));
+    ids.next_back().map_or(0, |id| id.parse().unwrap())
 }
 
 /// Takes up a stream at router `i`. Returns the id of the request, and the answer.
