Keepers of origins are told again when one is new or restarts

When routers restart one after the other, the two copies would be lost before the router that began the stream is. A router that goes on with a stream tells its keepers, too.

--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -9,8 +9,8 @@
 //! versions or shares a route with another one, to two more, its keepers: the first ones in a rendezvous
 //! order. A router that is to resume the stream asks its keepers, and then some more, which reaches the
 //! router that began it in a small fleet. While a service has had one version for longer than any stream
-//! lasts, nobody is told, and that version is the origin. When a second one is listed, the keepers are
-//! told of the streams in progress.
+//! lasts, nobody is told, and that version is the origin. When a second one is listed, and when a keeper
+//! changes or restarts, the keepers are told of the streams in progress.
 //!
 //! Cost, by the code and not measured: a stream of which keepers are told costs two queries of some 30
 //! bytes, answered by 2 bytes, whatever the size of the fleet; none otherwise. A stream that is resumed
@@ -35,6 +35,7 @@
 
 use crate::decide::Origin;
 use crate::fleet::homes;
+use crate::fleet::member::{Member, View};
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
 use crate::path::routes::Route;
@@ -51,6 +52,8 @@
 /// Number of groups of streams, each of which has its own keepers. If each stream had its own, every
 /// router of a large fleet would connect to every other one.
 const GROUPS: u64 = 16;
+/// Interval at which the keepers are compared with those of before.
+const KEEPER_CHECK_MS: u64 = 1_000;
 /// Time limit of a round of queries; routers answer within milliseconds.
 const ROUND_LIMIT: Duration = Duration::from_millis(150);
 
@@ -71,6 +74,36 @@
     table: RefCell<OriginTable>,
     /// Services of whose streams keepers were told when that was last determined.
     told: RefCell<HashSet<Name>>,
+    keepers: RefCell<Keepers>,
+}
+
+/// The keepers of each group of streams.
+#[derive(Debug, Default)]
+struct Keepers {
+    checked_ms: u64,
+    /// View of the members by which they were determined.
+    view: u64,
+    /// Name and start of each.
+    by_group: Vec<Vec<(Name, u64)>>,
+}
+
+impl Keepers {
+    /// Determines the keepers by `fleet`, and returns the groups of which one is new.
+    fn update(&mut self, fleet: &View, own_host: &str) -> Vec<u64> {
+        self.view = fleet.version;
+        let keepers = |group| {
+            let others = others(fleet, own_host, group).take(KEEPERS);
+            others.map(|m| (m.host.clone(), m.incarnation)).collect()
+        };
+        let by_group: Vec<Vec<(Name, u64)>> = (0..GROUPS).map(keepers).collect();
+        let before = std::mem::replace(&mut self.by_group, by_group);
+        let is_new = |group: &u64| {
+            let at = *group as usize;
+            let known = before.get(at).map_or(&[][..], Vec::as_slice);
+            self.by_group[at].iter().any(|m| !known.contains(m))
+        };
+        (0..GROUPS).filter(is_new).collect()
+    }
 }
 
 impl StreamOrigins {
@@ -78,9 +111,9 @@
         self.table.borrow().get(stream, now_ms).cloned()
     }
 
-    fn insert(&self, stream: u64, origin: Origin, is_shared: bool, now_ms: u64) {
+    fn insert(&self, stream: u64, origin: Origin, is_own: bool, now_ms: u64) {
         let mut table = self.table.borrow_mut();
-        table.insert(stream, origin, is_shared, now_ms);
+        table.insert(stream, origin, is_own, now_ms);
     }
 }
 
@@ -115,6 +148,7 @@
     service: Option<&Name>,
 ) -> Found {
     if let Some(origin) = path.origins.get(stream, path.clock.now_ms()) {
+        keep(path, stream, &origin);
         return Found::Origin(origin);
     }
     let addrs = other_routers(path, group(stream), KEEPERS + MORE_ASKED);
@@ -123,8 +157,7 @@
     for round in [keepers, more] {
         let told = ask(path, round, stream, service).await;
         if let Some(origin) = told.origin {
-            let now_ms = path.clock.now_ms();
-            path.origins.insert(stream, origin.clone(), true, now_ms);
+            keep(path, stream, &origin);
             return Found::Origin(origin);
         }
         let only = only(path, service, told.is_whole);
@@ -210,41 +243,67 @@
     let software = origin.software.as_ref();
     path.versions
         .record_answer(&origin.service, software, now_ms);
-    let is_shared =
-        path.versions.only(&origin.service, now_ms).is_none() || is_split(path, &origin.service);
-    let stream = digest(request_id);
-    path.origins
-        .insert(stream, origin.clone(), is_shared, now_ms);
-    if is_shared {
+    keep(path, digest(request_id), origin);
+}
+
+/// Keeps the origin of a stream that begins or goes on at this router, and tells its keepers unless its
+/// service has no other version.
+fn keep<D: Records>(path: &Rc<RequestPath<D>>, stream: u64, origin: &Origin) {
+    let now_ms = path.clock.now_ms();
+    path.origins.insert(stream, origin.clone(), true, now_ms);
+    let is_only = path.versions.only(&origin.service, now_ms).is_some();
+    if !is_only || is_split(path, &origin.service) {
         share(path, origin, &[stream]);
     }
 }
 
-/// Tells the keepers of streams in progress where these began, of services that have got a second version
-/// or a common route with another service since the last call.
-pub(crate) fn share_newly_mixed<D: Records>(path: &Rc<RequestPath<D>>) {
+/// Tells the keepers of this router's streams in progress where these began, if it has not told them: when
+/// a service gets a second version or a common route with another service, and when a keeper is new.
+pub(crate) fn share_in_progress<D: Records>(path: &Rc<RequestPath<D>>) {
     let now_ms = path.clock.now_ms();
     let mixed = path.versions.mixed(now_ms).into_iter();
     let mut told: HashSet<Name> = mixed.map(|m| m.service).collect();
     told.extend(path.state.deployment().split_streams().iter().cloned());
-    if *path.origins.told.borrow() == told {
+    let before = path.origins.told.replace(told.clone());
+    if told.is_empty() && before.is_empty() {
         return;
     }
-    let before = path.origins.told.replace(told.clone());
-    for service in before.difference(&told) {
-        log::info!(service:%; "all its streams in progress began at one version");
+    log_told(&before, &told);
+    let groups = new_keepers(path, now_ms);
+    if groups.is_empty() && told.is_subset(&before) {
+        return;
     }
-    for service in told.difference(&before) {
+    let is_wanted = |service: &Name, stream| {
+        let is_new = !before.contains(service) || groups.contains(&group(stream));
+        told.contains(service) && is_new
+    };
+    let own = path.origins.table.borrow_mut().own(is_wanted, now_ms);
+    for (origin, streams) in own {
+        share(path, &origin, &streams);
+    }
+}
+
+fn log_told(before: &HashSet<Name>, told: &HashSet<Name>) {
+    for service in before.difference(told) {
+        log::info!(service:%; "its streams in progress all began at one version");
+    }
+    for service in told.difference(before) {
         log::info!(service:%; "its streams in progress may have begun at several versions or services");
-        let mut table = path.origins.table.borrow_mut();
-        let unshared = table.take_unshared(service, now_ms);
-        drop(table);
-        for (origin, streams) in unshared {
-            share(path, &origin, &streams);
-        }
     }
 }
 
+/// Groups of streams that have a new keeper.
+fn new_keepers<D>(path: &RequestPath<D>, now_ms: u64) -> Vec<u64> {
+    let fleet = path.fleet.borrow();
+    let mut keepers = path.origins.keepers.borrow_mut();
+    let is_due = now_ms.saturating_sub(keepers.checked_ms) >= KEEPER_CHECK_MS;
+    if !is_due || keepers.view == fleet.version {
+        return Vec::new();
+    }
+    keepers.checked_ms = now_ms;
+    keepers.update(&fleet, &path.host)
+}
+
 fn is_split<D>(path: &RequestPath<D>, service: &Name) -> bool {
     path.state.deployment().split_streams().contains(service)
 }
@@ -280,7 +339,7 @@
         path.versions
             .record_answer(&origin.service, software, now_ms);
         for stream in request.streams {
-            path.origins.insert(stream, origin.clone(), true, now_ms);
+            path.origins.insert(stream, origin.clone(), false, now_ms);
         }
         return OriginReply::default();
     }
@@ -293,15 +352,19 @@
     }
 }
 
-/// Addresses of the first `max` other routers in the order in which they keep the origins of streams of
-/// this group.
+/// Addresses of the first `max` other routers that keep the origins of streams of this group.
 fn other_routers<D>(path: &RequestPath<D>, group: u64, max: usize) -> Vec<Name> {
     let fleet = path.fleet.borrow();
-    let routers = homes::order(&fleet, &format!("origins/{group}"), "").into_iter();
-    let others = routers.filter(|m| m.host != path.host).take(max);
+    let others = others(&fleet, &path.host, group).take(max);
     others.map(|m| m.peer_addr.clone()).collect()
 }
 
+/// The other routers in the order in which they keep the origins of streams of this group.
+fn others<'a>(fleet: &'a View, own_host: &str, group: u64) -> impl Iterator<Item = &'a Member> {
+    let routers = homes::order(fleet, &format!("origins/{group}"), "").into_iter();
+    routers.filter(move |m| *m.host != *own_host)
+}
+
 fn digest(request_id: &str) -> u64 {
     util::hash_bytes(request_id.as_bytes())
 }
--- a/src/path/stream_origins/table.rs
+++ b/src/path/stream_origins/table.rs
@@ -13,8 +13,8 @@
 struct Entry {
     origin: Origin,
     at_ms: u64,
-    /// Whether other routers were told.
-    is_shared: bool,
+    /// Whether the stream began or went on at this router.
+    is_own: bool,
 }
 
 /// Origins of streams by the digest of the id of the request that brought the first event. Each expires
@@ -26,7 +26,7 @@
 }
 
 impl OriginTable {
-    pub(crate) fn insert(&mut self, stream: u64, origin: Origin, is_shared: bool, now_ms: u64) {
+    pub(crate) fn insert(&mut self, stream: u64, origin: Origin, is_own: bool, now_ms: u64) {
         self.remove_expired(now_ms);
         if self.by_age.len() >= MAX_STREAMS {
             self.remove_oldest();
@@ -34,7 +34,7 @@
         let entry = Entry {
             origin,
             at_ms: now_ms,
-            is_shared,
+            is_own,
         };
         self.entries.insert(stream, entry);
         self.by_age.push_back((stream, now_ms));
@@ -45,23 +45,19 @@
         (now_ms.saturating_sub(entry.at_ms) < WINDOW_MS).then_some(&entry.origin)
     }
 
-    /// Returns the streams of `service` of which no other router was told, by their origin. They count
-    /// as told from now on.
-    pub(crate) fn take_unshared(
+    /// Returns the wanted streams that began or went on at this router, by their origin.
+    pub(crate) fn own(
         &mut self,
-        service: &Name,
+        is_wanted: impl Fn(&Name, u64) -> bool,
         now_ms: u64,
     ) -> HashMap<Origin, Vec<u64>> {
         self.remove_expired(now_ms);
-        let mut unshared: HashMap<Origin, Vec<u64>> = HashMap::new();
-        let entries = self.entries.iter_mut();
-        for (stream, entry) in entries.filter(|(_, e)| !e.is_shared && e.origin.service == *service)
-        {
-            entry.is_shared = true;
-            let streams = unshared.entry(entry.origin.clone()).or_default();
-            streams.push(*stream);
+        let mut own: HashMap<Origin, Vec<u64>> = HashMap::new();
+        let entries = self.entries.iter().filter(|(_, entry)| entry.is_own);
+        for (stream, entry) in entries.filter(|(s, e)| is_wanted(&e.origin.service, **s)) {
+            own.entry(entry.origin.clone()).or_default().push(*stream);
         }
-        unshared
+        own
     }
 
     fn remove_expired(&mut self, now_ms: u64) {
--- a/src/path/stream_origins/table_tests.rs
+++ b/src/path/stream_origins/table_tests.rs
@@ -44,22 +44,24 @@
     assert_eq!(table.get(count - 1, 1), Some(&origin("v1")));
 }
 
-/// Streams that began while there was one version are unknown to others, which would refuse them once
-/// there are two. Those of other services concern nobody.
+/// Keepers are told of streams that began while there was one version, and again when they restart. Those
+/// of other services concern nobody, and what a keeper was told is told by the router that told it.
 #[test]
-fn unshared_streams_are_returned_once() {
+fn own_streams_are_those_of_this_router() {
     let mut table = OriginTable::default();
-    let service: Name = "s".into();
     let other = Origin {
         service: "t".into(),
         software: None,
     };
-    table.insert(1, origin("v1"), false, 1);
-    table.insert(2, origin("v1"), true, 1);
-    table.insert(3, other, false, 1);
-    let unshared = table.take_unshared(&service, 2);
-    assert_eq!(unshared.len(), 1);
-    assert_eq!(unshared[&origin("v1")], [1]);
-    assert!(table.take_unshared(&service, 2).is_empty());
-    assert!(table.take_unshared(&"t".into(), 1 + WINDOW_MS).is_empty());
+    table.insert(1, origin("v1"), true, 1);
+    table.insert(2, origin("v1"), false, 1);
+    table.insert(3, other, true, 1);
+    table.insert(4, origin("v2"), true, 1);
+    let is_wanted = |service: &Name, _| &**service == "s";
+    let own = table.own(is_wanted, 2);
+    assert_eq!(own.len(), 2);
+    assert_eq!(own[&origin("v1")], [1]);
+    assert_eq!(own[&origin("v2")], [4]);
+    assert_eq!(table.own(|_, stream| stream == 4, 2).len(), 1);
+    assert!(table.own(is_wanted, 1 + WINDOW_MS).is_empty());
 }
--- a/tests/routed_origins.rs
+++ b/tests/routed_origins.rs
@@ -199,6 +199,24 @@
     assert_eq!(resumed(&routed, 1, &streams).await, STREAMS);
 }
 
+/// The routers that were told where the streams began restart, and then the one that began them is killed:
+/// routers restart one after the other.
+#[compio::test]
+async fn streams_go_on_after_their_keepers_restarted() {
+    let mut routed = start(&["v1", "v1", "v2", "v2"]).await;
+    let cut = async |routed: &mut RoutedFleet| {
+        for i in 1..3 {
+            routed.routers[usize::from(i)].kill();
+            routed.spawn_router(i);
+        }
+        wait_all_ready(routed).await;
+        sleep_ms(500).await;
+        routed.routers[0].kill();
+    };
+    let streams = break_streams(&mut routed, cut).await;
+    assert_eq!(resumed(&routed, 1, &streams).await, STREAMS);
+}
+
 /// On an ordinary day streams would cost messages between routers, and records on the platform.
 #[compio::test]
 async fn streams_of_the_only_version_cost_no_message() {
