--- a/examples/soak/outages.rs
+++ b/examples/soak/outages.rs
@@ -23,6 +23,8 @@
     Relay(usize),
     Store,
     UpstreamFrozen(usize),
+    /// The upstream sends and reads nothing for a time.
+    UpstreamSilent(usize),
     /// The upstream announces its shutdown in the store, or removed its entry, and still serves.
     UpstreamLeaving(usize),
     /// The upstream has knobs set.
@@ -78,6 +80,11 @@
         }
     }
 
+    /// Records an outage whose end is known.
+    pub(crate) fn add(&self, outage: Outage, span: Span) {
+        self.spans.borrow_mut().push((outage, span));
+    }
+
     pub(crate) fn is_open(&self, outage: Outage) -> bool {
         let spans = self.spans.borrow();
         let mut matching = spans.iter().filter(|(o, _)| *o == outage);
@@ -104,6 +111,15 @@
         matching.any(|(_, span)| span.overlaps(from_ms, to_ms))
     }
 
+    /// Whether an upstream was frozen or silent in this period.
+    pub(crate) fn is_stopped(&self, upstream: usize, from_ms: u64, to_ms: u64) -> bool {
+        let kinds = [
+            Outage::UpstreamFrozen(upstream),
+            Outage::UpstreamSilent(upstream),
+        ];
+        kinds.iter().any(|kind| self.has(*kind, from_ms, to_ms))
+    }
+
     /// Records that the store was away and came back from an older copy.
     pub(crate) fn restored(&self, away: Span) {
         self.restores.borrow_mut().push(away);
@@ -168,9 +184,10 @@
             | Outage::RouterShort(r)
             | Outage::Relay(r) => *r == router,
             Outage::Store => true,
-            Outage::UpstreamFrozen(_) | Outage::UpstreamLeaving(_) | Outage::UpstreamFault(_) => {
-                false
-            }
+            Outage::UpstreamFrozen(_)
+            | Outage::UpstreamSilent(_)
+            | Outage::UpstreamLeaving(_)
+            | Outage::UpstreamFault(_) => false,
         };
         let matching = spans
             .iter()
