A refusal waits for the rest of the request's body

Callers saw a broken pipe or a reset in place of a refusal (404, 401, 503) while a body was still arriving: the router refused by the head alone, hyper closed the connection with the body unread, and the kernel reset it. Callers could not know that the request did not run.

The rest of a body within the limits on size and time is now read, and dropped, before a refusal is answered. The connection stays open if it was read, and the answer says `connection: close` if not: the refusal ends the connection, the body is too large or too slow, or the caller waits for `100-continue`, who is answered at once.

tests/routed_early_refusals.rs failed before in all five cases: four with "Os { code: 32, kind: BrokenPipe }" at the second half of the body, and the one of `100-continue` as the answer lacked `connection: close` although the connection was closed. All five pass now.

--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
-use http::{HeaderMap, Version};
+use http::{HeaderMap, HeaderValue, Version};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use snafu::Snafu;
 
 use crate::decide::refusal::Cause;
@@ -92,6 +92,33 @@
     Ok(collected.to_bytes())
 }
 
+/// Reads the rest of a body within limits on size and time without keeping it. Returns whether it
+/// was complete.
+///
+/// Failure guarded against: a request is refused while its body is still arriving, and the
+/// connection is closed with unread bytes. This resets it, and the caller could lose the refusal.
+pub(crate) async fn discard(body: &mut Incoming, max_bytes: usize, timeout: Duration) -> bool {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return false;
+    }
+    let mut body = Limited::new(body, max_bytes);
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return false;
+            }
+        }
+        true
+    };
+    compio::time::timeout(timeout, read).await.unwrap_or(false)
+}
+
+/// Whether the caller sends its body only after `100 Continue`.
+pub(crate) fn waits_to_continue(headers: &HeaderMap) -> bool {
+    let expected = headers.get(EXPECT).map(HeaderValue::as_bytes);
+    expected.is_some_and(|value| value.eq_ignore_ascii_case(b"100-continue"))
+}
+
 /// Returns the body's length by the `content-length` header.
 fn declared_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -58,7 +58,7 @@
 
     /// Whether the connection must be closed because the rest of the caller's data can't be
     /// distinguished from a new request.
-    fn ends_connection(&self) -> bool {
+    pub(crate) fn ends_connection(&self) -> bool {
         matches!(
             self.cause,
             Cause::BadRequest | Cause::TooLarge | Cause::TooSlow
@@ -82,13 +82,19 @@
         self.error_body(None).raw(self.status(), retry_after)
     }
 
-    pub(crate) fn response<D: Dialect>(&self, request_id: Option<&str>) -> Response<Answer> {
+    /// Returns the refusal as a response. The connection is closed unless the request's body
+    /// `is_read`.
+    pub(crate) fn response<D: Dialect>(
+        &self,
+        request_id: Option<&str>,
+        is_read: bool,
+    ) -> Response<Answer> {
         let retry_after = D::retry_after(self.retry_after_ms);
         let mut response = self
             .error_body(request_id)
             .response(self.status(), retry_after);
         let headers = response.headers_mut();
-        if self.ends_connection() {
+        if !is_read || self.ends_connection() {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         if let Some(id) = request_id {
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -8,7 +8,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::decide::refusal::{Cause, STARTING_MS, jittered_ms};
 use crate::decide::{ChatKey, Cost, Job};
@@ -75,16 +75,20 @@
     path: Rc<RequestPath<D>>,
     request: Request<Incoming>,
 ) -> Response<Answer> {
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = D::caller_head(&parts.headers);
     let request_id = head.request_id.clone();
-    let events = path.events.clone();
+    let waits_to_continue = check::waits_to_continue(&parts.headers);
     let mut tally = Tally::start();
-    match admit(path, parts, head, body, &mut tally).await {
+    match admit(path.clone(), parts, head, &mut body, &mut tally).await {
         Ok(response) => response,
         Err(refused) => {
-            record_refusal(&events, &refused, request_id.as_deref(), &mut tally);
-            refused.response::<D>(request_id.as_deref())
+            record_refusal(&path.events, &refused, request_id.as_deref(), &mut tally);
+            let may_read = !refused.ends_connection() && !waits_to_continue;
+            let max_bytes = path.state.deployment().limits.max_body_bytes;
+            let is_read = body.is_end_stream()
+                || may_read && check::discard(&mut body, max_bytes, BODY_TIMEOUT).await;
+            refused.response::<D>(request_id.as_deref(), is_read)
         }
     }
 }
@@ -124,7 +128,7 @@
     path: Rc<RequestPath<D>>,
     parts: Parts,
     head: CallerHead,
-    mut body: Incoming,
+    body: &mut Incoming,
     tally: &mut Tally,
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
@@ -133,7 +137,7 @@
     check(&parts, &deployment.limits)?;
     let (route, account) = resolve(&path, &deployment, &parts, &head)?;
     let max_bytes = deployment.limits.max_body_bytes;
-    let body = check::body(&parts.headers, &mut body, max_bytes, BODY_TIMEOUT).await;
+    let body = check::body(&parts.headers, body, max_bytes, BODY_TIMEOUT).await;
     let service = route.draw_service(&mut rand::rng()).clone();
     let admitted = Admitted {
         parts,
