A connection that the router closes is read on for a second

Callers whose body or head was too large saw a broken pipe or a reset in place of the refusal (413, 431): the router closed the connection while they were still sending, and the kernel reset it for the unread bytes.

After its own side is closed, a caller's connection is now read, and what arrives dropped, until the caller closes or for a second, as connections over the limit already were.

refusal_of_an_oversized_request_arrives failed before in both cases with "Os { code: 32, kind: BrokenPipe }" at the second half of the request; it passes now.

--- a/src/front/accept.rs
+++ b/src/front/accept.rs
@@ -1,7 +1,6 @@
 //! Accepts callers' connections up to a limit, and refuses further ones with a typed answer.
 
 use std::io;
-use std::time::Duration;
 
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::{TcpListener, TcpStream};
@@ -9,6 +8,7 @@
 use crate::decide::refusal::Cause;
 use crate::front::connection::MIN_BUFFER_BYTES;
 use crate::front::listen::{self, ConnectionPermit, ConnectionPermits};
+use crate::front::paced::LINGER;
 use crate::schema::settings::Limits;
 use crate::stats;
 
@@ -20,8 +20,6 @@
 const CALLERS_SHARE: f64 = 0.55;
 /// Limit on refused connections that are kept open until their caller has read the refusal.
 const MAX_LINGERING: usize = 64;
-/// How long a refused connection is kept open.
-const LINGER: Duration = Duration::from_secs(1);
 
 /// Returns the limit on callers' open connections.
 ///
--- a/src/front/paced.rs
+++ b/src/front/paced.rs
@@ -1,9 +1,13 @@
-//! TCP stream that detects when its caller stops reading.
+//! TCP stream that detects when its caller stops reading, and that is closed without a reset.
 //!
 //! Failure guarded against: a caller sends a request and never reads the answer. The answer fills
 //! all buffers, the engine slot stays in use, and memory grows with each such caller. Therefore
 //! each write waits until the previous one was passed to the kernel, and a write that stays blocked
 //! for longer than the limit closes the connection, which cancels the upstream call.
+//!
+//! Failure guarded against: a request is answered before all of it has arrived, and the connection
+//! is closed with unread bytes. This resets it, and the caller could lose the answer. Therefore,
+//! after its own side is closed, the stream reads until the caller closes, for a limited time.
 
 use std::cell::Cell;
 use std::io;
@@ -14,12 +18,16 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
+use futures_util::AsyncRead;
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::front::connection::MIN_BUFFER_BYTES;
 use crate::front::head_clock::HeadClock;
 
 /// Number of checks of a blocked write per time limit.
 const POLLS_PER_LIMIT: u32 = 4;
+/// How long a closed connection is read on.
+pub(crate) const LINGER: Duration = Duration::from_secs(1);
 
 /// Tracks since when a connection's write has been blocked.
 #[derive(Clone, Default)]
@@ -54,20 +62,43 @@
     inner: HyperStream<TcpStream>,
     blocked: BlockedWrite,
     head_clock: HeadClock,
+    linger: Option<LingerTimer>,
 }
 
+/// Runs out when a closed connection is no longer read.
+type LingerTimer = Pin<Box<dyn Future<Output = ()>>>;
+
 impl PacedStream {
     pub(crate) fn new(stream: TcpStream, head_clock: HeadClock) -> Self {
         Self {
             inner: HyperStream::new_plain(stream),
             blocked: BlockedWrite::default(),
             head_clock,
+            linger: None,
         }
     }
 
     pub(crate) fn blocked(&self) -> BlockedWrite {
         self.blocked.clone()
     }
+
+    /// Reads and drops what the caller still sends, until it closes or the time is up.
+    fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let timer = self
+            .linger
+            .get_or_insert_with(|| Box::pin(compio::time::sleep(LINGER)));
+        if timer.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        let mut bytes = [0; MIN_BUFFER_BYTES];
+        loop {
+            let read = AsyncRead::poll_read(Pin::new(&mut self.inner), cx, &mut bytes);
+            match ready!(read) {
+                Ok(0) | Err(_) => return Poll::Ready(()),
+                Ok(_) => {}
+            }
+        }
+    }
 }
 
 impl Read for PacedStream {
@@ -112,6 +143,7 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let poll = Write::poll_shutdown(Pin::new(&mut self.inner), cx);
-        self.blocked.record(poll)
+        ready!(self.blocked.record(poll))?;
+        self.poll_linger(cx).map(Ok)
     }
 }
--- a/tests/routed_early_refusals.rs
+++ b/tests/routed_early_refusals.rs
@@ -137,3 +137,20 @@
     assert!(answer.contains("connection: close\r\n"), "{answer}");
     assert_eq!(stream.read(&mut [0]).unwrap(), 0);
 }
+
+/// A body or a head exceeds the limit, and the router closes the connection while the caller still
+/// sends. The reset that follows discards the refusal before the caller has read it.
+#[test_case("content-length: 200000\r\n\r\n", 200_000, 413; "body")]
+#[test_case("x-wide: ", 200_000, 431; "head")]
+#[compio::test]
+async fn refusal_of_an_oversized_request_arrives(more: &str, bytes: usize, status: u16) {
+    let routed = RoutedFleet::start(FleetSize::default()).await;
+    let mut stream = connect(&routed);
+    let oversized = head("/ticket/1", KEY, "");
+    let oversized = oversized.trim_end().to_owned() + "\r\n" + more;
+    send_in_halves(&mut stream, &oversized, bytes).await;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let status_line = format!("HTTP/1.1 {status} ");
+    assert!(answer.starts_with(&status_line), "{answer}");
+}
