A stopping router refuses at once, and waits for requests that arrive last

A request that arrived in the last 100 ms of a planned stop could end without an answer: it waited up to 400 ms for a fresh configuration before the router looked at the phase of its stop, and the process exited 100 ms after the last request in flight, whether another had arrived meanwhile or not.

The phase is now checked before the waits as well as after them, and the stop ends only if no request is in flight at the end of the 100 ms, within the same limit.

Both tests failed before. stopping_router_refuses_without_waiting_for_the_configuration: refused as "this router has not run for a while, and its state is too old; [...] resumed 401 ms ago" in place of "this router is stopping". request_that_arrives_last_is_waited_for: "Ok(0) in flight at the end" while its request was in flight. Both pass now.

--- a/src/front/drain.rs
+++ b/src/front/drain.rs
@@ -66,15 +66,19 @@
         log::info!("{name}, {} in flight", self.in_flight());
     }
 
-    /// Waits until no request is in flight, for at most `limit`; returns the number that remain.
+    /// Waits until no request is in flight and none arrives while the last bytes are sent, for at
+    /// most `limit`; returns the number that remain.
     pub(crate) async fn wait_until_idle(&self, limit: Duration) -> usize {
         let started = Instant::now();
-        while self.in_flight() > 0 && started.elapsed() < limit {
-            compio::time::sleep(POLL_INTERVAL).await;
+        loop {
+            while self.in_flight() > 0 && started.elapsed() < limit {
+                compio::time::sleep(POLL_INTERVAL).await;
+            }
+            compio::time::sleep(FLUSH_DELAY).await;
+            if self.in_flight() == 0 || started.elapsed() >= limit {
+                return self.in_flight();
+            }
         }
-        let remaining = self.in_flight();
-        compio::time::sleep(FLUSH_DELAY).await;
-        remaining
     }
 
     pub(crate) fn phase(&self) -> Phase {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -12,4 +12,7 @@
 pub(crate) mod pages;
 pub(crate) mod refusal;
 
+#[cfg(test)]
+mod drain_tests;
+
 pub(crate) use drain::Drain;
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -191,15 +191,13 @@
     head: &CallerHead,
     caller_ms: u64,
 ) -> Result<Rc<Deployment>, Refused> {
+    check_stopping(path)?;
     wait_for_first_load(path, head, caller_ms).await;
     if !path.replica.config_fresh().wait_until_usable().await {
         let refused = Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, STALE_STATE);
         return Err(describe_state(refused, &path.replica));
     }
-    if path.drain.phase() == Phase::Refusing {
-        let detail = "this router is stopping";
-        return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
-    }
+    check_stopping(path)?;
     if !path.catch_up.is_done() {
         let detail = "this router doesn't know yet which requests crash upstreams";
         let retry_after_ms = jittered_ms(STARTING_MS, &mut rand::rng());
@@ -208,6 +206,18 @@
     Ok(path.state.deployment())
 }
 
+/// Refuses a request if this router is past the announcement of its stop.
+///
+/// Failure guarded against: a request waits for state that doesn't matter any more, and the process
+/// exits meanwhile, without an answer.
+fn check_stopping<D>(path: &RequestPath<D>) -> Result<(), Refused> {
+    if path.drain.phase() == Phase::Refusing {
+        let detail = "this router is stopping";
+        return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
+    }
+    Ok(())
+}
+
 fn resolve<D: Records>(
     path: &RequestPath<D>,
     deployment: &Deployment,
