A stop waits until answers are flushed

Callers that read slowly got a part of a buffered answer when the router stopped, with seconds of the grace time left: a request counted as finished when hyper dropped the answer's body, which it does once it holds the last bytes, and the process exited 100 ms later.

A caller's request now counts as in flight until the connection is flushed after that, or ended. hyper flushes the stream only when it has written all that it holds, and the stream's flush ends when the kernel has it all. The wait is bounded by the grace time as before.

--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -14,6 +14,7 @@
 
 use crate::front::Drain;
 use crate::front::body::Answer;
+use crate::front::drain::Unflushed;
 use crate::front::head_clock::HeadClock;
 use crate::front::paced::PacedStream;
 use crate::stats;
@@ -47,19 +48,21 @@
     stats::connection_opened();
     let head_clock = HeadClock::new(bounds.head_time);
     let clock = head_clock.clone();
+    let unflushed = Unflushed::default();
+    let stream = PacedStream::new(stream, head_clock.clone(), unflushed.clone());
     let service = service_fn(move |request| {
         clock.head_complete();
         let answer = handle(request);
         let (drain, clock) = (drain.clone(), clock.clone());
+        let unflushed = unflushed.clone();
         async move {
             let in_flight = drain.begin();
             let mut response = answer.await;
             drain.close_if_stopping(&mut response);
             clock.response_started();
-            Ok::<_, Infallible>(in_flight.track(response))
+            Ok::<_, Infallible>(in_flight.track_until_flushed(response, &unflushed))
         }
     });
-    let stream = PacedStream::new(stream, head_clock.clone());
     let blocked = stream.blocked();
     let served = hyper::server::conn::http1::Builder::new()
         .timer(CompioTimer)
--- a/src/front/drain.rs
+++ b/src/front/drain.rs
@@ -4,7 +4,7 @@
 //! its address can't connect. The router therefore announces the stop, keeps serving until no valid
 //! entry answer names it, then refuses new work and stops when the last answer is sent.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -100,21 +100,64 @@
 
 impl InFlight {
     /// Counts `response` as in flight until its body is dropped.
-    pub(crate) fn track<B>(self, response: Response<B>) -> Response<Tracked<B>> {
+    pub(crate) fn track<B>(self, response: Response<B>) -> Response<Tracked<B, Self>> {
         response.map(|body| Tracked {
             body,
             _in_flight: self,
         })
     }
+
+    /// Counts `response` as in flight until its body is dropped and then flushed.
+    pub(crate) fn track_until_flushed<B>(
+        self,
+        response: Response<B>,
+        unflushed: &Unflushed,
+    ) -> Response<Tracked<B, UntilFlushed>> {
+        let in_flight = UntilFlushed {
+            in_flight: Some(self),
+            unflushed: unflushed.clone(),
+        };
+        response.map(|body| Tracked {
+            body,
+            _in_flight: in_flight,
+        })
+    }
+}
+
+/// Requests of one connection whose answers are complete, but not yet passed to the kernel.
+///
+/// Failure guarded against: a caller reads slowly, and the router exits with the rest of the answer
+/// in its buffers, because hyper has dropped the body.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Unflushed(Rc<RefCell<Vec<InFlight>>>);
+
+impl Unflushed {
+    /// Records that everything written to the connection was passed to the kernel.
+    pub(crate) fn flushed(&self) {
+        self.0.borrow_mut().clear();
+    }
+}
+
+/// Counts a request as in flight until the connection is flushed after this is dropped.
+pub(crate) struct UntilFlushed {
+    in_flight: Option<InFlight>,
+    unflushed: Unflushed,
+}
+
+impl Drop for UntilFlushed {
+    fn drop(&mut self) {
+        let mut unflushed = self.unflushed.0.borrow_mut();
+        unflushed.extend(self.in_flight.take());
+    }
 }
 
-/// Response body that counts as in flight until it is dropped.
-pub(crate) struct Tracked<B> {
+/// Response body that counts as in flight.
+pub(crate) struct Tracked<B, F> {
     body: B,
-    _in_flight: InFlight,
+    _in_flight: F,
 }
 
-impl<B: Body + Unpin> Body for Tracked<B> {
+impl<B: Body + Unpin, F: Unpin> Body for Tracked<B, F> {
     type Data = B::Data;
     type Error = B::Error;
 
--- a/src/front/paced.rs
+++ b/src/front/paced.rs
@@ -22,6 +22,7 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 
 use crate::front::connection::MIN_BUFFER_BYTES;
+use crate::front::drain::Unflushed;
 use crate::front::head_clock::HeadClock;
 
 /// Number of checks of a blocked write per time limit.
@@ -62,6 +63,7 @@
     inner: HyperStream<TcpStream>,
     blocked: BlockedWrite,
     head_clock: HeadClock,
+    unflushed: Unflushed,
     linger: Option<LingerTimer>,
 }
 
@@ -69,11 +71,12 @@
 type LingerTimer = Pin<Box<dyn Future<Output = ()>>>;
 
 impl PacedStream {
-    pub(crate) fn new(stream: TcpStream, head_clock: HeadClock) -> Self {
+    pub(crate) fn new(stream: TcpStream, head_clock: HeadClock, unflushed: Unflushed) -> Self {
         Self {
             inner: HyperStream::new_plain(stream),
             blocked: BlockedWrite::default(),
             head_clock,
+            unflushed,
             linger: None,
         }
     }
@@ -82,6 +85,11 @@
         self.blocked.clone()
     }
 
+    fn poll_flush_buffer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let poll = Write::poll_flush(Pin::new(&mut self.inner), cx);
+        self.blocked.record(poll)
+    }
+
     /// Reads and drops what the caller still sends, until it closes or the time is up.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let timer = self
@@ -119,7 +127,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        ready!(self.as_mut().poll_flush(cx))?;
+        ready!(self.poll_flush_buffer(cx))?;
         Write::poll_write(Pin::new(&mut self.inner), cx, buf)
     }
 
@@ -128,7 +136,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        ready!(self.as_mut().poll_flush(cx))?;
+        ready!(self.poll_flush_buffer(cx))?;
         Write::poll_write_vectored(Pin::new(&mut self.inner), cx, bufs)
     }
 
@@ -137,8 +145,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let poll = Write::poll_flush(Pin::new(&mut self.inner), cx);
-        self.blocked.record(poll)
+        ready!(self.poll_flush_buffer(cx))?;
+        // hyper flushes only when it has written all that it holds.
+        self.unflushed.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
