Callers that pause while they read keep their connection

A caller that read nothing for 1.5 s while its answer filled the buffers was reset in the middle of the answer, although the router cuts callers only after ten seconds: the limit on unacknowledged data, which is also for peers and upstreams, applies in the kernel to a receiver without room too, even if it acknowledges each probe.

Callers' connections now have the limit that the router has on blocked writes. A caller whose host is lost is noticed after ten seconds in place of one and a half to three.

caller_that_pauses_gets_its_whole_answer failed before with "Os { code: 104, kind: ConnectionReset }" and passes now.

--- a/src/path/callers.rs
+++ b/src/path/callers.rs
@@ -16,7 +16,7 @@
 use crate::path::routes::CallerLimits;
 use crate::path::{RequestPath, request};
 use crate::schema::settings::Limits;
-use crate::socket::set_keepalive;
+use crate::socket::set_keepalive_within;
 
 /// The connection of a caller that reads nothing for this long is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -53,7 +53,8 @@
     path: Rc<RequestPath<D>>,
     _permit: ConnectionPermit,
 ) {
-    set_keepalive(&stream);
+    // A shorter limit would reset connections of callers that pause between two reads.
+    set_keepalive_within(&stream, WRITE_TIMEOUT);
     let bounds = bounds(&path.state.deployment().limits);
     let drain = path.drain.clone();
     let handle = move |request| request::handle(path.clone(), request);
--- a/tests/routed_bad_callers.rs
+++ b/tests/routed_bad_callers.rs
@@ -6,6 +6,7 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
+use support::raw::connect_narrow;
 use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
 use test_case::test_case;
 
@@ -212,3 +213,30 @@
     connections[0].read_to_string(&mut answer).unwrap();
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
 }
+
+/// A caller reads nothing for a few seconds in the middle of its answer, as its machine is busy. The
+/// kernel has no room for the rest, takes the caller for dead and resets the connection.
+#[compio::test]
+async fn caller_that_pauses_gets_its_whole_answer() {
+    const PAUSE_MS: u64 = 3_000;
+    let routed = RoutedFleet::start(FleetSize::default()).await;
+    let mut stream = connect_narrow(routed.caller(0));
+    stream.set_read_timeout(Some(IDLE_LIMIT)).unwrap();
+    // The echo has six bytes for each.
+    let body = "\u{1}".repeat(99_000);
+    let length = format!(
+        "connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let sent = head(&new_request_id(), &length) + &body;
+    stream.write_all(sent.as_bytes()).unwrap();
+    stream.peek(&mut [0]).unwrap();
+    support::sleep_ms(PAUSE_MS).await;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let (head, received) = answer.split_once("\r\n\r\n").unwrap();
+    let length = head
+        .lines()
+        .find_map(|l| l.strip_prefix("content-length: "));
+    assert_eq!(length, Some(received.len().to_string().as_str()), "{head}");
+}
--- a/tests/routed_stop_answers.rs
+++ b/tests/routed_stop_answers.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use serde_json::json;
-use socket2::{Domain, Socket, Type};
+use support::raw::connect_narrow;
 use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
 use support::{sleep_ms, wait_until};
 
@@ -60,18 +60,6 @@
     );
 }
 
-/// Connects with small segments and buffers, so that the kernel takes little of an answer that
-/// isn't read.
-fn connect_narrow(addr: SocketAddr) -> TcpStream {
-    const SEGMENT_BYTES: u32 = 536;
-    const BUFFER_BYTES: usize = 4 << 10;
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.set_tcp_mss(SEGMENT_BYTES).unwrap();
-    socket.set_recv_buffer_size(BUFFER_BYTES).unwrap();
-    socket.connect(&addr.into()).unwrap();
-    socket.into()
-}
-
 /// A caller reads its answer slowly while the router stops. The process ends with the answer still
 /// in its memory, and the caller gets a part of it, although the grace time has not passed.
 #[compio::test]
--- a/tests/support/raw.rs
+++ b/tests/support/raw.rs
@@ -4,6 +4,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
+
 use super::{ACCOUNT_KEY, Fleet, call, get, wait_until};
 
 /// Upper limit that ends a hanging test.
@@ -36,6 +38,18 @@
     }
 }
 
+/// Connects with small segments and buffers, so that the kernel takes little of an answer that
+/// isn't read.
+pub(crate) fn connect_narrow(addr: SocketAddr) -> TcpStream {
+    const SEGMENT_BYTES: u32 = 536;
+    const BUFFER_BYTES: usize = 4 << 10;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_tcp_mss(SEGMENT_BYTES).unwrap();
+    socket.set_recv_buffer_size(BUFFER_BYTES).unwrap();
+    socket.connect(&addr.into()).unwrap();
+    socket.into()
+}
+
 /// The head of a POST with the account's key, without its final empty line.
 pub(crate) fn head(path: &str, length: usize) -> String {
     format!(
