--- a/src/front/pages.rs
+++ b/src/front/pages.rs
@@ -45,7 +45,7 @@
 }
 
 async fn serve<P: Page>(stream: TcpStream, pages: Rc<P>, _permit: ConnectionPermit) {
-    set_keepalive(&stream, OtherEnd::Plain);
+    set_keepalive(&stream, OtherEnd::Peer);
     let service = service_fn(move |request| {
         let response = pages.page(&request);
         async move { Ok::<_, Infallible>(response) }
--- a/src/path/callers.rs
+++ b/src/path/callers.rs
@@ -53,7 +53,7 @@
     path: Rc<RequestPath<D>>,
     _permit: ConnectionPermit,
 ) {
-    set_keepalive(&stream, OtherEnd::Plain);
+    set_keepalive(&stream, OtherEnd::Caller);
     let bounds = bounds(&path.state.deployment().limits);
     let drain = path.drain.clone();
     let handle = move |request| request::handle(path.clone(), request);
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -8,7 +8,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::decide::refusal::{Cause, STARTING_MS, jittered_ms};
 use crate::decide::{ChatKey, Cost, Job, Origin};
@@ -77,16 +77,20 @@
     path: Rc<RequestPath<D>>,
     request: Request<Incoming>,
 ) -> Response<Answer> {
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = D::caller_head(&parts.headers);
     let request_id = head.request_id.clone();
-    let events = path.events.clone();
+    let waits_to_continue = check::waits_to_continue(&parts.headers);
     let mut tally = Tally::start();
-    match admit(path, parts, head, body, &mut tally).await {
+    match admit(path.clone(), parts, head, &mut body, &mut tally).await {
         Ok(response) => response,
         Err(refused) => {
-            record_refusal(&events, &refused, request_id.as_deref(), &mut tally);
-            refused.response::<D>(request_id.as_deref())
+            record_refusal(&path.events, &refused, request_id.as_deref(), &mut tally);
+            let may_read = !refused.ends_connection() && !waits_to_continue;
+            let max_bytes = path.state.deployment().limits.max_body_bytes;
+            let is_read = body.is_end_stream()
+                || may_read && check::discard(&mut body, max_bytes, BODY_TIMEOUT).await;
+            refused.response::<D>(request_id.as_deref(), is_read)
         }
     }
 }
@@ -126,7 +130,7 @@
     path: Rc<RequestPath<D>>,
     parts: Parts,
     head: CallerHead,
-    mut body: Incoming,
+    body: &mut Incoming,
     tally: &mut Tally,
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
@@ -135,7 +139,7 @@
     check(&parts, &deployment.limits)?;
     let (route, account) = resolve(&path, &deployment, &parts, &head)?;
     let max_bytes = deployment.limits.max_body_bytes;
-    let body = check::body(&parts.headers, &mut body, max_bytes, BODY_TIMEOUT).await;
+    let body = check::body(&parts.headers, body, max_bytes, BODY_TIMEOUT).await;
     let body = body.map_err(|e| malformed(&e))?;
     let origin = origin(&path, &head, &route).await?;
     let service = match &origin {
@@ -253,15 +257,13 @@
     head: &CallerHead,
     caller_ms: u64,
 ) -> Result<Rc<Deployment>, Refused> {
+    check_stopping(path)?;
     wait_for_first_load(path, head, caller_ms).await;
     if !path.replica.config_fresh().wait_until_usable().await {
         let refused = Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, STALE_STATE);
         return Err(describe_state(refused, &path.replica));
     }
-    if path.drain.phase() == Phase::Refusing {
-        let detail = "this router is stopping";
-        return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
-    }
+    check_stopping(path)?;
     if !path.catch_up.is_done() {
         let detail = "this router doesn't know yet which requests crash upstreams";
         let retry_after_ms = jittered_ms(STARTING_MS, &mut rand::rng());
@@ -270,6 +272,18 @@
     Ok(path.state.deployment())
 }
 
+/// Refuses a request if this router is past the announcement of its stop.
+///
+/// Failure guarded against: a request waits for state that doesn't matter any more, and the process
+/// exits meanwhile, without an answer.
+fn check_stopping<D>(path: &RequestPath<D>) -> Result<(), Refused> {
+    if path.drain.phase() == Phase::Refusing {
+        let detail = "this router is stopping";
+        return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
+    }
+    Ok(())
+}
+
 fn resolve<D: Records>(
     path: &RequestPath<D>,
     deployment: &Deployment,
--- a/src/peers/http2.rs
+++ b/src/peers/http2.rs
@@ -48,7 +48,7 @@
         .await
         .map_err(|_| ConnectError::TimedOut)?
         .context(RefusedSnafu)?;
-    set_keepalive(&stream, OtherEnd::Plain);
+    set_keepalive(&stream, OtherEnd::Peer);
     let io = HyperStream::new_plain(stream);
     let (send, conn) = hyper::client::conn::http2::Builder::new(LocalExec)
         .timer(CompioTimer)
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -53,7 +53,7 @@
 }
 
 async fn serve<H: PeerHandler>(stream: TcpStream, key: Name, drain: Drain, handler: H) {
-    set_keepalive(&stream, OtherEnd::Plain);
+    set_keepalive(&stream, OtherEnd::Peer);
     let service = service_fn(move |request: Request<Incoming>| {
         let (key, drain, handler) = (key.clone(), drain.clone(), handler.clone());
         async move {
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -11,8 +11,10 @@
 /// What a connection leads to, which decides how long it may be without a sign of life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum OtherEnd {
-    /// A caller, another router or the platform.
-    Plain,
+    /// A caller, which may pause between two reads and then has no room for more data.
+    Caller,
+    /// Another router, or one that asks for pages.
+    Peer,
     /// An upstream: its answers may exist nowhere else, and a sound one may be silent for a second or two.
     Upstream,
 }
@@ -21,7 +23,9 @@
     /// Time without an acknowledgement, of sent data or of probes, after which the connection is closed.
     fn unacked_limit(self) -> Duration {
         match self {
-            Self::Plain => Duration::from_millis(1_500),
+            // The limit also applies to a live receiver without room for more data.
+            Self::Caller => Duration::from_secs(10),
+            Self::Peer => Duration::from_millis(1_500),
             // What was sent into a silence of two seconds is sent again and acknowledged three seconds after
             // its beginning, as retransmissions double their pauses.
             Self::Upstream => Duration::from_secs(4),
