Stand-in of an upstream: responses without end

An upstream in trouble may send bytes that are no answer until its connection is closed, in a head or a body. The stand-in writes them as fast as the socket accepts them and prints how much it wrote, and for how long, once the connection is closed.

--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -1,6 +1,7 @@
 //! An upstream that speaks the users' platform's dialect of HTTP/1.1. It writes its responses byte
 //! by byte, because an HTTP library would refuse to send the malformed ones.
 
+mod endless;
 mod wire;
 
 use std::cell::{Cell, RefCell};
@@ -17,6 +18,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+pub use crate::backend::endless::{EndlessFault, EndlessResponse};
 use crate::backend::wire::{ParsedRequest, chunk, format_response, read_request, send};
 use crate::http::{post, print_run};
 
@@ -84,6 +86,8 @@
     Unframed,
     /// Never responds.
     Silent,
+    /// Responds without end.
+    Endless(EndlessFault),
 }
 
 /// One execution of a request, printed before the response is sent.
@@ -312,8 +316,14 @@
             .await;
         }
         let fault = self.take_fault();
+        let is_endless_rejection = fault == ResponseFault::Endless(EndlessFault::Rejection);
         let is_rejected = fault == ResponseFault::Reject || self.running.get() >= self.config.slots;
-        self.print_arrival(request, is_rejected);
+        self.print_arrival(request, is_rejected || is_endless_rejection);
+        if is_endless_rejection {
+            return self
+                .respond_endlessly(stream, request, EndlessFault::Rejection)
+                .await;
+        }
         if is_rejected {
             return self.reject(stream, request).await;
         }
@@ -337,6 +347,18 @@
         send(stream, &response).await
     }
 
+    /// Responds without end; returns that the connection doesn't stay open.
+    async fn respond_endlessly(
+        &self,
+        stream: &mut TcpStream,
+        request: &ParsedRequest,
+        fault: EndlessFault,
+    ) -> bool {
+        let id = request.header("attempt-id");
+        endless::respond(stream, fault, &self.response_headers(id), id).await;
+        false
+    }
+
     fn print_arrival(&self, request: &ParsedRequest, is_rejected: bool) {
         let retry_after_s: f64 = self.knobs.borrow().retry_after.parse().unwrap_or(0.0);
         let pushback_ms = if is_rejected {
@@ -398,6 +420,9 @@
             }
             std::process::abort();
         }
+        if let ResponseFault::Endless(fault) = fault {
+            return self.respond_endlessly(stream, request, fault).await;
+        }
         let delay = Duration::from_millis(knobs.delay_ms);
         if request.target.contains("/stream") {
             return self.stream(stream, request, after, delay, fault).await;
@@ -450,7 +475,7 @@
                 send(stream, &format!("HTTP/1.1 200 OK\r\n{head}\r\n{body}")).await;
                 false
             }
-            ResponseFault::Silent => std::future::pending().await,
+            ResponseFault::Silent | ResponseFault::Endless(_) => std::future::pending().await,
         }
     }
 
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -69,6 +69,15 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Returns a size in the process's status, in kilobytes: `VmRSS`, or its peak `VmHWM`.
+    pub(crate) fn memory_kb(&self, field: &str) -> u64 {
+        let path = format!("/proc/{}/status", self.pid());
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status.lines().find_map(|l| l.strip_prefix(field)).unwrap();
+        let digits = line.trim_matches(|c: char| !c.is_ascii_digit());
+        digits.parse().unwrap()
+    }
+
     pub(crate) fn exited(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().unwrap()
     }
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -10,7 +10,7 @@
 
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use standins::backend::{Arrival, Run, id_prefix, record};
+use standins::backend::{Arrival, EndlessResponse, Run, id_prefix, record};
 use standins::keyed::EntryChange;
 use tempfile::TempDir;
 
@@ -481,6 +481,12 @@
         names.flat_map(|name| self.arrivals_at(name)).collect()
     }
 
+    /// The endless answers of all upstreams whose connections were closed.
+    pub(crate) fn endless_responses(&self) -> Vec<EndlessResponse> {
+        let names = self.upstream_names.iter();
+        names.flat_map(|name| self.records(name)).collect()
+    }
+
     /// The changes of upstreams' entries in the store, in order.
     pub(crate) fn entry_changes(&self) -> Vec<EntryChange> {
         self.records("store")
