The head of an upstream's answer is at most 64 KB

The limit is four times the default for a caller's head, and leaves 64 MB for a thousand connections. A stream whose caller reads slowly also buffers less, as the read buffer has the same limit. The case above the limit of the test failed before.

--- a/src/path/connection.rs
+++ b/src/path/connection.rs
@@ -28,6 +28,10 @@
 /// Longest idle timeout of an upstream that is relied on. Longer ones, which may be beyond any clock,
 /// mean no less than this.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(600);
+/// Largest head of an answer, four times the default limit of a caller's. This is also the size of
+/// the read buffer: those of 1,000 connections, about all that a process may hold open with the
+/// usual limit of files, take 64 MB of the 260 MB that a router has at the smallest site.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 const KEEP_ALIVE: &str = "keep-alive";
 const TIMEOUT: &str = "timeout=";
 
@@ -155,7 +159,11 @@
         .context(RefusedSnafu)?;
     set_keepalive(&stream);
     let io = HyperStream::new_plain(stream);
-    let (sender, conn) = http1::handshake(io).await.context(HandshakeSnafu)?;
+    let (sender, conn) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(io)
+        .await
+        .context(HandshakeSnafu)?;
     compio::runtime::spawn(async move {
         if let Err(e) = conn.await {
             log::debug!("{addr}: connection ended: {e}");
--- a/src/path/connection_tests.rs
+++ b/src/path/connection_tests.rs
@@ -1,8 +1,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpListener;
-use http::{HeaderMap, HeaderValue};
+use futures_util::future::join;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http_body_util::Full;
 use test_case::test_case;
 
 use super::connection::{self, ConnectionPool};
@@ -11,6 +15,24 @@
 
 const QUOTA: ConnectionQuota = ConnectionQuota { open: 8, idle: 8 };
 
+/// Sends a request to an upstream that sends `answer`, and returns the status.
+async fn status_of(answer: String) -> Option<StatusCode> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut opened = connection::open(listener.local_addr().unwrap(), Duration::from_secs(1))
+        .await
+        .unwrap();
+    let answers = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _request = stream.read(Vec::with_capacity(4_096)).await.0.unwrap();
+        // The router may close the connection first.
+        let _ = stream.write_all(answer.into_bytes()).await;
+        stream
+    };
+    let request = Request::new(Full::new(Bytes::new()));
+    let (_stream, sent) = join(answers, opened.sender.send_request(request)).await;
+    sent.ok().map(|answer| answer.status())
+}
+
 fn upstream(addr: SocketAddr, started_ms: u64) -> Upstream {
     Upstream {
         id: "i-1".into(),
@@ -68,3 +90,17 @@
     pool.put_back(&upstream, opened, &answer, QUOTA);
     assert_eq!(pool.take_idle(&upstream).is_some(), is_reused);
 }
+
+/// The heads of many answers without end arrive at once. Each takes memory up to the limit before
+/// it is known to be none: with the library's limit of 408 KB, a thousand take more than a router
+/// of the smallest site has.
+#[test_case(16 << 10, true; "as large as that of a caller")]
+#[test_case(60 << 10, true; "below the limit")]
+#[test_case(68 << 10, false; "above the limit")]
+#[compio::test]
+async fn head_of_an_answer_is_bounded(bytes: usize, is_answer: bool) {
+    let filler = "x".repeat(bytes);
+    let answer = format!("HTTP/1.1 200 OK\r\nfiller: {filler}\r\ncontent-length: 0\r\n\r\n");
+    let wanted = is_answer.then_some(StatusCode::OK);
+    assert_eq!(status_of(answer).await, wanted);
+}
