Informational responses before an answer are bounded

An upstream sent informational responses without end. Callers of requests that may not be repeated waited until their deadline (8 s) for a 504, and requests of other callers to the same router waited for up to 9.3 s, as did those that the router only refuses.

Cause: the HTTP library skips such responses in a loop that only ends when no byte is waiting, so that nothing else runs on the thread, not even the time limit of the call. The router now counts their bytes in the library's callback, and the connection's stream fails at the next read once they exceed the size of the largest head, 64 KB, which leaves room for some thousand reports of progress. The loop ends with that error, and the answer counts as lost: repeatable requests go elsewhere, others get 502.

--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -243,7 +243,7 @@
         {
             return Err(withheld());
         }
-        let sent = connection.sender.try_send_request(build(call)).await;
+        let sent = connection.send(build(call)).await;
         match sent {
             Ok(response) => {
                 let (parts, body) = response.into_parts();
--- a/src/path/connection.rs
+++ b/src/path/connection.rs
@@ -8,14 +8,16 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
-use http::HeaderMap;
 use http::header::CONNECTION;
+use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use snafu::{ResultExt, Snafu};
 
 use crate::decide::connections::ConnectionQuota;
+use crate::path::informational::{Informational, LimitedStream};
 use crate::path::upstreams::Upstream;
 use crate::socket::set_keepalive;
 use crate::util::Name;
@@ -31,7 +33,7 @@
 /// Largest head of an answer, four times the default limit of a caller's. This is also the size of
 /// the read buffer: those of 1,000 connections, about all that a process may hold open with the
 /// usual limit of files, take 64 MB of the 260 MB that a router has at the smallest site.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+pub(super) const MAX_HEAD_BYTES: usize = 64 << 10;
 const KEEP_ALIVE: &str = "keep-alive";
 const TIMEOUT: &str = "timeout=";
 
@@ -52,10 +54,23 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: Sender,
+    informational: Informational,
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its answer. The error contains the request if no
+    /// byte of it was sent.
+    pub(crate) async fn send(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.informational.count_before_answer(&mut request);
+        self.sender.try_send_request(request).await
+    }
 }
 
 struct IdleConnection {
-    sender: Sender,
+    connection: Connection,
     until: Instant,
     /// Start of the upstream that the connection leads to.
     started_ms: u64,
@@ -79,10 +94,9 @@
         let now = Instant::now();
         while let Some(idle_connection) = connections.pop() {
             let is_same = idle_connection.started_ms == upstream.started_ms;
-            if is_same && idle_connection.until > now && idle_connection.sender.is_ready() {
-                return Some(Connection {
-                    sender: idle_connection.sender,
-                });
+            let connection = idle_connection.connection;
+            if is_same && idle_connection.until > now && connection.sender.is_ready() {
+                return Some(connection);
             }
         }
         None
@@ -103,12 +117,12 @@
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(upstream.id.clone()).or_default();
         connections.retain(|idle_connection| {
-            idle_connection.until > now && !idle_connection.sender.is_closed()
+            idle_connection.until > now && !idle_connection.connection.sender.is_closed()
         });
         if connections.len() < quota.idle as usize {
             let until = now + timeout.mul_f64(IDLE_SHARE);
             connections.push(IdleConnection {
-                sender: connection.sender,
+                connection,
                 until,
                 started_ms: upstream.started_ms,
             });
@@ -129,7 +143,7 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|upstream, kept| {
-            kept.retain(|k| k.until > now && !k.sender.is_closed());
+            kept.retain(|k| k.until > now && !k.connection.sender.is_closed());
             !kept.is_empty() && is_known(upstream)
         });
     }
@@ -158,7 +172,8 @@
         .map_err(|_| ConnectError::TimedOut)?
         .context(RefusedSnafu)?;
     set_keepalive(&stream);
-    let io = HyperStream::new_plain(stream);
+    let informational = Informational::default();
+    let io = LimitedStream::new(stream, informational.clone());
     let (sender, conn) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(io)
@@ -170,5 +185,8 @@
         }
     })
     .detach();
-    Ok(Connection { sender })
+    Ok(Connection {
+        sender,
+        informational,
+    })
 }
--- a/src/path/connection_tests.rs
+++ b/src/path/connection_tests.rs
@@ -29,7 +29,7 @@
         stream
     };
     let request = Request::new(Full::new(Bytes::new()));
-    let (_stream, sent) = join(answers, opened.sender.send_request(request)).await;
+    let (_stream, sent) = join(answers, opened.send(request)).await;
     sent.ok().map(|answer| answer.status())
 }
 
@@ -104,3 +104,16 @@
     let wanted = is_answer.then_some(StatusCode::OK);
     assert_eq!(status_of(answer).await, wanted);
 }
+
+/// An upstream sends informational responses, whose number is its own choice, before an answer. Those
+/// of a long run don't spoil the answer; more than fit a head may be without end.
+#[test_case(0, true; "none")]
+#[test_case(1_000, true; "one a second of a long run")]
+#[test_case(10_000, false; "too many")]
+#[compio::test]
+async fn informational_responses_are_bounded(count: usize, is_answer: bool) {
+    let informational = "HTTP/1.1 102 Processing\r\nretry-after: 1\r\n\r\n".repeat(count);
+    let answer = format!("{informational}HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    let wanted = is_answer.then_some(StatusCode::OK);
+    assert_eq!(status_of(answer).await, wanted);
+}
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -26,6 +26,7 @@
 pub mod events;
 pub(crate) mod freshness;
 pub(crate) mod health;
+mod informational;
 pub(crate) mod leaving;
 pub(crate) mod log_replica;
 pub(crate) mod peers;
--- a/tests/routed_endless.rs
+++ b/tests/routed_endless.rs
@@ -97,6 +97,7 @@
 #[test_case("status_line"; "status line")]
 #[test_case("header_line"; "header line")]
 #[test_case("headers"; "headers")]
+#[test_case("informational"; "informational responses")]
 #[test_case("chunks"; "chunks")]
 #[test_case("chunk_extension"; "chunk extension")]
 #[test_case("trailers"; "trailers")]
@@ -129,11 +130,13 @@
 #[test_case("status_line", "/ticket/1"; "status line")]
 #[test_case("header_line", "/ticket/1"; "header line")]
 #[test_case("headers", "/ticket/1"; "headers")]
+#[test_case("informational", "/ticket/1"; "informational responses")]
 #[test_case("chunks", "/ticket/1"; "chunks")]
 #[test_case("chunk_extension", "/ticket/1"; "chunk extension")]
 #[test_case("trailers", "/ticket/1"; "trailers")]
 #[test_case("event", "/ticket/1"; "event")]
 #[test_case("header_line", "/once/stream"; "header line of a stream")]
+#[test_case("informational", "/once/stream"; "informational responses before a stream")]
 #[compio::test]
 async fn request_that_may_have_run_is_refused_as_unknown(fault: &str, path: &str) {
     let routed = start(fault).await;
