--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -8,7 +8,7 @@
 use http::request::Parts as RequestParts;
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use strum::IntoStaticStr;
 
@@ -25,6 +25,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Largest answer that is buffered so that the request can be retried.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
+/// Largest body of a rejection that is read so that its connection can be reused: as large as a
+/// head, as it says no more. Beyond it the connection is closed.
+const MAX_DRAINED_BYTES: usize = connection::MAX_HEAD_BYTES;
 
 /// A call that ended without an answer.
 #[derive(Debug)]
@@ -259,7 +262,7 @@
         }
     }
 
-    /// Reads the body of a rejection, so that its connection can be reused.
+    /// Reads and drops the body of a rejection, so that its connection can be reused.
     async fn drain_rejection(
         &self,
         upstream: &Upstream,
@@ -267,8 +270,16 @@
         connection: Connection,
         parts: &Parts,
     ) {
-        let read = compio::time::timeout(CONNECT_TIMEOUT, body.collect()).await;
-        if matches!(read, Ok(Ok(_))) {
+        let mut body = Limited::new(body, MAX_DRAINED_BYTES);
+        let read = compio::time::timeout(CONNECT_TIMEOUT, async {
+            while let Some(frame) = body.frame().await {
+                if frame.is_err() {
+                    return false;
+                }
+            }
+            true
+        });
+        if matches!(read.await, Ok(true)) {
             self.connections
                 .put_back(upstream, connection, &parts.headers, self.quota);
         }
--- a/tests/routed_endless.rs
+++ b/tests/routed_endless.rs
@@ -177,6 +177,20 @@
     }
 }
 
+/// The body of a rejection has no end. The request runs at another upstream, and the router's memory
+/// doesn't take in the body.
+#[test_case("/get/1"; "idempotent")]
+#[test_case("/ticket/1"; "non idempotent")]
+#[test_case("/once/stream"; "stream")]
+#[compio::test]
+async fn request_with_an_endless_rejection_runs_elsewhere(path: &str) {
+    let routed = start("rejection").await;
+    for (id, received, _) in send(&routed, path, "12").await {
+        assert_eq!((received.status, received.complete), (200, true));
+        assert_eq!(routed.runs_of(&id), 1);
+    }
+}
+
 /// A stream's events have no end, and their callers stop reading. They may not fill the router's
 /// memory, and the upstream is left soon after its caller has closed the connection.
 #[compio::test]
