An event that arrives in small pieces is searched once

An upstream sent an event without end in chunks of 256 bytes, eight times at once. Callers of streams, also of those that may be resumed, waited until their deadline (8 s) for an event that exceeds the limit of 1 MiB, and the router's thread was busy all that time.

Cause: each piece led to a search of all bytes of the event before it, for the limit some 4 GB an event. Only the new bytes are searched now, with the last three before them, since an event can't end earlier.

--- a/src/path/events.rs
+++ b/src/path/events.rs
@@ -45,8 +45,9 @@
             self.buffer.extend_from_slice(&bytes[end..]);
             bytes.slice(..end)
         } else {
+            let searched = self.buffer.len();
             self.buffer.extend_from_slice(&bytes);
-            let end = last_event_end(&self.buffer);
+            let end = last_event_end_after(searched, &self.buffer);
             self.buffer.split_to(end).freeze()
         };
         if let Some(id) = last_id(&complete) {
@@ -71,6 +72,18 @@
     }
 }
 
+/// Returns the end of the last complete event, none of which ends within the first `searched` bytes.
+///
+/// Failure guarded against: an event arrives in many small pieces. If each piece led to a search of
+/// all bytes before it, the other requests would wait meanwhile.
+fn last_event_end_after(searched: usize, bytes: &[u8]) -> usize {
+    let from = searched.saturating_sub(END_CRLF.len() - 1);
+    match last_event_end(&bytes[from..]) {
+        0 => 0,
+        end => from + end,
+    }
+}
+
 /// Returns the end of the last complete event.
 fn last_event_end(bytes: &[u8]) -> usize {
     let plain = memmem::rfind(bytes, END).map(|at| at + END.len());
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -57,6 +57,8 @@
 #[cfg(test)]
 mod departures_tests;
 #[cfg(test)]
+mod events_tests;
+#[cfg(test)]
 mod freshness_tests;
 #[cfg(test)]
 mod health_tests;
--- a/standins/src/backend/endless.rs
+++ b/standins/src/backend/endless.rs
@@ -11,6 +11,8 @@
 
 /// Minimum size of one write, about that of a socket's buffer.
 const BLOCK_BYTES: usize = 64 << 10;
+/// Size of a small chunk.
+const PIECE_BYTES: usize = 256;
 
 /// A response that is never finished.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -40,6 +42,8 @@
     Rejection,
     /// One event.
     Event,
+    /// One event in small chunks, each as long as a usual event.
+    EventPieces,
     /// Events.
     Events,
 }
@@ -115,7 +119,9 @@
             let rejected = chunked("503 Service Unavailable", "text/plain");
             rejected.replacen("\r\n", "\r\nnot-executed: 1\r\n", 1)
         }
-        EndlessFault::Event | EndlessFault::Events => chunked("200 OK", "text/event-stream"),
+        EndlessFault::Event | EndlessFault::EventPieces | EndlessFault::Events => {
+            chunked("200 OK", "text/event-stream")
+        }
     }
 }
 
@@ -132,6 +138,7 @@
         EndlessFault::Headers | EndlessFault::Trailers => filled("x-filler: x\r\n"),
         EndlessFault::Informational => filled("HTTP/1.1 103 Early Hints\r\n\r\n"),
         EndlessFault::Chunks | EndlessFault::Rejection | EndlessFault::Event => chunk(&filled("x")),
+        EndlessFault::EventPieces => filled(&chunk(&"x".repeat(PIECE_BYTES))),
         EndlessFault::Events => chunk(&filled("data: filler\n\n")),
     }
 }
--- a/tests/routed_endless.rs
+++ b/tests/routed_endless.rs
@@ -102,6 +102,7 @@
 #[test_case("chunk_extension"; "chunk extension")]
 #[test_case("trailers"; "trailers")]
 #[test_case("event"; "event")]
+#[test_case("event_pieces"; "event in small chunks")]
 #[compio::test]
 async fn repeatable_request_is_answered_elsewhere(fault: &str) {
     let wanted: Vec<String> = (1..=12).map(|n| format!("{n} of 12")).collect();
@@ -135,6 +136,7 @@
 #[test_case("chunk_extension", "/ticket/1"; "chunk extension")]
 #[test_case("trailers", "/ticket/1"; "trailers")]
 #[test_case("event", "/ticket/1"; "event")]
+#[test_case("event_pieces", "/ticket/1"; "event in small chunks")]
 #[test_case("header_line", "/once/stream"; "header line of a stream")]
 #[test_case("informational", "/once/stream"; "informational responses before a stream")]
 #[compio::test]
@@ -155,6 +157,7 @@
 #[test_case("chunk_extension"; "chunk extension")]
 #[test_case("trailers"; "trailers")]
 #[test_case("event"; "event")]
+#[test_case("event_pieces"; "event in small chunks")]
 #[compio::test]
 async fn stream_that_may_not_be_resumed_is_cut(fault: &str) {
     let routed = start(fault).await;
