A peer's answer to a query is bounded

A router in trouble that answers a query without end made the one that asked collect the answer for the time limit of a query, 1 s: 473 MB in the test, while a router of the smallest site has 260 MB.

Cause: only queries that a router receives had the limit of a frame, 16 MiB, not their answers. They have it now. The test failed before.

--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -11,7 +11,7 @@
 use futures_util::pin_mut;
 use http::header::AUTHORIZATION;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http2::SendRequest;
 use serde::Serialize;
@@ -47,6 +47,8 @@
     Lost { source: hyper::Error },
     #[snafu(display("peer answered {status}"))]
     Status { status: StatusCode },
+    #[snafu(display("peer's answer exceeds the limit of 16 MiB"))]
+    TooLong,
     #[snafu(display("peer did not answer within 1 s"))]
     TimedOut,
 }
@@ -194,8 +196,8 @@
             if status != StatusCode::OK {
                 return StatusSnafu { status }.fail();
             }
-            let body = response.into_body().collect().await.context(LostSnafu)?;
-            let answer = body.to_bytes();
+            let body = Limited::new(response.into_body(), frames::MAX_FRAME_BYTES);
+            let answer = body.collect().await.map_err(incomplete)?.to_bytes();
             stats::control_bytes("received", kind(path), answer.len());
             frames::from_slice(&answer).context(EncodeSnafu)
         };
@@ -220,6 +222,14 @@
     }
 }
 
+/// Converts the error of a limited body.
+fn incomplete(e: Box<dyn std::error::Error + Send + Sync>) -> QueryError {
+    match e.downcast() {
+        Ok(source) => QueryError::Lost { source: *source },
+        Err(_) => QueryError::TooLong,
+    }
+}
+
 /// Passes frames on until the end frame. A frame of another request is an error and isn't passed
 /// on.
 async fn relay(
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -2,6 +2,8 @@
 //! query, and the datagrams of membership, loads and suspicions.
 
 mod client;
+#[cfg(test)]
+mod client_tests;
 pub(crate) mod compression;
 #[cfg(test)]
 mod compression_tests;
