--- a/tests/routed_bad_callers.rs
+++ b/tests/routed_bad_callers.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
@@ -212,3 +212,56 @@
     connections[0].read_to_string(&mut answer).unwrap();
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
 }
+
+/// Callers send bytes without end in place of a request, as fast as the router takes them. They must
+/// be cut off within the header timeout, may take no more memory than a quarter of the 260 MB of a
+/// router of the smallest site, and others are served meanwhile.
+#[test_case("POST /", "x"; "request line")]
+#[test_case("", "\r\n"; "empty lines")]
+#[test_case("", "\u{1}\u{2} no request at all\r\n"; "garbage")]
+#[test_case("POST /ticket/1 HTTP/1.1\r\nx-filler: ", "x"; "header line")]
+#[test_case("POST /ticket/1 HTTP/1.1\r\n", "x-filler: x\r\n"; "headers")]
+#[test_case("WHOLE HEAD transfer-encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"; "body")]
+#[test_case("WHOLE HEAD transfer-encoding: chunked\r\n\r\n5;", "x"; "chunk extension")]
+#[test_case("WHOLE HEAD transfer-encoding: chunked\r\n\r\n1\r\n1\r\n0\r\n", "x-filler: x\r\n"; "trailers")]
+#[test_case("WHOLE HEAD content-length: 1\r\n\r\n", "1"; "bytes past the length")]
+#[compio::test]
+async fn endless_request_is_cut(beginning: &str, repeated: &str) {
+    const CALLERS: usize = 8;
+    const MAX_GROWTH_KB: u64 = (260 << 10) / 4;
+    let routed = RoutedFleet::start(FleetSize::default()).await;
+    let before_kb = routed.routers[0].memory_kb("VmRSS");
+    let whole_head = head(&new_request_id(), "");
+    let beginning = beginning.replace("WHOLE HEAD ", &whole_head);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let (addr, beginning) = (routed.caller(0), beginning.clone());
+            let block = repeated.repeat((64 << 10) / repeated.len());
+            std::thread::spawn(move || send_until_cut(addr, &beginning, &block))
+        })
+        .collect();
+    for _ in 0..20 {
+        let sent = Instant::now();
+        let (_, received) = routed.call(0, "/get/1", "1").await;
+        assert_eq!(received.unwrap().status, 200);
+        assert!(sent.elapsed() < HEAD_LIMIT, "{:?}", sent.elapsed());
+    }
+    for caller in callers {
+        let lasted = caller.join().unwrap();
+        assert!(lasted < HEAD_LIMIT, "{lasted:?}");
+    }
+    let growth_kb = routed.routers[0].memory_kb("VmHWM") - before_kb;
+    assert!(growth_kb < MAX_GROWTH_KB, "{growth_kb} KB more");
+}
+
+/// Sends `beginning` and then `block` again and again; returns how long the router let it.
+fn send_until_cut(addr: SocketAddr, beginning: &str, block: &str) -> Duration {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_write_timeout(Some(HEAD_LIMIT)).unwrap();
+    let started = Instant::now();
+    let mut sent = stream.write_all(beginning.as_bytes());
+    while sent.is_ok() && started.elapsed() < HEAD_LIMIT * 2 {
+        sent = stream.write_all(block.as_bytes());
+    }
+    started.elapsed()
+}
