A body in tiny chunks takes no more memory than others

Four callers that sent bodies below the limit of 4 MiB in chunks of one byte made the router's memory grow by 65 MB within 6 s (debug build). Counted, each whole body takes at least 128 MiB, so that two of them exceed the 260 MB of a router of the smallest site.

Cause: the pieces of a body were collected in a list of 32 bytes each and more while the list doubles. They are now copied into one buffer, which takes at most twice the body.

--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -1,8 +1,9 @@
 //! Validates requests beyond what the HTTP parser checks, in the same way for all callers.
 
+use std::error::Error;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
 use http::{HeaderMap, Version};
@@ -77,19 +78,30 @@
     if declared_length(headers).is_some_and(|bytes| bytes > max_bytes as u64) {
         return TooLargeSnafu { max_bytes }.fail();
     }
-    let collected = Limited::new(body, max_bytes).collect();
+    let collected = collect(Limited::new(body, max_bytes));
     let Ok(result) = compio::time::timeout(timeout, collected).await else {
         let timeout_ms = timeout.as_millis();
         return TooSlowSnafu { timeout_ms }.fail();
     };
-    let collected = result.map_err(|e| {
+    result.map_err(|e| {
         if e.is::<LengthLimitError>() {
             return RequestError::TooLarge { max_bytes };
         }
         let detail = e.to_string();
         RequestError::Broken { detail }
-    })?;
-    Ok(collected.to_bytes())
+    })
+}
+
+/// Copies a body into one buffer. A list of its pieces could take dozens of times the size of a body
+/// that arrives in chunks of one byte.
+async fn collect(mut body: Limited<&mut Incoming>) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.freeze())
 }
 
 /// Returns the body's length by the `content-length` header.
--- a/tests/routed_bad_callers.rs
+++ b/tests/routed_bad_callers.rs
@@ -6,7 +6,8 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
+use serde_json::json;
+use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id, round_path, routes_of};
 use test_case::test_case;
 
 /// `header_timeout_ms` and `idle_timeout_ms` of the configuration that the routers run with.
@@ -265,3 +266,37 @@
     }
     started.elapsed()
 }
+
+/// Callers send the largest bodies in chunks of one byte. Such a body may take no more memory than
+/// any other.
+#[compio::test]
+async fn bodies_in_tiny_chunks_take_no_more_memory() {
+    const CALLERS: usize = 4;
+    const MAX_BODY_BYTES: usize = 4 << 20;
+    let mut routed = RoutedFleet::start(FleetSize::default()).await;
+    let limits = json!({
+        "max_header_bytes": 16_384, "max_body_bytes": MAX_BODY_BYTES,
+        "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+    });
+    let routes = routes_of(1);
+    routed
+        .configure(json!({ "limits": limits, "routes": routes }))
+        .await;
+    routed.wait_status(0, &round_path(1), 200).await;
+    let before_kb = routed.routers[0].memory_kb("VmRSS");
+    let beginning = head(&new_request_id(), "transfer-encoding: chunked\r\n\r\n");
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let (addr, beginning) = (routed.caller(0), beginning.clone());
+            let block = "1\r\nx\r\n".repeat(10_000);
+            std::thread::spawn(move || send_until_cut(addr, &beginning, &block))
+        })
+        .collect();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+    let growth_kb = routed.routers[0].memory_kb("VmHWM") - before_kb;
+    // A body's buffer doubles as it grows.
+    let max_growth_kb = (CALLERS * MAX_BODY_BYTES * 2) >> 10;
+    assert!(growth_kb < max_growth_kb as u64, "{growth_kb} KB more");
+}
