--- a/standins/src/backend/endless.rs
+++ b/standins/src/backend/endless.rs
@@ -32,6 +32,10 @@
     Informational,
     /// A chunked body that isn't a stream of events.
     Chunks,
+    /// A body that the end of the connection would end.
+    Unframed,
+    /// The body of a server error.
+    Failure,
     /// A chunk extension.
     ChunkExtension,
     /// Trailers.
@@ -106,6 +110,8 @@
         EndlessFault::StatusLine => "HTTP/1.1 200 ".to_owned(),
         EndlessFault::HeaderLine => format!("HTTP/1.1 200 OK\r\n{head}x-filler: "),
         EndlessFault::Headers => format!("HTTP/1.1 200 OK\r\n{head}"),
+        EndlessFault::Unframed => format!("HTTP/1.1 200 OK\r\n{head}\r\n"),
+        EndlessFault::Failure => chunked("500 Internal Server Error", "text/plain"),
         EndlessFault::Chunks => chunked("200 OK", "application/json"),
         EndlessFault::ChunkExtension => {
             format!("{}5;", chunked("200 OK", "application/json"))
@@ -131,13 +137,17 @@
     match fault {
         EndlessFault::Garbage => filled("\u{1}\u{2} no answer at all\r\n\r\n"),
         EndlessFault::EmptyLines => filled("\r\n"),
-        EndlessFault::StatusLine | EndlessFault::HeaderLine | EndlessFault::ChunkExtension => {
-            filled("x")
-        }
+        EndlessFault::StatusLine
+        | EndlessFault::HeaderLine
+        | EndlessFault::Unframed
+        | EndlessFault::ChunkExtension => filled("x"),
         EndlessFault::PastLength => filled("past the length\r\n"),
         EndlessFault::Headers | EndlessFault::Trailers => filled("x-filler: x\r\n"),
         EndlessFault::Informational => filled("HTTP/1.1 103 Early Hints\r\n\r\n"),
-        EndlessFault::Chunks | EndlessFault::Rejection | EndlessFault::Event => chunk(&filled("x")),
+        EndlessFault::Chunks
+        | EndlessFault::Failure
+        | EndlessFault::Rejection
+        | EndlessFault::Event => chunk(&filled("x")),
         EndlessFault::EventPieces => filled(&chunk(&"x".repeat(PIECE_BYTES))),
         EndlessFault::Events => chunk(&filled("data: filler\n\n")),
     }
--- a/tests/routed_endless.rs
+++ b/tests/routed_endless.rs
@@ -99,6 +99,8 @@
 #[test_case("headers"; "headers")]
 #[test_case("informational"; "informational responses")]
 #[test_case("chunks"; "chunks")]
+#[test_case("unframed"; "body without a length")]
+#[test_case("failure"; "server error")]
 #[test_case("chunk_extension"; "chunk extension")]
 #[test_case("trailers"; "trailers")]
 #[test_case("event"; "event")]
@@ -133,6 +135,8 @@
 #[test_case("headers", "/ticket/1"; "headers")]
 #[test_case("informational", "/ticket/1"; "informational responses")]
 #[test_case("chunks", "/ticket/1"; "chunks")]
+#[test_case("unframed", "/ticket/1"; "body without a length")]
+#[test_case("failure", "/ticket/1"; "server error")]
 #[test_case("chunk_extension", "/ticket/1"; "chunk extension")]
 #[test_case("trailers", "/ticket/1"; "trailers")]
 #[test_case("event", "/ticket/1"; "event")]
@@ -154,6 +158,7 @@
 /// A stream that may not be resumed turns into bytes without end. It must look cut long before the
 /// deadline, and run once.
 #[test_case("chunks"; "chunks")]
+#[test_case("unframed"; "body without a length")]
 #[test_case("chunk_extension"; "chunk extension")]
 #[test_case("trailers"; "trailers")]
 #[test_case("event"; "event")]
