--- a/standins/src/backend/endless.rs
+++ b/standins/src/backend/endless.rs
@@ -1,6 +1,6 @@
 //! Response faults that last until the router closes the connection.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use compio::io::AsyncWriteExt;
 use compio::net::TcpStream;
@@ -13,6 +13,8 @@
 const BLOCK_BYTES: usize = 64 << 10;
 /// Size of a small chunk.
 const PIECE_BYTES: usize = 256;
+/// Interval between the bytes of a slow response, below every limit on silence.
+const SLOW_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A response that is never finished.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -48,6 +50,8 @@
     Event,
     /// One event in small chunks, each as long as a usual event.
     EventPieces,
+    /// One event, slowly, in chunks of one byte.
+    SlowEvent,
     /// Events.
     Events,
 }
@@ -65,8 +69,8 @@
     pub lasted_ms: u64,
 }
 
-/// Sends an endless response with the headers `head`, as fast as the connection accepts it. Returns
-/// once the connection is closed.
+/// Sends an endless response with the headers `head`, as fast as the connection accepts it unless the
+/// fault is a slow one. Returns once the connection is closed.
 pub(super) async fn respond(
     stream: &mut TcpStream,
     fault: EndlessFault,
@@ -87,6 +91,9 @@
         bytes = sent.1;
         bytes.clear();
         bytes.extend_from_slice(block.as_bytes());
+        if fault == EndlessFault::SlowEvent {
+            compio::time::sleep(SLOW_INTERVAL).await;
+        }
     }
     print_run(&EndlessResponse {
         endless: fault,
@@ -125,9 +132,10 @@
             let rejected = chunked("503 Service Unavailable", "text/plain");
             rejected.replacen("\r\n", "\r\nnot-executed: 1\r\n", 1)
         }
-        EndlessFault::Event | EndlessFault::EventPieces | EndlessFault::Events => {
-            chunked("200 OK", "text/event-stream")
-        }
+        EndlessFault::Event
+        | EndlessFault::EventPieces
+        | EndlessFault::SlowEvent
+        | EndlessFault::Events => chunked("200 OK", "text/event-stream"),
     }
 }
 
@@ -149,6 +157,7 @@
         | EndlessFault::Rejection
         | EndlessFault::Event => chunk(&filled("x")),
         EndlessFault::EventPieces => filled(&chunk(&"x".repeat(PIECE_BYTES))),
+        EndlessFault::SlowEvent => chunk("x"),
         EndlessFault::Events => chunk(&filled("data: filler\n\n")),
     }
 }
