Failing test: a slow endless answer isn't replaced

An upstream sends a byte each 20 ms of an answer, or an event, that never ends. The caller of a repeatable request waits until its deadline, 8 s, and gets a 504 or a cut stream, while another upstream could answer.

Causes, not fixed here: an answer is buffered for all the time that is left, and every byte restarts the time limit of an event.

--- a/tests/routed_endless.rs
+++ b/tests/routed_endless.rs
@@ -233,3 +233,21 @@
         closed.elapsed()
     );
 }
+
+/// An upstream sends one byte after the other of an answer or an event that never ends. A repeatable
+/// request must be answered by another upstream before its deadline.
+#[test_case("/get/1"; "answer")]
+#[test_case("/resumed/stream"; "event")]
+#[compio::test]
+async fn slow_endless_answer_is_replaced(path: &str) {
+    let routed = start("slow_event").await;
+    for _ in 0..4 {
+        let (_, received) = routed.call(0, path, "12").await;
+        let received = received.unwrap();
+        assert_eq!(
+            (received.status, received.complete),
+            (200, true),
+            "{received:?}"
+        );
+    }
+}
