Answers of the append-only log's platform and of engines are bounded

An answer without end filled a router's memory until the call's time limit: 880 MB were taken in 2 s in the test. The same held for the reports, exports and states that engines answer, which are read in the same way but have no test of their own.

Cause: these bodies were collected without a limit. They now have one: 64 MB for the log, a quarter of the 260 MB of the smallest site, and less for what engines say about themselves.

Not bounded yet: one event of an engine's stream, and informational responses on these connections, whose client hides both.

--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -14,6 +14,8 @@
 pub mod group;
 pub mod lease;
 pub mod platform;
+#[cfg(test)]
+mod platform_tests;
 pub mod slot;
 pub mod timer;
 pub mod view;
--- a/src/log/platform.rs
+++ b/src/log/platform.rs
@@ -8,13 +8,17 @@
 
 use crate::log::{Batch, Entry, Log, LogError};
 use crate::stats;
-use crate::util::wall_ms;
+use crate::util::{read_body, wall_ms};
 
 /// Label of the log's metrics that concern all its streams.
 const STATS_NAME: &str = "all";
 /// Header of the log's responses: the number of times that it was restored from an older copy.
 const ERA_HEADER: &str = "log-era";
 
+/// Largest answer: a quarter of the 260 MB that a router has at the smallest site. A read of the
+/// log may hold several snapshots of about 1 MB.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
 /// A client of the platform.
 #[derive(Clone, Debug)]
 pub struct Platform {
@@ -143,8 +147,8 @@
                 return Err(unavailable(&response.status()));
             }
             let era = era(response.headers());
-            let body = response.bytes().await.map_err(|e| unavailable(&e))?;
-            let body = body.to_vec();
+            let body = read_body(response, MAX_ANSWER_BYTES).await;
+            let body = body.map_err(|e| unavailable(&e))?;
             Ok(Answer { era, body })
         };
         compio::time::timeout(self.timeout, call)
@@ -167,8 +171,8 @@
                 return Err(indeterminate(&response.status()));
             }
             let era = era(response.headers());
-            let body = response.bytes().await.map_err(|e| indeterminate(&e))?;
-            let body = body.to_vec();
+            let body = read_body(response, MAX_ANSWER_BYTES).await;
+            let body = body.map_err(|e| indeterminate(&e))?;
             Ok(Answer { era, body })
         };
         compio::time::timeout(self.timeout, call)
--- a/src/serve/home/kv.rs
+++ b/src/serve/home/kv.rs
@@ -6,9 +6,12 @@
 use snafu::Snafu;
 
 use crate::decide::ChatKey;
+use crate::util::read_body;
 
 /// A transfer that takes longer costs more than the prefill it avoids.
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer, which is a number.
+const MAX_ANSWER_BYTES: usize = 1 << 10;
 
 #[derive(Debug, Snafu)]
 pub(crate) enum KvError {
@@ -44,7 +47,8 @@
         if !status.is_success() {
             return RefusedSnafu { status }.fail();
         }
-        Ok(serde_json::from_slice(&response.bytes().await?)?)
+        let body = read_body(response, MAX_ANSWER_BYTES).await?;
+        Ok(serde_json::from_slice(&body)?)
     };
     let exported = compio::time::timeout(EXPORT_TIMEOUT, call).await;
     exported.unwrap_or(Err(KvError::TimedOut))
--- a/src/serve/home/reports.rs
+++ b/src/serve/home/reports.rs
@@ -12,9 +12,12 @@
 use tokio::sync::mpsc;
 
 use crate::decide::ChatKey;
+use crate::util::read_body;
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_DIGEST_ENTRIES: usize = 1_000;
+/// Largest answer: room for some 100,000 events of 80 bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// The load that an engine reports.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
@@ -143,7 +146,8 @@
                 .get(format!("{}{path}", self.base))
                 .context(CallSnafu)?;
             let response = request.send().await.context(CallSnafu)?;
-            let body = response.bytes().await.context(CallSnafu)?;
+            let body = read_body(response, MAX_ANSWER_BYTES).await;
+            let body = body.context(CallSnafu)?;
             serde_json::from_slice(&body).context(MalformedSnafu)
         };
         let polled = compio::time::timeout(REPORT_TIMEOUT, call).await;
--- a/src/serve/operator/orders.rs
+++ b/src/serve/operator/orders.rs
@@ -23,9 +23,11 @@
 use crate::log::view::ConfigView;
 use crate::schema::config::Upstream;
 use crate::schema::operator::{OrderReply, OrderRequest};
-use crate::util::{Clock, Name};
+use crate::util::{Clock, Name, read_body};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer of an upstream: far above what it has loaded.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
 /// How often an order is sent and the upstream's state is checked before giving up.
 const MAX_ROUNDS: u32 = 3;
 
@@ -236,7 +238,8 @@
         let call = async {
             let request = self.http.get(url).map_err(|e| e.to_string())?;
             let response = request.send().await.map_err(|e| e.to_string())?;
-            let body = response.bytes().await.map_err(|e| e.to_string())?;
+            let body = read_body(response, MAX_ANSWER_BYTES).await;
+            let body = body.map_err(|e| e.to_string())?;
             serde_json::from_slice(&body).map_err(|e| e.to_string())
         };
         let timed = compio::time::timeout(CALL_TIMEOUT, call).await;
--- a/src/util.rs
+++ b/src/util.rs
@@ -1,8 +1,11 @@
 //! Helpers shared by several modules.
 
+use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use futures_util::StreamExt;
 use nix::time::ClockId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -20,6 +23,22 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Reads the body of an answer of at most `max_bytes`.
+pub(crate) async fn read_body(
+    answer: cyper::Response,
+    max_bytes: usize,
+) -> Result<Vec<u8>, cyper::Error> {
+    let mut body = pin!(answer.bytes_stream());
+    let mut bytes = Vec::new();
+    while let Some(piece) = body.next().await {
+        bytes.extend_from_slice(&piece?);
+        if bytes.len() > max_bytes {
+            return Err(io::Error::other("the answer exceeds its size limit").into());
+        }
+    }
+    Ok(bytes)
+}
+
 /// A monotonic clock that starts at 1 ms at process start and includes the time the host is
 /// suspended.
 ///
