--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -26,6 +26,7 @@
 pub mod events;
 pub(crate) mod freshness;
 pub(crate) mod health;
+mod informational;
 pub(crate) mod leaving;
 pub(crate) mod log_replica;
 pub(crate) mod peers;
@@ -61,6 +62,8 @@
 #[cfg(test)]
 mod departures_tests;
 #[cfg(test)]
+mod events_tests;
+#[cfg(test)]
 mod freshness_tests;
 #[cfg(test)]
 mod health_tests;
--- a/standins/src/backend/silence.rs
+++ b/standins/src/backend/silence.rs
@@ -53,6 +53,11 @@
         sent.0.is_ok()
     }
 
+    /// The connection without the silence.
+    pub(super) fn stream(&mut self) -> &mut TcpStream {
+        &mut self.stream
+    }
+
     /// Reads what has arrived; returns `None` at the end of the connection.
     pub(super) async fn read(&mut self) -> Option<Vec<u8>> {
         let buffer = Vec::with_capacity(BUFFER_BYTES);
