Answers and events that drip without end are replaced

What callers saw: an upstream that sends a byte each 20 ms kept /get until its deadline (504 after 8 s) and cut /resumed streams at theirs. Cause: the time for reading an answer was all that was left, and each byte began the limit for an event anew.

--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -143,7 +143,7 @@
                 return Err(self.refuse(Cause::UpstreamFailed, detail));
             }
             let (upstream, sender) = (reply.upstream().cloned(), reply.sender().clone());
-            match reply.buffer(self.remaining()).await {
+            match self.buffer_or_replace(reply).await {
                 Some(buffered) if !buffered.parts.status.is_server_error() => {
                     return Ok(UpstreamAnswer::Buffered(buffered));
                 }
@@ -169,6 +169,30 @@
         }
     }
 
+    /// Reads a whole answer. Returns `None` if it breaks off, or takes long and another upstream can take the
+    /// request.
+    ///
+    /// Failure guarded against: an upstream sends an answer that never ends, a byte at a time, and no time is
+    /// left for another one.
+    async fn buffer_or_replace(&mut self, reply: Reply) -> Option<BufferedReply> {
+        let current = reply.upstream().cloned();
+        let whole = reply.buffer(self.remaining());
+        let Some(current) = current.filter(|_| self.may_retry()) else {
+            return whole.await;
+        };
+        let limit = self.attempt_limit();
+        pin_mut!(whole);
+        loop {
+            if let Ok(whole) = compio::time::timeout(limit, &mut whole).await {
+                return whole;
+            }
+            if self.reserve_retry(&current) {
+                self.is_retry_reserved = true;
+                return None;
+            }
+        }
+    }
+
     /// Whether an upstream's answer with this status would tell the caller that the request did not
     /// run and may be sent again. An upstream that did not run it says so in another way, which
     /// counts as a rejection.
@@ -437,8 +461,14 @@
         if route.repeat.at_most_once() || is_last || !may_retry_elsewhere {
             return None;
         }
-        let attempt_timeout = Duration::from_millis(route.objective_ms * ATTEMPT_TIMEOUT_FACTOR);
-        Some(attempt_timeout.max(MIN_ATTEMPT_TIMEOUT))
+        Some(self.attempt_limit())
+    }
+
+    /// Time after which an attempt takes long.
+    fn attempt_limit(&self) -> Duration {
+        let objective_ms = self.context.route.objective_ms;
+        let limit = Duration::from_millis(objective_ms * ATTEMPT_TIMEOUT_FACTOR);
+        limit.max(MIN_ATTEMPT_TIMEOUT)
     }
 
     /// Whether no router has counted this request towards its retry budget yet.
--- a/src/path/stream.rs
+++ b/src/path/stream.rs
@@ -3,7 +3,7 @@
 //! An upstream that breaks off is replaced by one that resumes after its last whole event. One that falls
 //! silent may be alive: its answer is kept until another upstream has begun to answer.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::{Either, select};
@@ -26,6 +26,9 @@
 /// after two.
 const MIN_SILENCE: Duration = Duration::from_millis(1_500);
 
+/// An event that isn't complete after this multiple of that time never will be.
+const EVENT_FACTOR: u32 = 2;
+
 /// Streamed answer to one request.
 pub(crate) struct EventStream<D> {
     attempts: Attempts<D>,
@@ -83,6 +86,7 @@
     /// # Errors
     /// Returns why the stream can't go on.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, Refused> {
+        let started = Instant::now();
         loop {
             let reason = match self.progress().await? {
                 Progress::End => {
@@ -90,7 +94,10 @@
                     return Ok(None);
                 }
                 Progress::Bytes(bytes) => match self.splitter.push(bytes) {
-                    Some(events) if events.is_empty() => continue,
+                    Some(events) if events.is_empty() => match self.unfinished(started) {
+                        Some(reason) => reason,
+                        None => continue,
+                    },
                     Some(events) => {
                         self.record_first_event();
                         return Ok(Some(events));
@@ -107,6 +114,15 @@
         }
     }
 
+    /// Returns why the stream is given up if an event that began after `started` takes too long.
+    ///
+    /// Failure guarded against: an upstream sends an event that never ends, a byte at a time.
+    fn unfinished(&self, started: Instant) -> Option<String> {
+        let limit = silence_limit(&self.attempts) * EVENT_FACTOR;
+        let is_late = may_resume(&self.attempts) && started.elapsed() >= limit;
+        is_late.then(|| format!("no whole event within {} ms", limit.as_millis()))
+    }
+
     /// Binds the rest of the stream to the software version of the upstream that is read, unless an earlier
     /// event did.
     fn record_first_event(&mut self) {
