--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -98,6 +98,7 @@
         for (candidate, upstream) in self.all.iter_mut().zip(self.pool.upstreams()) {
             if !upstream.continues(origin) {
                 candidate.excluded = true;
+                candidate.withheld = false;
                 candidate.has_parts = false;
             }
         }
@@ -134,6 +135,7 @@
         let mut open = Candidates::idle(&pool);
         self.count_requests(&mut open);
         self.close(&mut open, bounds, max_open, now_ms);
+        open.change(tried.kept.into_iter(), exclude);
         self.mark_cache_sources(&mut open, service, now_ms);
         let mut candidates = open.clone();
         for relaxation in RELAXATIONS {
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -58,6 +58,7 @@
     let tried = Tried {
         upstreams: &[],
         may_repeat: false,
+        kept: None,
     };
     let (_, candidates) = state.pool("s", &tried, Bounds::default(), u32::MAX, 1);
     candidates.iter().filter(|c| !c.excluded).count()
@@ -177,6 +178,7 @@
         let tried = Tried {
             upstreams: &[],
             may_repeat: false,
+            kept: None,
         };
         let (_, candidates) = state.pool("s", &tried, Bounds::default(), u32::MAX, now_ms);
         candidates.iter().filter(|c| !c.excluded).count()
@@ -231,6 +233,7 @@
             let tried_before = Tried {
                 upstreams: &tried,
                 may_repeat: false,
+                kept: None,
             };
             let (pool, candidates) =
                 state.pool("s", &tried_before, Bounds::default(), u32::MAX, now_ms);
@@ -395,6 +398,7 @@
     let tried = Tried {
         upstreams: &[],
         may_repeat: false,
+        kept: None,
     };
     let open = |regions: &[&AllowedRegions]| {
         let origin = None;
@@ -443,6 +447,7 @@
     let tried = Tried {
         upstreams: &[id(11)],
         may_repeat: false,
+        kept: None,
     };
     let (pool, candidates) = state.pool("large", &tried, Bounds::default(), 3, 2);
     assert_eq!(candidates.len(), UPSTREAMS as usize);
@@ -492,6 +497,7 @@
         let tried = Tried {
             upstreams: &tried_upstreams,
             may_repeat: true,
+            kept: None,
         };
         let origin = origin.origin();
         let bounds = Bounds {
@@ -534,6 +540,7 @@
     let tried = Tried {
         upstreams: &[],
         may_repeat: true,
+        kept: None,
     };
     let bounds = Bounds {
         origin: Some(&origin),
