No only version is concluded for services to or from which a route was moved lately

A stream that began before an operator moved its route would go on at the other service. Keepers are told of the streams of both for as long as streams last.

--- a/src/path/routes.rs
+++ b/src/path/routes.rs
@@ -301,6 +301,20 @@
         &self.split_streams
     }
 
+    /// Services of the routes of resumable streams, by host and path prefix.
+    pub(crate) fn stream_targets(&self) -> HashMap<(Name, Name), Vec<Name>> {
+        let hosts = self.routes.iter();
+        let all = hosts.flat_map(|(host, routes)| routes.iter().map(move |r| (host, r)));
+        let resumable = Repeat::Stream { resumable: true };
+        let streams = all.filter(|(_, route)| route.repeat == resumable);
+        let targets = streams.map(|(host, route)| {
+            let services = route.targets.iter().map(|t| t.service.clone());
+            let key = (host.clone(), route.path_prefix.clone());
+            (key, services.collect())
+        });
+        targets.collect()
+    }
+
     /// Whether requests need a key at all.
     pub fn requires_keys(&self) -> bool {
         self.has_accounts
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -19,11 +19,14 @@
 //! of streams, so a router connects to at most 32 of them; at 985 routers that begin a stream a second
 //! each, a keeper is told of 123 a second and keeps 15,000.
 
+mod moves;
 mod table;
 
 #[cfg(test)]
 mod message_tests;
 #[cfg(test)]
+mod moves_tests;
+#[cfg(test)]
 mod table_tests;
 
 use std::cell::RefCell;
@@ -39,6 +42,7 @@
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
 use crate::path::routes::Route;
+use crate::path::stream_origins::moves::Moves;
 use crate::path::stream_origins::table::OriginTable;
 use crate::path::versions;
 use crate::peers::ORIGIN;
@@ -75,6 +79,7 @@
     /// Services of whose streams keepers were told when that was last determined.
     told: RefCell<HashSet<Name>>,
     keepers: RefCell<Keepers>,
+    moves: RefCell<Moves>,
 }
 
 /// The keepers of each group of streams.
@@ -171,6 +176,7 @@
 /// The only version of `service`. Whether no other one can be missing here is decided by the state of
 /// this router, unless a router that knows all versions has just told them.
 fn only<D: Records>(path: &RequestPath<D>, service: Option<&Name>, is_told: bool) -> Found {
+    let service = service.filter(|service| !path.origins.moves.borrow().contains(service));
     let Some(service) = service.filter(|_| is_told || versions::is_current(path)) else {
         return Found::Unknown;
     };
@@ -263,7 +269,12 @@
     let now_ms = path.clock.now_ms();
     let mixed = path.versions.mixed(now_ms).into_iter();
     let mut told: HashSet<Name> = mixed.map(|m| m.service).collect();
-    told.extend(path.state.deployment().split_streams().iter().cloned());
+    let deployment = path.state.deployment();
+    let mut moves = path.origins.moves.borrow_mut();
+    moves.update(&deployment, now_ms);
+    told.extend(moves.services().cloned());
+    drop(moves);
+    told.extend(deployment.split_streams().iter().cloned());
     let before = path.origins.told.replace(told.clone());
     if told.is_empty() && before.is_empty() {
         return;
@@ -305,7 +316,8 @@
 }
 
 fn is_split<D>(path: &RequestPath<D>, service: &Name) -> bool {
-    path.state.deployment().split_streams().contains(service)
+    let is_moved = path.origins.moves.borrow().contains(service);
+    is_moved || path.state.deployment().split_streams().contains(service)
 }
 
 /// Tells the keepers of these streams that they began at `origin`, without waiting.
