--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -1,6 +1,5 @@
 //! Validates requests beyond what the HTTP parser checks, in the same way for all callers.
 
-use std::error::Error;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -78,25 +77,26 @@
     if declared_length(headers).is_some_and(|bytes| bytes > max_bytes as u64) {
         return TooLargeSnafu { max_bytes }.fail();
     }
-    let collected = collect(Limited::new(body, max_bytes));
-    let Ok(result) = compio::time::timeout(timeout, collected).await else {
+    let collected = compio::time::timeout(timeout, collect(body, max_bytes)).await;
+    collected.unwrap_or_else(|_| {
         let timeout_ms = timeout.as_millis();
-        return TooSlowSnafu { timeout_ms }.fail();
-    };
-    result.map_err(|e| {
-        if e.is::<LengthLimitError>() {
-            return RequestError::TooLarge { max_bytes };
-        }
-        let detail = e.to_string();
-        RequestError::Broken { detail }
+        TooSlowSnafu { timeout_ms }.fail()
     })
 }
 
 /// Copies a body into one buffer. A list of its pieces could take dozens of times the size of a body
 /// that arrives in chunks of one byte.
-async fn collect(mut body: Limited<&mut Incoming>) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+async fn collect(body: &mut Incoming, max_bytes: usize) -> Result<Bytes, RequestError> {
+    let mut body = Limited::new(body, max_bytes);
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| {
+            if e.is::<LengthLimitError>() {
+                return RequestError::TooLarge { max_bytes };
+            }
+            let detail = e.to_string();
+            RequestError::Broken { detail }
+        });
         if let Ok(data) = frame?.into_data() {
             bytes.extend_from_slice(&data);
         }
