--- a/src/decide/versions.rs
+++ b/src/decide/versions.rs
@@ -71,14 +71,14 @@
     /// let mut history = VersionHistory::default();
     /// for now_ms in (0..=WINDOW_MS).step_by(1_000) {
     ///     assert_eq!(history.only("s", now_ms), None);
-    ///     history.record_look(now_ms);
+    ///     history.record_refresh(now_ms);
     ///     history.record_listed(&"s".into(), Some(&"v1".into()), now_ms);
     /// }
     /// assert_eq!(history.only("s", WINDOW_MS), Some(Some("v1".into())));
     /// history.record_listed(&"s".into(), Some(&"v2".into()), WINDOW_MS);
     /// assert_eq!(history.only("s", WINDOW_MS), None);
     /// ```
-    pub fn record_look(&mut self, now_ms: u64) {
+    pub fn record_refresh(&mut self, now_ms: u64) {
         self.reach_back(0, now_ms);
         let oldest_ms = before(now_ms, WINDOW_MS);
         self.services.retain(|_, service| {
--- a/src/decide/versions_tests.rs
+++ b/src/decide/versions_tests.rs
@@ -9,8 +9,8 @@
     text.into()
 }
 
-fn look(history: &mut VersionHistory, listed: &[&str], now_ms: u64) {
-    history.record_look(now_ms);
+fn refresh(history: &mut VersionHistory, listed: &[&str], now_ms: u64) {
+    history.record_refresh(now_ms);
     for software in listed {
         history.record_listed(&name("s"), Some(&name(software)), now_ms);
     }
@@ -20,7 +20,7 @@
 fn look_for(history: &mut VersionHistory, listed: &[&str], from_ms: u64, for_ms: u64) -> u64 {
     let until_ms = from_ms + for_ms;
     for now_ms in (from_ms..=until_ms).step_by(STEP_MS as usize) {
-        look(history, listed, now_ms);
+        refresh(history, listed, now_ms);
     }
     until_ms
 }
@@ -52,9 +52,9 @@
         WINDOW_MS - 2 * STEP_MS,
     );
     assert_eq!(only(&history, now_ms), None);
-    look(&mut history, &["v2"], removed_ms + WINDOW_MS - 1);
+    refresh(&mut history, &["v2"], removed_ms + WINDOW_MS - 1);
     assert_eq!(only(&history, removed_ms + WINDOW_MS - 1), None);
-    look(&mut history, &["v2"], removed_ms + WINDOW_MS);
+    refresh(&mut history, &["v2"], removed_ms + WINDOW_MS);
     assert_eq!(
         only(&history, removed_ms + WINDOW_MS).as_deref(),
         Some("v2")
@@ -76,7 +76,7 @@
 fn missing_version_is_a_version_of_its_own() {
     let mut history = VersionHistory::default();
     history.complete(1);
-    history.record_look(1);
+    history.record_refresh(1);
     history.record_listed(&name("s"), None, 1);
     assert_eq!(history.only("s", 1), Some(None));
     history.record_listed(&name("s"), Some(&name("v1")), 1);
@@ -99,7 +99,7 @@
     let mut history = VersionHistory::default();
     let now_ms = look_for(&mut history, &["v1"], 1, WINDOW_MS) + pause_ms;
     assert_eq!(history.is_complete(now_ms), is_complete);
-    look(&mut history, &["v1"], now_ms);
+    refresh(&mut history, &["v1"], now_ms);
     assert_eq!(history.is_complete(now_ms), is_complete);
 }
 
@@ -109,7 +109,7 @@
     let mut peer = VersionHistory::default();
     let peer_ms = look_for(&mut peer, &["v1"], 50_000, WINDOW_MS);
     let mut history = VersionHistory::default();
-    look(&mut history, &["v1"], 500);
+    refresh(&mut history, &["v1"], 500);
     history.merge(&peer.report(peer_ms), 500);
     assert_eq!(only(&history, 500).as_deref(), Some("v1"));
 }
@@ -122,11 +122,11 @@
         listings: vec![listing("v1", WINDOW_MS - 1_000), listing("v2", 0)],
     };
     let mut history = VersionHistory::default();
-    look(&mut history, &["v2"], 500);
+    refresh(&mut history, &["v2"], 500);
     history.merge(&report, 500);
     assert!(history.is_complete(500));
     assert_eq!(only(&history, 500), None);
-    look(&mut history, &["v2"], 1_500);
+    refresh(&mut history, &["v2"], 1_500);
     assert_eq!(only(&history, 1_500).as_deref(), Some("v2"));
 }
 
@@ -138,7 +138,7 @@
     let report = peer.report_of("s", peer_ms);
     assert_eq!(report.reach_ms, 30_000);
     let mut history = VersionHistory::default();
-    look(&mut history, &["v1"], 500);
+    refresh(&mut history, &["v1"], 500);
     history.merge(&report, 500);
     assert!(!history.is_complete(500));
 }
@@ -151,14 +151,14 @@
         listings: vec![listing("v1", 0)],
     };
     let mut history = VersionHistory::default();
-    look(&mut history, &["v1"], 500);
+    refresh(&mut history, &["v1"], 500);
     history.record_listed(&name("t"), None, 500);
     history.merge_service("s", &report, 500);
     assert_eq!(only(&history, 500).as_deref(), Some("v1"));
     assert_eq!(history.only("t", 500), None);
     assert!(!history.is_complete(500));
     let late_ms = 500 + MAX_GAP_MS + 1;
-    look(&mut history, &["v1"], late_ms);
+    refresh(&mut history, &["v1"], late_ms);
     assert_eq!(only(&history, late_ms), None);
 }
 
@@ -191,9 +191,9 @@
 #[test]
 fn mixed_services_have_several_versions() {
     let mut history = VersionHistory::default();
-    look(&mut history, &["v1"], 1);
+    refresh(&mut history, &["v1"], 1);
     assert_eq!(history.mixed(1).count(), 0);
-    look(&mut history, &["v1", "v2"], 2);
+    refresh(&mut history, &["v1", "v2"], 2);
     let mixed: Vec<&Name> = history.mixed(2).collect();
     assert_eq!(mixed, [&name("s")]);
 }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -308,7 +308,7 @@
         path.state.exchange_leaving(&path.fleet.borrow().leaving);
         path.state.eject_failing(path.clock.now_ms());
         path.assign_cold();
-        versions::look_and_store(&path);
+        versions::refresh_and_store(&path);
         stream_origins::share_in_progress(&path);
         if publishes.is_multiple_of(PUBLISHES_PER_SWEEP) {
             path.connections.sweep(|id| path.state.has_upstream(id));
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -76,8 +76,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamOrigins {
     table: RefCell<OriginTable>,
-    /// Services of whose streams keepers were told when that was last determined.
-    told: RefCell<HashSet<Name>>,
+    /// Services whose streams were shared with keepers when that was last determined.
+    shared: RefCell<HashSet<Name>>,
     keepers: RefCell<Keepers>,
     moves: RefCell<Moves>,
 }
@@ -122,9 +122,9 @@
     }
 }
 
-/// What a round of queries told.
+/// Result of a round of queries.
 #[derive(Default)]
-struct Told {
+struct QueryResult {
     origin: Option<Origin>,
     /// Whether a router answered that knows all versions.
     is_whole: bool,
@@ -137,7 +137,7 @@
     request_id: Option<&str>,
     route: &Route,
 ) -> Found {
-    versions::look(path);
+    versions::refresh(path);
     let service = only_service(route);
     let found = match request_id {
         Some(id) => find_by_id(path, digest(id), service).await,
@@ -160,12 +160,12 @@
     let (keepers, more) = addrs.split_at(addrs.len().min(KEEPERS));
     // A version that was listed a moment ago may not be known here, but its streams' keepers know it.
     for round in [keepers, more] {
-        let told = ask(path, round, stream, service).await;
-        if let Some(origin) = told.origin {
+        let result = ask(path, round, stream, service).await;
+        if let Some(origin) = result.origin {
             keep(path, stream, &origin);
             return Found::Origin(origin);
         }
-        let only = only(path, service, told.is_whole);
+        let only = only(path, service, result.is_whole);
         if only != Found::Unknown {
             return only;
         }
@@ -174,10 +174,10 @@
 }
 
 /// The only version of `service`. Whether no other one can be missing here is decided by the state of
-/// this router, unless a router that knows all versions has just told them.
-fn only<D: Records>(path: &RequestPath<D>, service: Option<&Name>, is_told: bool) -> Found {
+/// this router, unless a router that knows all versions has just reported them.
+fn only<D: Records>(path: &RequestPath<D>, service: Option<&Name>, is_confirmed: bool) -> Found {
     let service = service.filter(|service| !path.origins.moves.borrow().contains(service));
-    let Some(service) = service.filter(|_| is_told || versions::is_current(path)) else {
+    let Some(service) = service.filter(|_| is_confirmed || versions::is_current(path)) else {
         return Found::Unknown;
     };
     match path.versions.only(service, path.clock.now_ms()) {
@@ -204,7 +204,7 @@
     addrs: &[Name],
     stream: u64,
     service: Option<&Name>,
-) -> Told {
+) -> QueryResult {
     let question = OriginRequest {
         streams: vec![stream],
         origin: None,
@@ -212,24 +212,24 @@
     };
     let queries = addrs.iter().map(|addr| query(path, addr, &question));
     let mut queries: FuturesUnordered<_> = queries.collect();
-    let mut told = Told::default();
+    let mut result = QueryResult::default();
     let round = async {
         while let Some(reply) = queries.next().await {
             let Some(reply) = reply else { continue };
             if let Some(origin) = reply.origin {
-                told.origin = Some(origin.into());
+                result.origin = Some(origin.into());
                 return;
             }
             let report = reply.versions.unwrap_or_default();
-            told.is_whole |= versions::is_whole(&report);
+            result.is_whole |= versions::is_whole(&report);
             let now_ms = path.clock.now_ms();
             path.versions
                 .merge_service(&question.service, report, now_ms);
         }
     };
-    // What was told until the time limit counts.
+    // What arrived before the time limit counts.
     let _ = compio::time::timeout(ROUND_LIMIT, round).await;
-    told
+    result
 }
 
 async fn query<D>(
@@ -263,30 +263,30 @@
     }
 }
 
-/// Tells the keepers of this router's streams in progress where these began, if it has not told them: when
+/// Tells the keepers of this router's streams in progress where these began, unless it has: when
 /// a service gets a second version or a common route with another service, and when a keeper is new.
 pub(crate) fn share_in_progress<D: Records>(path: &Rc<RequestPath<D>>) {
     let now_ms = path.clock.now_ms();
     let mixed = path.versions.mixed(now_ms).into_iter();
-    let mut told: HashSet<Name> = mixed.map(|m| m.service).collect();
+    let mut shared: HashSet<Name> = mixed.map(|m| m.service).collect();
     let deployment = path.state.deployment();
     let mut moves = path.origins.moves.borrow_mut();
     moves.update(&deployment, now_ms);
-    told.extend(moves.services().cloned());
+    shared.extend(moves.services().cloned());
     drop(moves);
-    told.extend(deployment.split_streams().iter().cloned());
-    let before = path.origins.told.replace(told.clone());
-    if told.is_empty() && before.is_empty() {
+    shared.extend(deployment.split_streams().iter().cloned());
+    let before = path.origins.shared.replace(shared.clone());
+    if shared.is_empty() && before.is_empty() {
         return;
     }
-    log_told(&before, &told);
+    log_shared(&before, &shared);
     let groups = new_keepers(path, now_ms);
-    if groups.is_empty() && told.is_subset(&before) {
+    if groups.is_empty() && shared.is_subset(&before) {
         return;
     }
     let is_wanted = |service: &Name, stream| {
         let is_new = !before.contains(service) || groups.contains(&group(stream));
-        told.contains(service) && is_new
+        shared.contains(service) && is_new
     };
     let own = path.origins.table.borrow_mut().own(is_wanted, now_ms);
     for (origin, streams) in own {
@@ -294,11 +294,11 @@
     }
 }
 
-fn log_told(before: &HashSet<Name>, told: &HashSet<Name>) {
-    for service in before.difference(told) {
+fn log_shared(before: &HashSet<Name>, shared: &HashSet<Name>) {
+    for service in before.difference(shared) {
         log::info!(service:%; "its streams in progress all began at one version");
     }
-    for service in told.difference(before) {
+    for service in shared.difference(before) {
         log::info!(service:%; "its streams in progress may have begun at several versions or services");
     }
 }
--- a/src/path/versions.rs
+++ b/src/path/versions.rs
@@ -53,9 +53,9 @@
 
 impl ServiceVersions {
     /// Records the versions of the listed upstreams.
-    pub(super) fn look(&self, state: &RouterState, now_ms: u64) {
+    pub(super) fn refresh(&self, state: &RouterState, now_ms: u64) {
         let mut history = self.history.borrow_mut();
-        history.record_look(now_ms);
+        history.record_refresh(now_ms);
         state.for_each_version(|service, software| {
             history.record_listed(service, software, now_ms);
         });
@@ -156,7 +156,7 @@
 }
 
 impl From<Listing> for VersionState {
-    /// Just after a look at the listed versions, those have no age.
+    /// Just after a refresh of the listed versions, those have no age.
     fn from(listing: Listing) -> Self {
         Self {
             software: listing.software,
@@ -196,17 +196,17 @@
 }
 
 /// Looks at the listed versions, once they are known.
-pub(crate) fn look<D: Records>(path: &RequestPath<D>) {
+pub(crate) fn refresh<D: Records>(path: &RequestPath<D>) {
     if path.replica.is_loaded() {
-        path.versions.look(&path.state, path.clock.now_ms());
+        path.versions.refresh(&path.state, path.clock.now_ms());
     }
 }
 
 /// Looks at the listed versions, and has those stored that have changed if this router reads the
 /// platform's log for the others.
-pub(crate) fn look_and_store<D: Records>(path: &RequestPath<D>) {
+pub(crate) fn refresh_and_store<D: Records>(path: &RequestPath<D>) {
     let now_ms = path.clock.now_ms();
-    look(path);
+    refresh(path);
     if path.is_reader() {
         let era = *path.replica.era().borrow();
         path.versions.store_changed(era, now_ms);
@@ -215,13 +215,13 @@
 
 /// The versions of all services, for a router that has started.
 pub(crate) fn report<D: Records>(path: &RequestPath<D>) -> VersionReport {
-    look(path);
+    refresh(path);
     as_message(path, path.versions.report(path.clock.now_ms()))
 }
 
 /// The versions of `service`, for a router that is to resume a stream.
 pub(crate) fn report_of<D: Records>(path: &RequestPath<D>, service: &str) -> VersionReport {
-    look(path);
+    refresh(path);
     as_message(path, path.versions.report_of(service, path.clock.now_ms()))
 }
 
--- a/src/path/versions_tests.rs
+++ b/src/path/versions_tests.rs
@@ -56,9 +56,9 @@
 
     /// Looks at the upstreams a second later, and returns the versions that are stored and whether each of
     /// them is listed.
-    fn look(&mut self, era: u64) -> Option<Vec<(String, bool)>> {
+    fn refresh(&mut self, era: u64) -> Option<Vec<(String, bool)>> {
         self.now_ms += 1_000;
-        self.versions.look(&self.state, self.now_ms);
+        self.versions.refresh(&self.state, self.now_ms);
         self.versions.store_changed(era, self.now_ms);
         let stored = self.stored.try_recv().ok()?;
         let name = |software: Option<crate::util::Name>| {
@@ -85,18 +85,24 @@
     let mut fixture = Fixture::open(8);
     fixture.put("i-1", Some("v1"));
     fixture.put("i-2", Some("v1"));
-    assert_eq!(fixture.look(ERA), None);
+    assert_eq!(fixture.refresh(ERA), None);
     fixture.put("i-3", Some("v2"));
-    assert_eq!(fixture.look(ERA), versions(&[("v1", true), ("v2", true)]));
-    assert_eq!(fixture.look(ERA), None);
+    assert_eq!(
+        fixture.refresh(ERA),
+        versions(&[("v1", true), ("v2", true)])
+    );
+    assert_eq!(fixture.refresh(ERA), None);
     fixture.remove("i-1");
-    assert_eq!(fixture.look(ERA), None);
+    assert_eq!(fixture.refresh(ERA), None);
     fixture.remove("i-2");
-    assert_eq!(fixture.look(ERA), versions(&[("v1", false), ("v2", true)]));
-    assert_eq!(fixture.look(ERA), None);
+    assert_eq!(
+        fixture.refresh(ERA),
+        versions(&[("v1", false), ("v2", true)])
+    );
+    assert_eq!(fixture.refresh(ERA), None);
     fixture.put("i-3", None);
     let all = [("none", true), ("v1", false), ("v2", false)];
-    assert_eq!(fixture.look(ERA), versions(&all));
+    assert_eq!(fixture.refresh(ERA), versions(&all));
 }
 
 /// The log is restored from a copy that lacks the record, and then all routers restart.
@@ -106,9 +112,9 @@
     fixture.put("i-1", Some("v1"));
     fixture.put("i-2", Some("v2"));
     let both = versions(&[("v1", true), ("v2", true)]);
-    assert_eq!(fixture.look(ERA), both);
-    assert_eq!(fixture.look(ERA + 1), both);
-    assert_eq!(fixture.look(ERA + 1), None);
+    assert_eq!(fixture.refresh(ERA), both);
+    assert_eq!(fixture.refresh(ERA + 1), both);
+    assert_eq!(fixture.refresh(ERA + 1), None);
 }
 
 /// More services change than may wait to be written. A change that found no room would be missing after a
@@ -118,11 +124,14 @@
     let mut fixture = Fixture::open(1);
     fixture.put("i-1", Some("v1"));
     fixture.put("i-2", Some("v2"));
-    fixture.versions.look(&fixture.state, 1);
+    fixture.versions.refresh(&fixture.state, 1);
     fixture.versions.store_changed(ERA, 1);
     fixture.remove("i-1");
-    fixture.versions.look(&fixture.state, 2);
+    fixture.versions.refresh(&fixture.state, 2);
     fixture.versions.store_changed(ERA, 2);
     fixture.stored.try_recv().unwrap();
-    assert_eq!(fixture.look(ERA), versions(&[("v1", false), ("v2", true)]));
+    assert_eq!(
+        fixture.refresh(ERA),
+        versions(&[("v1", false), ("v2", true)])
+    );
 }
