--- a/src/path/attempts/calls.rs
+++ b/src/path/attempts/calls.rs
@@ -6,7 +6,7 @@
 
 use crate::event::Kind;
 use crate::path::attempts::choice::Choice;
-use crate::path::attempts::{Attempts, RequestContext};
+use crate::path::attempts::{Attempts, MIN_REMAINING, RequestContext};
 use crate::path::call::{BufferedReply, Call, CallError, FailureKind, Reply, UpstreamClient};
 use crate::path::dialect::{CallHead, Dialect, Records};
 use crate::path::upstreams::Upstream;
@@ -16,6 +16,9 @@
 const ATTEMPT_TIMEOUT_FACTOR: u64 = 2;
 /// Lower bound of that time.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Share of the latency objective that must be left for another attempt. Most answers take far less than the
+/// whole objective.
+const NEEDED_SHARE: f64 = 0.25;
 /// Lowest priority that upstreams accept.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -74,7 +77,8 @@
             service,
             ..
         } = &self.context;
-        let may_try = self.remaining() >= Duration::from_millis(route.objective_ms)
+        let needed = Duration::from_millis(route.objective_ms).mul_f64(NEEDED_SHARE);
+        let may_try = self.remaining() >= needed.max(MIN_REMAINING)
             && upstreams.may_decide()
             && !path.state.is_cut_off(service)
             && self.quarantine_ms().is_none()
--- a/tests/routed_silence.rs
+++ b/tests/routed_silence.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::{join, join_all};
 use serde_json::json;
-use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
+use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id, route};
 use support::{Caller, Received, set_knobs, sleep_ms};
 use test_case::test_case;
 
@@ -212,6 +212,27 @@
     assert_none_failed(&routed, &failed, REQUESTS).await;
 }
 
+/// An upstream never answers, and its calls are given up when half of the objective is left. A router that
+/// demands the whole objective for another attempt fails requests that others answer in milliseconds.
+#[compio::test]
+async fn request_with_little_time_left_is_answered_elsewhere() {
+    const COUNT: usize = 6;
+    let mut routed = start(2).await;
+    let limits = json!({ "timeout_ms": 3_000, "target_latency_ms": 1_200 });
+    let routes = json!([
+        route("get", "idempotent", json!({})),
+        route("tight", "idempotent", limits)
+    ]);
+    routed.configure(json!({ "routes": routes })).await;
+    routed.wait_status(0, "/tight/1", 200).await;
+    let silent = json!({ "spoil": "silent", "spoilt": 100 });
+    set_knobs(routed.upstreams[0].addr, &silent).await;
+    let router = routed.caller(0);
+    let answers = join_all((0..COUNT).map(|_| send(router, "/tight/1", "1", 3_000))).await;
+    let failed: Vec<&Answer> = answers.iter().filter(|a| a.status() != 200).collect();
+    assert_none_failed(&routed, &failed, COUNT).await;
+}
+
 /// An upstream falls silent for good in mid stream. A router that only waits for it loses the caller,
 /// who gives up after a while without an event.
 #[compio::test]
