--- a/src/decide/versions.rs
+++ b/src/decide/versions.rs
@@ -69,11 +69,12 @@
     /// ```
     /// use cassiagrade::decide::versions::{VersionHistory, WINDOW_MS};
     /// let mut history = VersionHistory::default();
-    /// for now_ms in (0..=WINDOW_MS).step_by(1_000) {
+    /// for now_ms in (0..WINDOW_MS).step_by(1_000) {
     ///     assert_eq!(history.only("s", now_ms), None);
     ///     history.record_refresh(now_ms);
     ///     history.record_listed(&"s".into(), Some(&"v1".into()), now_ms);
     /// }
+    /// history.record_refresh(WINDOW_MS);
     /// assert_eq!(history.only("s", WINDOW_MS), Some(Some("v1".into())));
     /// history.record_listed(&"s".into(), Some(&"v2".into()), WINDOW_MS);
     /// assert_eq!(history.only("s", WINDOW_MS), None);
