Requests that end with their connection or with the process are named in the log

What callers saw: two streams ended around a SIGTERM, and no line of the router that took them named either: a stop logged only how many were in flight, a handler dropped with its connection logged nothing. Each request in flight is now kept with its id and how far it has come (reading, waiting, sent, answering). One that ends with its connection, or whose complete answer was never flushed, gives a request_cancelled line; one that the exit of the process cuts gives a request_cut line; "leaving" and "refusing" name up to 20. Delegated requests are named at the router that received them, too. Metric: requests_unanswered_total by stage.

--- a/src/front/body.rs
+++ b/src/front/body.rs
@@ -23,6 +23,11 @@
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
         Self::Whole(Some(bytes.into()))
     }
+
+    /// Whether a task still sends chunks of this body.
+    pub(crate) fn has_sender(&self) -> bool {
+        matches!(self, Self::Stream(rx) if !rx.is_closed())
+    }
 }
 
 impl Body for Answer {
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -16,6 +16,7 @@
 use crate::front::body::Answer;
 use crate::front::drain::Unflushed;
 use crate::front::head_clock::HeadClock;
+use crate::front::in_flight::{ConnectionEnd, Tracker};
 use crate::front::paced::PacedStream;
 use crate::stats;
 
@@ -39,24 +40,27 @@
     pub(crate) blocked_time: Duration,
 }
 
-/// Serves `stream` until its caller disconnects or stalls; `handle` answers one request.
+/// Serves `stream` until its caller disconnects or stalls; `handle` answers one request, and records how far
+/// it has come.
 pub(crate) async fn serve<F, Fut>(stream: TcpStream, bounds: Bounds, drain: Drain, handle: F)
 where
-    F: Fn(Request<Incoming>) -> Fut,
+    F: Fn(Request<Incoming>, Tracker) -> Fut,
     Fut: Future<Output = Response<Answer>>,
 {
     stats::connection_opened();
     let head_clock = HeadClock::new(bounds.head_time);
     let clock = head_clock.clone();
     let unflushed = Unflushed::default();
+    let end = ConnectionEnd::default();
+    let begun_on = end.clone();
     let stream = PacedStream::new(stream, head_clock.clone(), unflushed.clone());
     let service = service_fn(move |request| {
         clock.head_complete();
-        let answer = handle(request);
+        let in_flight = drain.begin(&begun_on);
+        let answer = handle(request, in_flight.tracker());
         let (drain, clock) = (drain.clone(), clock.clone());
         let unflushed = unflushed.clone();
         async move {
-            let in_flight = drain.begin();
             let mut response = answer.await;
             drain.close_if_stopping(&mut response);
             clock.response_started();
@@ -79,9 +83,15 @@
         }
     };
     match select(pin!(served), pin!(stalled)).await {
-        Either::Left((Err(e), _)) => log::debug!("caller's connection ended: {e}"),
+        Either::Left((Err(e), _)) => {
+            if !e.is_incomplete_message() {
+                end.set("the caller's connection failed");
+            }
+            log::debug!("caller's connection ended: {e}");
+        }
         Either::Left((Ok(()), _)) => {}
         Either::Right((why, _)) => {
+            end.set(why);
             stats::caller_cut();
             log::info!("caller's connection cut: {why}");
         }
--- a/src/front/drain.rs
+++ b/src/front/drain.rs
@@ -15,6 +15,10 @@
 use http_body::{Body, Frame, SizeHint};
 use strum::IntoStaticStr;
 
+use crate::event::Events;
+use crate::front::body::Answer;
+use crate::front::in_flight::{ConnectionEnd, InFlight, Requests, Stage};
+
 /// Interval between checks whether requests are in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for the kernel to send the last bytes after the last request was counted as finished.
@@ -34,36 +38,41 @@
 }
 
 /// Drain state, shared by the tasks that accept work.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct Drain {
     phase: Rc<Cell<Phase>>,
-    in_flight: Rc<Cell<usize>>,
+    requests: Requests,
 }
 
-/// Counts a request as in flight until dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight(Rc<Cell<usize>>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+impl Drain {
+    /// Creates the state of a router that serves. Requests that end without a whole answer are reported to
+    /// `events`.
+    pub(crate) fn new(events: Events) -> Self {
+        Self {
+            phase: Rc::default(),
+            requests: Requests::new(events),
+        }
     }
-}
 
-impl Drain {
-    pub(crate) fn begin(&self) -> InFlight {
-        self.in_flight.set(self.in_flight.get() + 1);
-        InFlight(self.in_flight.clone())
+    /// Counts a request that arrived on the connection of `connection`.
+    pub(crate) fn begin(&self, connection: &ConnectionEnd) -> InFlight {
+        self.requests.begin(connection)
     }
 
     pub(crate) fn in_flight(&self) -> usize {
-        self.in_flight.get()
+        self.requests.len()
     }
 
     pub(crate) fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         let name: &'static str = phase.into();
-        log::info!("{name}, {} in flight", self.in_flight());
+        let (count, named) = (self.in_flight(), self.requests.describe());
+        log::info!(requests = named; "{name}, {count} in flight");
+    }
+
+    /// Reports each request that is still in flight as cut by the end of this process.
+    pub(crate) fn report_stop(&self) {
+        self.requests.report_stop();
     }
 
     /// Waits until no request is in flight and none arrives while the last bytes are sent, for at
@@ -100,26 +109,26 @@
 
 impl InFlight {
     /// Counts `response` as in flight until its body is dropped.
-    pub(crate) fn track<B>(self, response: Response<B>) -> Response<Tracked<B, Self>> {
-        response.map(|body| Tracked {
-            body,
-            _in_flight: self,
-        })
+    pub(crate) fn track(self, response: Response<Answer>) -> Response<Tracked> {
+        self.wrap(response, None)
     }
 
     /// Counts `response` as in flight until its body is dropped and then flushed.
-    pub(crate) fn track_until_flushed<B>(
+    pub(crate) fn track_until_flushed(
         self,
-        response: Response<B>,
+        response: Response<Answer>,
         unflushed: &Unflushed,
-    ) -> Response<Tracked<B, UntilFlushed>> {
-        let in_flight = UntilFlushed {
-            in_flight: Some(self),
-            unflushed: unflushed.clone(),
-        };
+    ) -> Response<Tracked> {
+        self.wrap(response, Some(unflushed.clone()))
+    }
+
+    fn wrap(self, response: Response<Answer>, unflushed: Option<Unflushed>) -> Response<Tracked> {
+        self.tracker().set_stage(Stage::Answering);
         response.map(|body| Tracked {
             body,
-            _in_flight: in_flight,
+            is_passed_on: false,
+            in_flight: Some(self),
+            unflushed,
         })
     }
 }
@@ -134,38 +143,52 @@
 impl Unflushed {
     /// Records that everything written to the connection was passed to the kernel.
     pub(crate) fn flushed(&self) {
-        self.0.borrow_mut().clear();
+        for answered in self.0.take() {
+            answered.tracker().settle();
+        }
     }
 }
 
-/// Counts a request as in flight until the connection is flushed after this is dropped.
-pub(crate) struct UntilFlushed {
+/// Response body that counts as in flight.
+pub(crate) struct Tracked {
+    body: Answer,
+    /// Whether the whole body was passed on, or an error that its sender reports.
+    is_passed_on: bool,
     in_flight: Option<InFlight>,
-    unflushed: Unflushed,
+    unflushed: Option<Unflushed>,
 }
 
-impl Drop for UntilFlushed {
+impl Drop for Tracked {
     fn drop(&mut self) {
-        let mut unflushed = self.unflushed.0.borrow_mut();
-        unflushed.extend(self.in_flight.take());
+        let Some(in_flight) = self.in_flight.take() else {
+            return;
+        };
+        if !self.is_passed_on && !self.body.is_end_stream() {
+            if self.body.has_sender() {
+                // The sender notices that nobody receives, and reports it.
+                in_flight.tracker().settle();
+            }
+            return;
+        }
+        match &self.unflushed {
+            Some(unflushed) => unflushed.0.borrow_mut().push(in_flight),
+            None => in_flight.tracker().settle(),
+        }
     }
 }
 
-/// Response body that counts as in flight.
-pub(crate) struct Tracked<B, F> {
-    body: B,
-    _in_flight: F,
-}
-
-impl<B: Body + Unpin, F: Unpin> Body for Tracked<B, F> {
-    type Data = B::Data;
-    type Error = B::Error;
+impl Body for Tracked {
+    type Data = <Answer as Body>::Data;
+    type Error = <Answer as Body>::Error;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        let this = self.get_mut();
+        let poll = Pin::new(&mut this.body).poll_frame(cx);
+        this.is_passed_on |= matches!(poll, Poll::Ready(None | Some(Err(_))));
+        poll
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/front/drain_tests.rs
+++ b/src/front/drain_tests.rs
@@ -4,23 +4,29 @@
 use std::time::Duration;
 
 use super::drain::Drain;
+use super::in_flight::ConnectionEnd;
+use crate::event::Events;
 
 /// Longer than a stop without requests takes.
 const LONGER: Duration = Duration::from_millis(500);
 const LIMIT: Duration = Duration::from_secs(30);
 
+fn drain() -> Drain {
+    Drain::new(Events::open("router".into(), "north".into(), None))
+}
+
 /// A request arrives after the last one was answered, just before the process exits, and ends
 /// without an answer.
 #[compio::test]
 async fn request_that_arrives_last_is_waited_for() {
-    let drain = Drain::default();
+    let drain = drain();
     let mut idle = pin!(drain.wait_until_idle(LIMIT));
     poll_fn(|cx| {
         assert!(idle.as_mut().poll(cx).is_pending());
         Poll::Ready(())
     })
     .await;
-    let last = drain.begin();
+    let last = drain.begin(&ConnectionEnd::default());
     let early = compio::time::timeout(LONGER, idle.as_mut()).await;
     assert!(early.is_err(), "{early:?} in flight at the end");
     drop(last);
@@ -30,7 +36,7 @@
 /// A request never ends: the process exits once the limit has passed.
 #[compio::test]
 async fn wait_ends_at_the_limit() {
-    let drain = Drain::default();
-    let _endless = drain.begin();
+    let drain = drain();
+    let _endless = drain.begin(&ConnectionEnd::default());
     assert_eq!(drain.wait_until_idle(LONGER).await, 1);
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod connection;
 pub(crate) mod drain;
 pub(crate) mod head_clock;
+pub(crate) mod in_flight;
 pub(crate) mod listen;
 pub(crate) mod paced;
 pub(crate) mod pages;
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -17,6 +17,7 @@
 use crate::decide::Origin;
 use crate::decide::refusal::Cause;
 use crate::event::Kind;
+use crate::front::in_flight::{Stage, Tracker};
 use crate::path::RequestPath;
 use crate::path::admission_queue::Permit;
 use crate::path::call::{BufferedReply, FailureKind, Reply};
@@ -58,6 +59,7 @@
     /// Set if another router delegated the request to this one, which then does not delegate it
     /// again.
     pub(crate) delegated: Option<Delegated>,
+    pub(crate) tracker: Tracker,
 }
 
 /// State of the attempts of a request.
@@ -249,6 +251,7 @@
             self.tried.push(upstream.id.clone());
             self.calling = Some(upstream.id.clone());
             self.is_sent.set(false);
+            self.context.tracker.set_stage(Stage::Sent);
             let called = self.call_or_replace(&choice, resume_after).await;
             self.calling = None;
             let failed = match called {
@@ -259,6 +262,7 @@
                 }
                 Err(failed) => failed,
             };
+            self.context.tracker.set_stage(Stage::Waiting);
             let now_ms = self.context.path.clock.now_ms();
             let state = &self.context.path.state;
             match failed.kind {
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -5,6 +5,7 @@
 use crate::decide::refusal::Cause;
 use crate::event::Kind;
 use crate::fleet::member::Member;
+use crate::front::in_flight::Stage;
 use crate::path::attempts::Attempts;
 use crate::path::call::Reply;
 use crate::path::delegate::{DelegatedAnswer, decode_answer, encode_headers};
@@ -100,8 +101,12 @@
         let request = self.delegated_request(resume_after);
         self.calling = Some(host.clone());
         self.is_sent.set(true);
+        self.context.tracker.set_stage(Stage::Sent);
         let delegation = self.send_to(router, &request).await;
         self.calling = None;
+        if !matches!(delegation, Delegation::Answered(_)) {
+            self.context.tracker.set_stage(Stage::Waiting);
+        }
         delegation
     }
 
--- a/src/path/callers.rs
+++ b/src/path/callers.rs
@@ -56,7 +56,7 @@
     set_keepalive(&stream, OtherEnd::Caller);
     let bounds = bounds(&path.state.deployment().limits);
     let drain = path.drain.clone();
-    let handle = move |request| request::handle(path.clone(), request);
+    let handle = move |request, tracker| request::handle(path.clone(), request, tracker);
     connection::serve(stream, bounds, drain, handle).await;
 }
 
--- a/src/path/delegate.rs
+++ b/src/path/delegate.rs
@@ -11,6 +11,7 @@
 use crate::decide::Origin;
 use crate::decide::refusal::{Cause, RunState};
 use crate::front::body::Answer;
+use crate::front::in_flight::Tracker;
 use crate::path::RequestPath;
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::refusal::Refused;
@@ -56,6 +57,7 @@
 pub(crate) async fn answer<D: Dialect + Records>(
     path: &Rc<RequestPath<D>>,
     body: Incoming,
+    tracker: Tracker,
 ) -> Response<Answer> {
     let Ok(body) = Limited::new(body, frames::MAX_FRAME_BYTES).collect().await else {
         return server::status(StatusCode::BAD_REQUEST);
@@ -67,7 +69,7 @@
             return server::status(StatusCode::BAD_REQUEST);
         }
     };
-    match request::handle_delegated(path.clone(), delegated).await {
+    match request::handle_delegated(path.clone(), delegated, tracker).await {
         Ok(mut response) => {
             let headers = response.headers_mut();
             headers.insert(FROM_UPSTREAM, HeaderValue::from_static("1"));
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -13,6 +13,7 @@
 use crate::fleet::gossip::GossipCommand;
 use crate::fleet::member::Member;
 use crate::front::body::Answer;
+use crate::front::in_flight::Tracker;
 use crate::path::RequestPath;
 use crate::path::catch_up;
 use crate::path::delegate;
@@ -56,7 +57,7 @@
 }
 
 impl<D: Dialect + Records> PeerHandler for Rc<RequestPath<D>> {
-    async fn answer(&self, path: &str, body: Incoming) -> Response<Answer> {
+    async fn answer(&self, path: &str, body: Incoming, tracker: Tracker) -> Response<Answer> {
         match path {
             LOG_SYNC => {
                 server::reply(LOG_SYNC, body, async |request: LogSyncRequest| {
@@ -82,7 +83,7 @@
                 })
                 .await
             }
-            DELEGATE => delegate::answer(self, body).await,
+            DELEGATE => delegate::answer(self, body, tracker).await,
             _ => server::status(StatusCode::NOT_FOUND),
         }
     }
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -17,6 +17,7 @@
 use crate::front::body::Answer;
 use crate::front::check::{self, RequestError};
 use crate::front::drain::Phase;
+use crate::front::in_flight::{Stage, Tracker};
 use crate::path::admission_queue::Permit;
 use crate::path::attempts::{Attempts, RequestContext};
 use crate::path::delegate::Delegated;
@@ -70,19 +71,22 @@
     started: Instant,
     caller_ms: u64,
     delegated: Option<Delegated>,
+    tracker: Tracker,
 }
 
 /// Handles one request.
 pub(crate) async fn handle<D: Dialect + Records>(
     path: Rc<RequestPath<D>>,
     request: Request<Incoming>,
+    tracker: Tracker,
 ) -> Response<Answer> {
     let (parts, mut body) = request.into_parts();
     let head = D::caller_head(&parts.headers);
     let request_id = head.request_id.clone();
+    tracker.set_id(request_id.as_deref());
     let waits_to_continue = check::waits_to_continue(&parts.headers);
     let mut tally = Tally::start();
-    match admit(path.clone(), parts, head, &mut body, &mut tally).await {
+    match admit(path.clone(), parts, head, &mut body, &mut tally, tracker).await {
         Ok(response) => response,
         Err(refused) => {
             record_refusal(&path.events, &refused, request_id.as_deref(), &mut tally);
@@ -102,15 +106,17 @@
 pub(crate) async fn handle_delegated<D: Dialect + Records>(
     path: Rc<RequestPath<D>>,
     received: Received,
+    tracker: Tracker,
 ) -> Result<Response<Answer>, Refused> {
     let request_id = received.head.request_id.clone();
+    tracker.set_id(request_id.as_deref());
     let events = path.events.clone();
     events.emit(Kind::RequestReceived, |e| {
         e.request_id = request_id.clone().unwrap_or_default();
         e.detail = format!("delegated by {}", received.from);
     });
     let mut tally = Tally::start();
-    let answered = admit_delegated(path, received, &mut tally).await;
+    let answered = admit_delegated(path, received, &mut tally, tracker).await;
     answered.inspect_err(|refused| {
         record_refusal(&events, refused, request_id.as_deref(), &mut tally);
     })
@@ -132,6 +138,7 @@
     head: CallerHead,
     body: &mut Incoming,
     tally: &mut Tally,
+    tracker: Tracker,
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
     let caller_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
@@ -157,6 +164,7 @@
         started,
         caller_ms,
         delegated: None,
+        tracker,
     };
     run(path, admitted, tally).await
 }
@@ -165,6 +173,7 @@
     path: Rc<RequestPath<D>>,
     received: Received,
     tally: &mut Tally,
+    tracker: Tracker,
 ) -> Result<Response<Answer>, Refused> {
     let started = Instant::now();
     let Received { parts, head, .. } = received;
@@ -194,6 +203,7 @@
         started,
         caller_ms,
         delegated: Some(received.delegated),
+        tracker,
     };
     run(path, admitted, tally).await
 }
@@ -312,7 +322,9 @@
         started,
         caller_ms,
         delegated,
+        tracker,
     } = admitted;
+    tracker.set_stage(Stage::Waiting);
     let fingerprint = fingerprint(account.as_deref(), &parts, &body);
     if let Some(left_ms) = path.state.quarantine_ms(fingerprint, path.clock.now_ms()) {
         return Err(Refused::not_run(Cause::Quarantined, left_ms, QUARANTINED));
@@ -339,6 +351,7 @@
         deadline,
         origin,
         delegated,
+        tracker,
     };
     let mut attempts = Attempts::new(context, permit);
     let answered = attempts.answer().await?;
--- a/src/path/stop.rs
+++ b/src/path/stop.rs
@@ -30,5 +30,6 @@
         .drain
         .wait_until_idle(limit.saturating_sub(started.elapsed()))
         .await;
+    path.drain.report_stop();
     log::info!("stopped, {left} in flight");
 }
--- a/src/peers/client_tests.rs
+++ b/src/peers/client_tests.rs
@@ -13,6 +13,7 @@
 use crate::event::Events;
 use crate::front::Drain;
 use crate::front::body::Answer;
+use crate::front::in_flight::Tracker;
 use crate::util::Name;
 
 const PIECE: &[u8] = &[0; 64 << 10];
@@ -24,7 +25,7 @@
 }
 
 impl PeerHandler for EndlessPeer {
-    async fn answer(&self, _path: &str, _body: Incoming) -> Response<Answer> {
+    async fn answer(&self, _path: &str, _body: Incoming, _: Tracker) -> Response<Answer> {
         let (tx, rx) = mpsc::channel::<io::Result<Bytes>>(1);
         let taken = self.taken.clone();
         compio::runtime::spawn(async move {
@@ -43,10 +44,12 @@
     let peer = EndlessPeer::default();
     let key: Name = "fleet-key-0123456789".into();
     let addr = "127.0.0.1:0".parse().unwrap();
-    let addr = server::bind(addr, key.clone(), Drain::default(), peer.clone())
+    let events = Events::open("r".into(), "north".into(), None);
+    let drain = Drain::new(events.clone());
+    let addr = server::bind(addr, key.clone(), drain, peer.clone())
         .await
         .unwrap();
-    let client = PeerClient::new(&key, Events::open("r".into(), "north".into(), None));
+    let client = PeerClient::new(&key, events);
     let addr: Name = addr.to_string().as_str().into();
     let answer = client.query::<_, u8>(&addr, MEMBERS, &0_u8).await;
     let taken = peer.taken.get();
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -18,6 +18,7 @@
 
 use crate::fleet::gossip::{Gossip, GossipCommand};
 use crate::front::body::Answer;
+use crate::front::in_flight::{ConnectionEnd, Tracker};
 use crate::front::{Drain, listen};
 use crate::peers::http2::LocalExec;
 use crate::peers::{frames, kind};
@@ -28,8 +29,13 @@
 
 /// Handler of other routers' queries.
 pub(crate) trait PeerHandler: Clone + 'static {
-    /// Answers the query received at `path`.
-    fn answer(&self, path: &str, body: Incoming) -> impl Future<Output = Response<Answer>>;
+    /// Answers the query received at `path`. One that passes a caller's request on is named to `tracker`.
+    fn answer(
+        &self,
+        path: &str,
+        body: Incoming,
+        tracker: Tracker,
+    ) -> impl Future<Output = Response<Answer>>;
 }
 
 /// Listens at `addr` and serves routers that send the fleet's `key`.
@@ -54,13 +60,15 @@
 
 async fn serve<H: PeerHandler>(stream: TcpStream, key: Name, drain: Drain, handler: H) {
     set_keepalive(&stream, OtherEnd::Peer);
+    let end = ConnectionEnd::default();
     let service = service_fn(move |request: Request<Incoming>| {
-        let (key, drain, handler) = (key.clone(), drain.clone(), handler.clone());
+        let (key, handler) = (key.clone(), handler.clone());
+        let in_flight = drain.begin(&end);
         async move {
-            let in_flight = drain.begin();
             let response = if is_authorized(&key, &request) {
                 let (parts, body) = request.into_parts();
-                handler.answer(parts.uri.path(), body).await
+                let tracker = in_flight.tracker();
+                handler.answer(parts.uri.path(), body, tracker).await
             } else {
                 status(StatusCode::UNAUTHORIZED)
             };
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -91,7 +91,7 @@
             queues: AdmissionQueues::open(clock),
             connections: ConnectionPool::default(),
             clock,
-            drain: Drain::default(),
+            drain: Drain::new(events.clone()),
             events,
             gossip: probes.gossip.clone(),
             fleet: probes.view,
--- a/src/router.rs
+++ b/src/router.rs
@@ -215,6 +215,7 @@
     });
     let poll = Duration::from_millis(platform.host_list_poll_ms.into());
     host_list::spawn(client, probes.gossip.clone(), probes.view.clone(), poll);
+    let drain = Drain::new(events.clone());
     let ctx = Ctx {
         settings,
         host: name,
@@ -228,7 +229,7 @@
         fleet: probes.view,
         gossip: probes.gossip,
         liveness: probes.liveness,
-        drain: Drain::default(),
+        drain,
     };
     Ok((ctx, questions))
 }
--- a/src/serve/callers/mod.rs
+++ b/src/serve/callers/mod.rs
@@ -75,7 +75,7 @@
         idle_time: head_time,
         blocked_time: Duration::from_millis(limits.body_timeout_ms.into()),
     };
-    let handle = move |request| {
+    let handle = move |request, _| {
         let requests = requests.clone();
         async move { requests.handle(request).await }
     };
--- a/src/serve/peers/mod.rs
+++ b/src/serve/peers/mod.rs
@@ -13,6 +13,7 @@
 use crate::event::Events;
 use crate::fleet::homes;
 use crate::front::body::{Answer, recv_while_open};
+use crate::front::in_flight::Tracker;
 use crate::peers::frames::{self, Decoder};
 use crate::peers::server::{self, PeerHandler, reply, status};
 use crate::peers::{
@@ -34,7 +35,7 @@
 }
 
 impl PeerHandler for PeerService {
-    async fn answer(&self, path: &str, body: Incoming) -> Response<Answer> {
+    async fn answer(&self, path: &str, body: Incoming, _: Tracker) -> Response<Answer> {
         let Self { ctx, dispatch } = self;
         match path {
             FORWARD => forward(ctx, dispatch, body).await,
--- a/src/serve/route/at_most_once.rs
+++ b/src/serve/route/at_most_once.rs
@@ -7,6 +7,7 @@
 
 use crate::decide::refusal::{Cause, Refusal, RunState};
 use crate::event::Kind;
+use crate::front::in_flight::ConnectionEnd;
 use crate::log::claims::{self, KeyStatus, Verdict};
 use crate::log::group::LogDown;
 use crate::log::slot;
@@ -233,7 +234,7 @@
         let (reply, started) = oneshot::channel();
         let this = self.clone();
         // A planned stop waits for the run, even if its caller has disconnected.
-        let in_flight = self.ctx.drain.begin();
+        let in_flight = self.ctx.drain.begin(&ConnectionEnd::default());
         compio::runtime::spawn(async move {
             this.run(claim, arbiter, forward, reply).await;
             drop(in_flight);
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -16,6 +16,7 @@
 const FIRST_BYTE_MS: &str = "cassiagrade_first_byte_ms";
 const REFUSALS: &str = "cassiagrade_refusals_total";
 const CONNECTIONS: &str = "cassiagrade_caller_connections";
+const UNANSWERED: &str = "cassiagrade_requests_unanswered_total";
 const CALLERS_CUT: &str = "cassiagrade_callers_cut_total";
 const QUEUE_WAIT_MS: &str = "cassiagrade_queue_wait_ms";
 const DELAYED_BY_LOAD: &str = "cassiagrade_requests_held_for_load_total";
@@ -97,6 +98,10 @@
     describe_histogram!(FIRST_BYTE_MS, "Time to the first byte in milliseconds");
     describe_counter!(REFUSALS, "Refusals by cause");
     describe_gauge!(CONNECTIONS, "Callers' connections open");
+    describe_counter!(
+        UNANSWERED,
+        "Requests that ended with their connection or with the process, by how far they had come"
+    );
     describe_counter!(CALLERS_CUT, "Callers cut because they stopped reading");
     describe_histogram!(
         QUEUE_WAIT_MS,
@@ -265,6 +270,11 @@
     gauge!(CONNECTIONS).decrement(1.0);
 }
 
+/// Counts a request that ended with its connection or with the process, at `stage`.
+pub(crate) fn unanswered(stage: &'static str) {
+    counter!(UNANSWERED, "stage" => stage).increment(1);
+}
+
 /// Counts a caller's connection that was cut because the caller stalled.
 pub(crate) fn caller_cut() {
     counter!(CALLERS_CUT).increment(1);
