Where streams began is stored, and outlives the routers that knew it

Cause: the origin of a stream was known to its router and two keepers alone, in memory; where these end together, the stream is refused as of unknown version. Now the first router in the order of each of 16 groups of streams, which is told of all of them, writes those that began since its last batch to a ring of keys on the platform, once a second, only while keepers are told at all (several versions, or a shared route). A router that is asked for a stream that no router knows reads the batches, once a second at most. Weighed: a batch by each router (390 writes a second at 390 routers, of 400), all streams of the window in one record (77 KB a second rewritten at 80 streams a second).

--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -12,14 +12,19 @@
 //! lasts, nobody is told, and that version is the origin. When a second one is listed, and when a keeper
 //! changes or restarts, the keepers are told of the streams in progress.
 //!
+//! Those of streams whose keepers are told are also stored in batches, for when all that know them end.
+//!
 //! Cost, by the code and not measured: a stream of which keepers are told costs two queries of some 30
 //! bytes, answered by 2 bytes, whatever the size of the fleet; none otherwise. A stream that is resumed
 //! at a router that didn't begin it costs two queries of some 25 bytes, answered by some 30; if that
-//! settles nothing, 6 more at 9 routers and 14 more at 390 or 985. Keepers are chosen by one of 16 groups
+//! settles nothing, 6 more at 9 routers and 14 more at 390 or 985, and then a read of what is stored, at most one a
+//! second and router. Up to 16 routers store a batch a second while streams begin whose keepers are told, whatever the
+//! size of the fleet, with 8 bytes for each stream. Keepers are chosen by one of 16 groups
 //! of streams, so a router connects to at most 32 of them; at 985 routers that begin a stream a second
 //! each, a keeper is told of 123 a second and keeps 15,000.
 
 mod moves;
+mod stored;
 mod table;
 
 #[cfg(test)]
@@ -35,6 +40,7 @@
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use tokio::sync::mpsc;
 
 use crate::decide::Origin;
 use crate::fleet::homes;
@@ -43,12 +49,15 @@
 use crate::path::dialect::Records;
 use crate::path::routes::Route;
 use crate::path::stream_origins::moves::Moves;
+use crate::path::stream_origins::stored::Stored;
 use crate::path::stream_origins::table::OriginTable;
 use crate::path::versions;
 use crate::peers::ORIGIN;
 use crate::schema::peer::{OriginReply, OriginRequest, StreamOrigin};
 use crate::util::{self, Name};
 
+pub(crate) use crate::path::stream_origins::stored::{StoreCall, StreamsByOrigin};
+
 /// Number of routers besides its own that are told where a stream began.
 const KEEPERS: usize = 2;
 /// Number of routers that are asked after the keepers.
@@ -80,6 +89,7 @@
     shared: RefCell<HashSet<Name>>,
     keepers: RefCell<Keepers>,
     moves: RefCell<Moves>,
+    stored: Stored,
 }
 
 /// The keepers of each group of streams.
@@ -112,6 +122,11 @@
 }
 
 impl StreamOrigins {
+    /// Has origins stored that are to outlive the routers that know them.
+    pub(crate) fn set_store(&self, store: mpsc::Sender<StoreCall>) {
+        self.stored.set_store(store);
+    }
+
     fn get(&self, stream: u64, now_ms: u64) -> Option<Origin> {
         self.table.borrow().get(stream, now_ms).cloned()
     }
@@ -170,7 +185,23 @@
             return only;
         }
     }
-    Found::Unknown
+    find_stored(path, stream).await
+}
+
+/// Looks the stream up among those whose origins are stored: the routers that knew it may have ended.
+async fn find_stored<D: Records>(path: &Rc<RequestPath<D>>, stream: u64) -> Found {
+    let stored = path.origins.stored.read(path.clock.now_ms()).await;
+    let now_ms = path.clock.now_ms();
+    for (origin, streams) in stored {
+        for stream in streams {
+            path.origins.insert(stream, origin.clone(), false, now_ms);
+        }
+    }
+    let Some(origin) = path.origins.get(stream, now_ms) else {
+        return Found::Unknown;
+    };
+    keep(path, stream, &origin);
+    Found::Origin(origin)
 }
 
 /// The only version of `service`. Whether no other one can be missing here is decided by the state of
@@ -332,6 +363,9 @@
             origin: Some(origin.into()),
             service: String::new(),
         });
+        if is_writer(path, group) {
+            path.origins.stored.add(group, origin, &request.streams);
+        }
         for addr in other_routers(path, group, KEEPERS) {
             let (path, request) = (path.clone(), request.clone());
             compio::runtime::spawn(async move {
@@ -342,6 +376,19 @@
     }
 }
 
+/// Has the origins stored of the streams that began lately.
+pub(crate) fn store_begun<D>(path: &RequestPath<D>) {
+    path.origins.stored.write_due(path.clock.now_ms());
+}
+
+/// Whether this router writes the origins of streams of this group for all: it is a keeper of each of them
+/// that another router began.
+fn is_writer<D>(path: &RequestPath<D>, group: u64) -> bool {
+    let fleet = path.fleet.borrow();
+    let first = homes::home(&fleet, &format!("origins/{group}"), "");
+    first.is_some_and(|m| *m.host == *path.host)
+}
+
 /// Answers another router.
 pub(crate) fn reply<D: Records>(path: &RequestPath<D>, request: OriginRequest) -> OriginReply {
     let now_ms = path.clock.now_ms();
@@ -350,6 +397,12 @@
         let software = origin.software.as_ref();
         path.versions
             .record_answer(&origin.service, software, now_ms);
+        if let Some(stream) = request.streams.first()
+            && is_writer(path, group(*stream))
+        {
+            let group = group(*stream);
+            path.origins.stored.add(group, &origin, &request.streams);
+        }
         for stream in request.streams {
             path.origins.insert(stream, origin.clone(), false, now_ms);
         }
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -30,8 +30,8 @@
 use crate::path::{RequestPath, SummaryCache, callers, peers, reach_check, run_maintenance, stop};
 use crate::peers::{PeerClient, Probes, probes};
 use crate::platform::{
-    Headers, Pages, RouterRegistry, Store, SuspicionStore, VersionStore, follow_orders,
-    follow_upstreams,
+    Headers, OriginStore, Pages, RouterRegistry, Store, SuspicionStore, VersionStore,
+    follow_orders, follow_upstreams,
 };
 use crate::router::{AddrSnafu, BindSnafu, Outputs, RouterError};
 use crate::schema::settings::{Limits, Listen, Settings};
@@ -124,6 +124,7 @@
         path.state.set_stored_suspicions(suspicions);
         let (stored_versions, versions) = VersionStore::open(open());
         path.versions.set_store(versions);
+        path.origins.set_store(OriginStore::spawn(open()));
         let stored = Stored {
             suspicions: stored_suspicions,
             versions: stored_versions,
