The times of a planned stop count from its signal, and its phase goes on by the clock

What callers see: a router without processor time at SIGTERM took work after its announcement, and its exit came up to the length of that pause later than 0.95 of the grace time, so that it was killed first, without a line about what it cut. Cause: both times counted from when the signal was noticed, and the phase changed only by a timer, which may run after what waits in the sockets. Fix: the signal is taken to have come at the start of a gap that ended within 100 ms before it was noticed (the clock is checked every 200 ms at least; the same gaps make state too old). The end of the announcement counts from there, and so does the exit, but requests in flight get 5/6 of the grace time from the notice: the signal may have come at the end of the gap. After a gap of more than a sixth of the grace time the exit may thus be later than the grace time, and SIGKILL comes first. The phase is read from the clock with each request.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
 pub mod retry;
 pub mod shed;
 pub mod spread;
+pub(crate) mod stop;
 pub mod take_over;
 mod types;
 pub mod versions;
@@ -73,6 +74,8 @@
 #[cfg(test)]
 mod spread_tests;
 #[cfg(test)]
+mod stop_tests;
+#[cfg(test)]
 mod take_over_tests;
 #[cfg(test)]
 mod versions_tests;
--- /dev/null
+++ b/src/decide/stop.rs
@@ -0,0 +1,46 @@
+//! Times of a planned stop.
+
+/// Share of the grace time after which the process exits by itself. The rest is for the last log lines.
+const EXIT_SHARE: f64 = 0.95;
+/// Share of the grace time that requests in flight get, however late the signal was noticed: their callers
+/// count on most of it.
+const LEAST_SHARE: f64 = 5.0 / 6.0;
+/// Share of the time until the exit that the announcement may take.
+const MAX_NOTICE_SHARE: f64 = 0.5;
+
+/// When the signal to stop was sent, as far as this process can tell. It may have lacked processor time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StopSignal {
+    /// Last time at which the process ran without the signal.
+    pub(crate) earliest_ms: u64,
+    pub(crate) noticed_ms: u64,
+}
+
+/// Times at which a planned stop goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct StopTimes {
+    /// End of the announcement: new requests are refused.
+    pub(crate) refuse_ms: u64,
+    /// The process exits.
+    pub(crate) exit_ms: u64,
+}
+
+impl StopTimes {
+    /// Returns the times of a stop with an announcement of `notice_ms`.
+    ///
+    /// All of them count from the earliest time at which the signal may have been sent, as the process is
+    /// killed `grace_ms` after it. Only the exit is put off if requests in flight would get too little of the
+    /// grace time because of that: it would be wrong if the signal was sent late.
+    pub(crate) fn new(signal: StopSignal, notice_ms: u64, grace_ms: u64) -> Self {
+        let StopSignal {
+            earliest_ms,
+            noticed_ms,
+        } = signal;
+        let share = |share: f64| (grace_ms as f64 * share) as u64;
+        let exit_ms = (earliest_ms + share(EXIT_SHARE)).max(noticed_ms + share(LEAST_SHARE));
+        Self {
+            refuse_ms: earliest_ms + notice_ms.min(share(EXIT_SHARE * MAX_NOTICE_SHARE)),
+            exit_ms,
+        }
+    }
+}
--- a/src/front/drain.rs
+++ b/src/front/drain.rs
@@ -25,7 +25,7 @@
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
 /// Phase of a planned stop.
-#[derive(Clone, Copy, Debug, Default, Eq, IntoStaticStr, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum Phase {
     /// No stop is planned.
@@ -37,10 +37,30 @@
     Refusing,
 }
 
+/// When a planned stop goes on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Schedule {
+    /// New work is refused from then on.
+    pub(crate) refuse: Instant,
+    /// The process exits.
+    pub(crate) exit: Instant,
+}
+
+impl Schedule {
+    fn phase(&self) -> Phase {
+        if Instant::now() >= self.refuse {
+            Phase::Refusing
+        } else {
+            Phase::Leaving
+        }
+    }
+}
+
 /// Drain state, shared by the tasks that accept work.
 #[derive(Clone, Debug)]
 pub(crate) struct Drain {
     phase: Rc<Cell<Phase>>,
+    schedule: Rc<Cell<Option<Schedule>>>,
     requests: Requests,
 }
 
@@ -50,6 +70,7 @@
     pub(crate) fn new(events: Events) -> Self {
         Self {
             phase: Rc::default(),
+            schedule: Rc::default(),
             requests: Requests::new(events),
         }
     }
@@ -63,6 +84,14 @@
         self.requests.len()
     }
 
+    /// Begins a stop that goes on by the clock.
+    ///
+    /// Failure guarded against: the process gets no processor time when a phase ends, and then handles requests
+    /// that have arrived since before the timer that ends the phase.
+    pub(crate) fn plan(&self, schedule: Schedule) {
+        self.schedule.set(Some(schedule));
+    }
+
     pub(crate) fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         let name: &'static str = phase.into();
@@ -91,11 +120,12 @@
     }
 
     pub(crate) fn phase(&self) -> Phase {
-        self.phase.get()
+        let planned = self.schedule.get().map(|schedule| schedule.phase());
+        self.phase.get().max(planned.unwrap_or_default())
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.phase.get() != Phase::Serving
+        self.phase() != Phase::Serving
     }
 
     /// Adds `connection: close` while stopping, so that the caller connects to another router.
--- a/src/front/drain_tests.rs
+++ b/src/front/drain_tests.rs
@@ -1,9 +1,9 @@
 use std::future::poll_fn;
 use std::pin::pin;
 use std::task::Poll;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use super::drain::Drain;
+use super::drain::{Drain, Phase, Schedule};
 use super::in_flight::ConnectionEnd;
 use crate::event::Events;
 
@@ -40,3 +40,18 @@
     let _endless = drain.begin(&ConnectionEnd::default());
     assert_eq!(drain.wait_until_idle(LONGER).await, 1);
 }
+
+/// A process gets no processor time when its announcement ends, and takes what arrived after it before the
+/// timer that ends the announcement.
+#[compio::test]
+async fn phase_goes_on_by_the_clock() {
+    let drain = drain();
+    let now = Instant::now();
+    let exit = now + LIMIT;
+    let refuse = now + LIMIT / 2;
+    drain.plan(Schedule { refuse, exit });
+    assert_eq!(drain.phase(), Phase::Leaving);
+    let refuse = now;
+    drain.plan(Schedule { refuse, exit });
+    assert_eq!(drain.phase(), Phase::Refusing);
+}
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -146,6 +146,12 @@
         self.suspend.stalled_ms() > from_ms
     }
 
+    /// Returns the earliest time at which something may have happened that this router notices now.
+    pub(crate) fn earliest_ms(&self) -> u64 {
+        self.check_clock();
+        self.suspend.earliest_ms()
+    }
+
     /// Whether requests may be decided by the configuration and by the upstreams.
     pub(crate) fn is_usable(&self) -> bool {
         self.config_fresh.is_usable() && self.upstreams_fresh.is_usable()
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -98,6 +98,8 @@
 #[cfg(test)]
 mod suspects_tests;
 #[cfg(test)]
+mod suspend_tests;
+#[cfg(test)]
 mod trials_tests;
 #[cfg(test)]
 mod versions_tests;
--- a/src/path/stop.rs
+++ b/src/path/stop.rs
@@ -8,28 +8,49 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use crate::decide::stop::{StopSignal, StopTimes};
 use crate::fleet::gossip::GossipCommand;
-use crate::front::drain::Phase;
+use crate::front::drain::{Phase, Schedule};
 use crate::path::RequestPath;
+use crate::path::dialect::Records;
+use crate::util::millis;
 
 /// Some callers cache an entry answer for this multiple of its lifetime.
 const ENTRY_TTL_FACTOR: u32 = 3;
-/// Share of the grace time within which the process exits by itself.
-const GRACE_SHARE: f64 = 0.95;
 
 /// Stops the router, and returns when the process may exit.
-pub(crate) async fn run<D>(path: &Rc<RequestPath<D>>, entry_ttl: Duration, grace: Duration) {
-    let started = Instant::now();
-    let limit = grace.mul_f64(GRACE_SHARE);
+pub(crate) async fn run<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    entry_ttl: Duration,
+    grace: Duration,
+) {
+    let schedule = schedule(path, entry_ttl, grace);
+    path.drain.plan(schedule);
     path.drain.enter(Phase::Leaving);
     path.gossip.send(GossipCommand::Leave);
-    let notice = entry_ttl * ENTRY_TTL_FACTOR;
-    compio::time::sleep(notice.min(limit / 2)).await;
+    compio::time::sleep_until(schedule.refuse).await;
     path.drain.enter(Phase::Refusing);
-    let left = path
-        .drain
-        .wait_until_idle(limit.saturating_sub(started.elapsed()))
-        .await;
+    let left = path.drain.wait_until_idle(until(schedule.exit)).await;
     path.drain.report_stop();
     log::info!("stopped, {left} in flight");
 }
+
+/// Returns when the stop goes on whose signal was noticed now.
+fn schedule<D: Records>(path: &RequestPath<D>, entry_ttl: Duration, grace: Duration) -> Schedule {
+    let signal = StopSignal {
+        earliest_ms: path.replica.earliest_ms(),
+        noticed_ms: path.clock.now_ms(),
+    };
+    let notice = entry_ttl * ENTRY_TTL_FACTOR;
+    let times = StopTimes::new(signal, millis(notice), millis(grace));
+    let now = Instant::now();
+    let at = |ms: u64| now + Duration::from_millis(ms.saturating_sub(signal.noticed_ms));
+    Schedule {
+        refuse: at(times.refuse_ms),
+        exit: at(times.exit_ms),
+    }
+}
+
+fn until(at: Instant) -> Duration {
+    at.saturating_duration_since(Instant::now())
+}
--- a/src/path/suspend.rs
+++ b/src/path/suspend.rs
@@ -10,6 +10,8 @@
 const SUSPENDED_MS: u64 = 1_000;
 /// Gap between two checks from which this router counts as not having run in between.
 const STALLED_MS: u64 = 300;
+/// What arrived in such a gap is handled within this time after it.
+const BACKLOG_MS: u64 = 100;
 
 /// When this router was last suspended.
 ///
@@ -23,6 +25,8 @@
     resumed_ms: Cell<u64>,
     /// End of the last gap in which this router did not run, be it for lack of processor time.
     stalled_ms: Cell<u64>,
+    /// Start of that gap.
+    stalled_from_ms: Cell<u64>,
 }
 
 impl SuspendGuard {
@@ -32,15 +36,18 @@
             checked_ms: Cell::new(clock.now_ms()),
             resumed_ms: Cell::default(),
             stalled_ms: Cell::default(),
+            stalled_from_ms: Cell::default(),
         }
     }
 
     /// Checks the clock, and returns whether this router was suspended since the last check.
     pub(crate) fn check_clock(&self) -> bool {
         let now_ms = self.clock.now_ms();
-        let pause_ms = now_ms.saturating_sub(self.checked_ms.replace(now_ms));
+        let checked_ms = self.checked_ms.replace(now_ms);
+        let pause_ms = now_ms.saturating_sub(checked_ms);
         if pause_ms > STALLED_MS {
             self.stalled_ms.set(now_ms);
+            self.stalled_from_ms.set(checked_ms);
         }
         if pause_ms <= SUSPENDED_MS || mutated(Mutation::KeepEvidenceAfterSuspend) {
             return false;
@@ -60,6 +67,17 @@
         self.stalled_ms.get()
     }
 
+    /// Returns the earliest time at which something may have happened that is noticed now: the start of a gap
+    /// that has just ended, or now.
+    pub(crate) fn earliest_ms(&self) -> u64 {
+        let now_ms = self.clock.now_ms();
+        let has_just_run = now_ms.saturating_sub(self.stalled_ms.get()) > BACKLOG_MS;
+        if self.stalled_ms.get() == 0 || has_just_run {
+            return now_ms;
+        }
+        self.stalled_from_ms.get()
+    }
+
     /// Returns the time since this router was last resumed, if it ever was suspended.
     pub(crate) fn since_resumed_ms(&self) -> Option<u64> {
         let resumed_ms = self.resumed_ms.get();
--- a/src/util.rs
+++ b/src/util.rs
@@ -23,6 +23,11 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Converts a duration to whole milliseconds.
+pub(crate) fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Reads the body of an answer of at most `max_bytes`.
 pub(crate) async fn read_body(
     answer: cyper::Response,
