--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub(crate) mod answer_times;
 pub mod classes;
 pub mod cold_start;
 pub mod concurrency;
@@ -25,6 +26,7 @@
 pub mod retry;
 pub mod shed;
 pub mod spread;
+pub(crate) mod stop;
 pub mod take_over;
 mod types;
 pub mod versions;
@@ -37,6 +39,8 @@
 #[cfg(test)]
 mod allowance_tests;
 #[cfg(test)]
+mod answer_times_tests;
+#[cfg(test)]
 mod classes_tests;
 #[cfg(test)]
 mod cold_start_tests;
@@ -73,6 +77,8 @@
 #[cfg(test)]
 mod spread_tests;
 #[cfg(test)]
+mod stop_tests;
+#[cfg(test)]
 mod take_over_tests;
 #[cfg(test)]
 mod versions_tests;
