Time limits count what arrived while the process stood still

What callers saw: a router that got no processor time for 0.9 s gave up answers that its upstreams had sent meanwhile. It held the lateness against the upstreams, charged the retry budget and ran the requests once more; with the budget used up, further requests are refused.

Cause: compio's `timeout` polls its future and its timer in random order, so that of two that are ready either may count. What needs more than one round of the runtime, a connection or a second read, always lost.

What is ready counts, and after a timer that ran late the future has as long again, at most 200 ms, to take what waits in the sockets. A limit that ends in time is as it was.

Not in it: waits that sleep and then compare clocks (head of a request, blocked writes, suspicions of members).

--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -11,6 +11,7 @@
 use crate::schema::config::{Change, State};
 use crate::schema::operator::{ApplyReply, ApplyRequest};
 use crate::serve::operator::{CallError, OperatorCaller};
+use crate::time_limit::within;
 
 const TIMEOUT_MS: u64 = 30_000;
 
@@ -53,7 +54,7 @@
             let mut caller = OperatorCaller::open(target.router, &target.key).await?;
             work(&mut caller).await
         };
-        compio::time::timeout(Duration::from_millis(timeout_ms), session)
+        within(Duration::from_millis(timeout_ms), session)
             .await
             .unwrap_or_else(|_| TimedOutSnafu { timeout_ms }.fail())
     })?
--- a/src/front/accept.rs
+++ b/src/front/accept.rs
@@ -11,6 +11,7 @@
 use crate::front::paced::LINGER;
 use crate::schema::settings::Limits;
 use crate::stats;
+use crate::time_limit::within;
 
 /// Message of the refusal for connections over the limit.
 pub(crate) const CONNECTION_LIMIT_MESSAGE: &str =
@@ -62,7 +63,7 @@
         linger(&mut stream).await
     };
     // The time limit covers callers that disconnected or read slowly.
-    let _ = compio::time::timeout(LINGER, reply).await;
+    let _ = within(LINGER, reply).await;
 }
 
 /// Reads until the caller closes. Closing with unread bytes would reset the connection, and the
--- a/src/front/check.rs
+++ b/src/front/check.rs
@@ -11,6 +11,7 @@
 use snafu::Snafu;
 
 use crate::decide::refusal::Cause;
+use crate::time_limit::within;
 
 /// Why a request is rejected before any of it is forwarded.
 #[derive(Debug, Snafu)]
@@ -77,7 +78,7 @@
     if declared_length(headers).is_some_and(|bytes| bytes > max_bytes as u64) {
         return TooLargeSnafu { max_bytes }.fail();
     }
-    let collected = compio::time::timeout(timeout, collect(body, max_bytes)).await;
+    let collected = within(timeout, collect(body, max_bytes)).await;
     collected.unwrap_or_else(|_| {
         let timeout_ms = timeout.as_millis();
         TooSlowSnafu { timeout_ms }.fail()
@@ -122,7 +123,7 @@
         }
         true
     };
-    compio::time::timeout(timeout, read).await.unwrap_or(false)
+    within(timeout, read).await.unwrap_or(false)
 }
 
 /// Whether the caller sends its body only after `100 Continue`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,4 +31,5 @@
 pub(crate) mod socket;
 pub(crate) mod stats;
 pub(crate) mod stdout_writer;
+pub(crate) mod time_limit;
 pub(crate) mod util;
--- a/src/log/claimant.rs
+++ b/src/log/claimant.rs
@@ -15,6 +15,7 @@
 use crate::log::timer::SystemTimer;
 use crate::schema::records::Claim;
 use crate::schema::records::claim_record::Body;
+use crate::time_limit::within;
 use crate::util::Clock;
 
 /// Interval between attempts to reach a log that is down.
@@ -169,7 +170,7 @@
         if wait.is_zero() {
             return Ok(None);
         }
-        match compio::time::timeout(wait, rx.recv()).await {
+        match within(wait, rx.recv()).await {
             Ok(msg) => msg.map(Some).ok_or(Stopped),
             Err(_) => Ok(None),
         }
--- a/src/log/config_task.rs
+++ b/src/log/config_task.rs
@@ -15,6 +15,7 @@
 use crate::path::position::StreamPosition;
 use crate::schema::config::{Change, State};
 use crate::schema::peer::{ConfigReply, ConfigRequest};
+use crate::time_limit::within;
 use crate::util::{self, Clock};
 
 /// A snapshot is written after the log's retention divided by this, plus a delay that depends on
@@ -146,7 +147,7 @@
             self.follower.poll(&mut |a, s| emit(&events, a, s)).await;
             self.publish();
             self.write_snapshot_if_due().await;
-            match compio::time::timeout(self.poll, rx.recv()).await {
+            match within(self.poll, rx.recv()).await {
                 Ok(Some((change, reply))) => {
                     let emit = &mut |a: &Applied, s: &State| emit(&events, a, s);
                     let outcome = self.follower.apply(change, emit).await;
--- a/src/log/platform.rs
+++ b/src/log/platform.rs
@@ -8,6 +8,7 @@
 
 use crate::log::{Batch, Entry, Log, LogError};
 use crate::stats;
+use crate::time_limit::within;
 use crate::util::{read_body, wall_ms};
 
 /// Label of the log's metrics that concern all its streams.
@@ -151,7 +152,7 @@
             let body = body.map_err(|e| unavailable(&e))?;
             Ok(Answer { era, body })
         };
-        compio::time::timeout(self.timeout, call)
+        within(self.timeout, call)
             .await
             .map_err(|e| unavailable(&e))?
     }
@@ -175,7 +176,7 @@
             let body = body.map_err(|e| indeterminate(&e))?;
             Ok(Answer { era, body })
         };
-        compio::time::timeout(self.timeout, call)
+        within(self.timeout, call)
             .await
             .map_err(|e| indeterminate(&e))?
     }
--- a/src/path/attempts/calls.rs
+++ b/src/path/attempts/calls.rs
@@ -10,6 +10,7 @@
 use crate::path::call::{BufferedReply, Call, CallError, FailureKind, Reply, UpstreamClient};
 use crate::path::dialect::{CallHead, Dialect, Records};
 use crate::path::upstreams::Upstream;
+use crate::time_limit::within;
 
 /// An attempt of a repeatable request takes long after this multiple of its latency objective, well above the
 /// latency of a healthy upstream.
@@ -42,7 +43,7 @@
             pin_mut!(call);
             let mut waits = 0_u32;
             loop {
-                match compio::time::timeout(limit, &mut call).await {
+                match within(limit, &mut call).await {
                     Ok(answered) => return answered,
                     Err(_) => waits += 1,
                 }
@@ -174,7 +175,7 @@
         let limit = self.attempt_limit();
         pin_mut!(whole);
         loop {
-            if let Ok(whole) = compio::time::timeout(limit, &mut whole).await {
+            if let Ok(whole) = within(limit, &mut whole).await {
                 return whole;
             }
             if self.reserve_retry(&current) {
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -14,6 +14,7 @@
 use crate::path::trials::Trial;
 use crate::peers::DelegateError;
 use crate::schema::peer::DelegatedRequest;
+use crate::time_limit::within;
 
 /// Number of routers that are asked in turn to run a suspected request. The first one may have stopped a
 /// moment ago.
@@ -114,7 +115,7 @@
         let path = self.context.path.clone();
         let host = &router.host;
         let sent = path.peers.delegate(&router.peer_addr, request);
-        let sent = compio::time::timeout(self.remaining(), sent).await;
+        let sent = within(self.remaining(), sent).await;
         let lost = match sent {
             Ok(Err(DelegateError::NotSent { reason })) => {
                 let reason = format!("not delegated to {host}: {reason}");
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -19,6 +19,7 @@
 use crate::path::freshness::StreamFreshness;
 use crate::path::router_state::{RouterState, RunningGuard};
 use crate::path::upstreams::Upstream;
+use crate::time_limit::within;
 use crate::util::{Clock, Name};
 
 /// Time limit for opening a connection: some round trips between data centres, and short enough
@@ -197,7 +198,7 @@
         upstream: &Upstream,
         call: &Call<'_>,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
-        let timeout = compio::time::timeout(call.timeout, async {
+        let timeout = within(call.timeout, async {
             let idle = if call.new_connection {
                 None
             } else {
@@ -277,7 +278,7 @@
         parts: &Parts,
     ) {
         let mut body = Limited::new(body, MAX_DRAINED_BYTES);
-        let read = compio::time::timeout(CONNECT_TIMEOUT, async {
+        let read = within(CONNECT_TIMEOUT, async {
             while let Some(frame) = body.frame().await {
                 if frame.is_err() {
                     return false;
@@ -398,7 +399,7 @@
             mut body,
             source,
         } = self;
-        let read = compio::time::timeout(timeout, async {
+        let read = within(timeout, async {
             let mut bytes = BytesMut::new();
             while let Some(frame) = body.frame().await {
                 if let Ok(data) = frame.ok()?.into_data() {
--- a/src/path/catch_up.rs
+++ b/src/path/catch_up.rs
@@ -20,6 +20,7 @@
 use crate::path::versions::{self, StoredVersions};
 use crate::peers::{PeerClient, SUSPICIONS};
 use crate::schema::peer::{Suspicion, SuspicionsReply, SuspicionsRequest};
+use crate::time_limit::within;
 use crate::util::{Clock, Name};
 
 /// Time after start from which a router relies on gossip alone: it reaches no router that could tell it
@@ -179,7 +180,7 @@
 /// answer.
 async fn query(client: &PeerClient, addr: &Name) -> Option<SuspicionsReply> {
     let query = client.query(addr, SUSPICIONS, &SuspicionsRequest {});
-    match compio::time::timeout(QUERY_TIMEOUT, query).await {
+    match within(QUERY_TIMEOUT, query).await {
         Ok(Ok(reply)) => Some(reply),
         Ok(Err(e)) => {
             log::debug!("{addr}: request for suspicions failed: {e}");
--- a/src/path/connection.rs
+++ b/src/path/connection.rs
@@ -20,6 +20,7 @@
 use crate::path::informational::{Informational, LimitedStream};
 use crate::path::upstreams::Upstream;
 use crate::socket::{OtherEnd, set_keepalive};
+use crate::time_limit::within;
 use crate::util::Name;
 
 /// Share of the upstream's idle timeout during which a connection is reused. The rest covers the
@@ -167,7 +168,7 @@
 
 /// Opens a connection to `addr`.
 pub(crate) async fn open(addr: SocketAddr, timeout: Duration) -> Result<Connection, ConnectError> {
-    let stream = compio::time::timeout(timeout, TcpStream::connect(addr))
+    let stream = within(timeout, TcpStream::connect(addr))
         .await
         .map_err(|_| ConnectError::TimedOut)?
         .context(RefusedSnafu)?;
--- a/src/path/death_check.rs
+++ b/src/path/death_check.rs
@@ -15,6 +15,7 @@
 use crate::path::dialect::Records;
 use crate::path::trials::Trial;
 use crate::path::upstreams::Upstream;
+use crate::time_limit::within;
 
 /// Pauses before the attempts to connect. A crashing process closes its connections before its
 /// listening socket and may still accept for a moment, and longer on a loaded host.
@@ -72,6 +73,6 @@
 
 /// Whether connections to `addr` are refused, so that no process listens there.
 async fn refuses(addr: SocketAddr) -> bool {
-    let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let connected = within(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     matches!(connected, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
 }
--- a/src/path/freshness.rs
+++ b/src/path/freshness.rs
@@ -12,6 +12,7 @@
 use crate::mutation::{Mutation, mutated};
 use crate::path::suspend::SuspendGuard;
 use crate::stats;
+use crate::time_limit::within;
 use crate::util::Clock;
 
 /// Time for which requests wait for a newer copy: some round trips to the store or to a peer. It
@@ -246,7 +247,7 @@
                 return;
             }
             // The time left is determined anew, as this router may not have run in it.
-            let _ = compio::time::timeout(left, self.usable()).await;
+            let _ = within(left, self.usable()).await;
             self.suspend.check_clock();
         }
     }
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -25,6 +25,7 @@
 use crate::schema::peer::{
     LogSyncReply, LogSyncRequest, MembersReply, MembersRequest, SuspicionsRequest,
 };
+use crate::time_limit::within;
 use crate::util::Name;
 
 /// Number of peers from which a router without state requests it.
@@ -191,7 +192,7 @@
             let asked_ms = path.clock.now_ms();
             let asked = ask_peers(&path, &client);
             // What is late is as good as not sent.
-            let _ = compio::time::timeout(ROUND_LIMIT, asked).await;
+            let _ = within(ROUND_LIMIT, asked).await;
             path.replica.record_peers_asked(asked_ms);
         }
         compio::time::sleep(REFRESH_PAUSE).await;
--- a/src/path/reach_check.rs
+++ b/src/path/reach_check.rs
@@ -12,6 +12,7 @@
 use crate::decide::reach::REACHED;
 use crate::path::RequestPath;
 use crate::path::upstreams::Upstream;
+use crate::time_limit::within;
 
 /// Pause between two checks. Callers of a router whose paths are back soon are served directly.
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -28,7 +29,7 @@
 }
 
 async fn check<D>(path: &RequestPath<D>, upstream: &Upstream) {
-    let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.addr)).await;
+    let connected = within(CONNECT_TIMEOUT, TcpStream::connect(upstream.addr)).await;
     if matches!(connected, Ok(Ok(_))) {
         path.state.record_connected(upstream);
     }
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -29,6 +29,7 @@
 use crate::path::{RequestPath, answer};
 use crate::schema::peer::Suspicion;
 use crate::stats::{self, NotResumed, Tally};
+use crate::time_limit::within;
 use crate::util::Name;
 
 /// `Retry-After` of a router that is stopping or was suspended: the caller can retry at another
@@ -421,7 +422,7 @@
     };
     // After the time limit, the checks that follow refuse the request for the state that is
     // missing.
-    let _ = compio::time::timeout(Duration::from_millis(wait_ms), begun).await;
+    let _ = within(Duration::from_millis(wait_ms), begun).await;
     stats::held_for_load();
     let waited_ms = path.clock.now_ms().saturating_sub(received_ms);
     path.events.emit(Kind::RequestQueued, |e| {
--- a/src/path/stream.rs
+++ b/src/path/stream.rs
@@ -19,6 +19,7 @@
 use crate::path::events::Splitter;
 use crate::path::refusal::Refused;
 use crate::stats;
+use crate::time_limit::within;
 
 /// Another upstream is sought after silence for this multiple of the objective for the gap between events.
 const SILENCE_FACTOR: u64 = 3;
@@ -139,7 +140,7 @@
                 return Ok(Progress::End);
             };
             let silence = silence_limit(&self.attempts);
-            match compio::time::timeout(silence, reply.next()).await {
+            match within(silence, reply.next()).await {
                 Ok(chunk) => return Ok(self.classify(chunk)),
                 Err(_) if self.attempts.remaining().is_zero() => {
                     return Ok(Progress::DeadlineExceeded);
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -47,6 +47,7 @@
 use crate::path::versions;
 use crate::peers::ORIGIN;
 use crate::schema::peer::{OriginReply, OriginRequest, StreamOrigin};
+use crate::time_limit::within;
 use crate::util::{self, Name};
 
 /// Number of routers besides its own that are told where a stream began.
@@ -228,7 +229,7 @@
         }
     };
     // What arrived before the time limit counts.
-    let _ = compio::time::timeout(ROUND_LIMIT, round).await;
+    let _ = within(ROUND_LIMIT, round).await;
     result
 }
 
--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -28,6 +28,7 @@
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{DelegatedRequest, Forward, Frame};
 use crate::stats;
+use crate::time_limit::within;
 use crate::util::Name;
 
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -201,7 +202,7 @@
             stats::control_bytes("received", kind(path), answer.len());
             frames::from_slice(&answer).context(EncodeSnafu)
         };
-        compio::time::timeout(QUERY_TIMEOUT, call)
+        within(QUERY_TIMEOUT, call)
             .await
             .unwrap_or_else(|_| TimedOutSnafu.fail())
     }
--- a/src/peers/http2.rs
+++ b/src/peers/http2.rs
@@ -11,6 +11,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::socket::{OtherEnd, set_keepalive};
+use crate::time_limit::within;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -44,7 +45,7 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let stream = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+    let stream = within(CONNECT_TIMEOUT, TcpStream::connect(addr))
         .await
         .map_err(|_| ConnectError::TimedOut)?
         .context(RefusedSnafu)?;
--- a/src/peers/probes/task.rs
+++ b/src/peers/probes/task.rs
@@ -34,6 +34,7 @@
     self, Ack, Datagram, InFlightReport, LogPosition, Ping, SuspicionReport,
 };
 use crate::stats;
+use crate::time_limit::within;
 use crate::util::{Clock, Name};
 
 /// Four datagrams of this size per second stay under 2 KB/s with their IP and UDP headers.
@@ -92,7 +93,7 @@
                 self.tick(now_ms).await;
             }
             let wait = Duration::from_millis(next_tick_ms.saturating_sub(now_ms));
-            match compio::time::timeout(wait, rx.recv()).await {
+            match within(wait, rx.recv()).await {
                 Ok(Some(command)) => self.handle(command).await,
                 Ok(None) => return,
                 Err(_) => {}
--- a/src/serve/callers/requests.rs
+++ b/src/serve/callers/requests.rs
@@ -28,6 +28,7 @@
 use crate::serve::route::{keys, resume};
 use crate::serve::{SharedCtx, stop};
 use crate::stats::{self, Tally};
+use crate::time_limit::within;
 use crate::util;
 
 const CHAT_PATH: &str = "/v1/chat/completions";
@@ -269,7 +270,7 @@
     let rest = async move { while let Some(Ok(_)) = body.frame().await {} };
     compio::runtime::spawn(async move {
         // After the timeout the connection is closed, so that a slow sender does not occupy it.
-        let _ = compio::time::timeout(DISCARD_TIMEOUT, rest).await;
+        let _ = within(DISCARD_TIMEOUT, rest).await;
     })
     .detach();
 }
--- a/src/serve/home/kv.rs
+++ b/src/serve/home/kv.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 
 use crate::decide::ChatKey;
+use crate::time_limit::within;
 use crate::util::read_body;
 
 /// A transfer that takes longer costs more than the prefill it avoids.
@@ -50,6 +51,6 @@
         let body = read_body(response, MAX_ANSWER_BYTES).await?;
         Ok(serde_json::from_slice(&body)?)
     };
-    let exported = compio::time::timeout(EXPORT_TIMEOUT, call).await;
+    let exported = within(EXPORT_TIMEOUT, call).await;
     exported.unwrap_or(Err(KvError::TimedOut))
 }
--- a/src/serve/home/reports.rs
+++ b/src/serve/home/reports.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use crate::decide::ChatKey;
+use crate::time_limit::within;
 use crate::util::read_body;
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -150,7 +151,7 @@
             let body = body.context(CallSnafu)?;
             serde_json::from_slice(&body).context(MalformedSnafu)
         };
-        let polled = compio::time::timeout(REPORT_TIMEOUT, call).await;
+        let polled = within(REPORT_TIMEOUT, call).await;
         polled.unwrap_or(Err(ReportError::TimedOut))
     }
 }
--- a/src/serve/home/suspects.rs
+++ b/src/serve/home/suspects.rs
@@ -20,6 +20,7 @@
 use crate::schema::config::Upstream;
 use crate::schema::peer::{self, Done, Forward, Suspicion};
 use crate::serve::SharedCtx;
+use crate::time_limit::within;
 use crate::util::{self, Name};
 
 /// An upstream that accepts no connection within this time is down. One that is connected but does
@@ -266,7 +267,7 @@
     let Ok(addr) = addr.parse::<SocketAddr>() else {
         return true;
     };
-    let connected = compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let connected = within(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
     let Ok(Ok(mut stream)) = connected else {
         return false;
     };
@@ -275,7 +276,7 @@
         stream.write_all(request.into_bytes()).await.0?;
         stream.read(Vec::with_capacity(1)).await.0
     };
-    match compio::time::timeout(CONNECT_TIMEOUT, answer).await {
+    match within(CONNECT_TIMEOUT, answer).await {
         Ok(read) => read.is_ok_and(|bytes| bytes > 0),
         Err(_) => true,
     }
--- a/src/serve/operator/orders.rs
+++ b/src/serve/operator/orders.rs
@@ -23,6 +23,7 @@
 use crate::log::view::ConfigView;
 use crate::schema::config::Upstream;
 use crate::schema::operator::{OrderReply, OrderRequest};
+use crate::time_limit::within;
 use crate::util::{Clock, Name, read_body};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -219,7 +220,7 @@
             Ok(request) => request.body(text),
             Err(e) => return Delivery::Failed(e.to_string()),
         };
-        match compio::time::timeout(CALL_TIMEOUT, request.send()).await {
+        match within(CALL_TIMEOUT, request.send()).await {
             Err(_) => Delivery::Unconfirmed("the order request timed out".to_owned()),
             Ok(Err(cyper::Error::HyperClient(e))) if e.is_connect() => {
                 Delivery::Failed(e.to_string())
@@ -242,7 +243,7 @@
             let body = body.map_err(|e| e.to_string())?;
             serde_json::from_slice(&body).map_err(|e| e.to_string())
         };
-        let timed = compio::time::timeout(CALL_TIMEOUT, call).await;
+        let timed = within(CALL_TIMEOUT, call).await;
         timed.unwrap_or_else(|_| Err("reading the upstream's state timed out".to_owned()))
     }
 
--- a/src/serve/peers/join.rs
+++ b/src/serve/peers/join.rs
@@ -12,6 +12,7 @@
 use crate::peers::{MEMBERS, PeerClient};
 use crate::schema::peer::{MembersReply, MembersRequest};
 use crate::serve::SharedCtx;
+use crate::time_limit::within;
 use crate::util::Name;
 
 /// How many peers are tried in turn until one answers.
@@ -27,7 +28,7 @@
 async fn join(ctx: &SharedCtx, peers: &PeerClient) {
     let mut fleet = ctx.fleet.clone();
     let listed = fleet.wait_for(|view| view.members.len() > 1);
-    if !matches!(compio::time::timeout(LIST_TIMEOUT, listed).await, Ok(Ok(_))) {
+    if !matches!(within(LIST_TIMEOUT, listed).await, Ok(Ok(_))) {
         return;
     }
     for addr in sample_peers(ctx) {
--- a/src/serve/route/placer.rs
+++ b/src/serve/route/placer.rs
@@ -24,6 +24,7 @@
 use crate::schema::peer::{Forward, WarmReply, WarmRequest};
 use crate::serve::SharedCtx;
 use crate::serve::home::loads::{SharedLoads, pool_slots};
+use crate::time_limit::within;
 use crate::util::Name;
 
 /// Chat locations kept: several times one router's share of the largest fleet's chats, in a few
@@ -237,10 +238,7 @@
             ..WarmRequest::default()
         };
         let lookup = self.peers.query::<_, WarmReply>(&addr, WARM, &query);
-        let found = compio::time::timeout(LOOKUP_TIMEOUT, lookup)
-            .await
-            .ok()?
-            .ok()?;
+        let found = within(LOOKUP_TIMEOUT, lookup).await.ok()?.ok()?;
         (!found.upstream.is_empty()).then(|| ChatLocation {
             upstream: found.upstream.into(),
             tokens: found.tokens,
--- a/src/serve/stop.rs
+++ b/src/serve/stop.rs
@@ -12,6 +12,7 @@
 use crate::schema::peer;
 use crate::serve::Ctx;
 use crate::stats;
+use crate::time_limit::within;
 
 /// Timeout for notifying peers that this router has finished.
 const LEAVE_NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -43,7 +44,7 @@
     ctx.drain.report_stop();
     let (done, notified) = oneshot::channel();
     ctx.gossip.send(GossipCommand::Finish(done));
-    let _ = compio::time::timeout(LEAVE_NOTICE_TIMEOUT, notified).await;
+    let _ = within(LEAVE_NOTICE_TIMEOUT, notified).await;
     ctx.events.emit(Kind::RouterStopped, |e| {
         e.detail = format!("{unfinished} still in flight at the limit");
     });
