A router that was paused reads refutations before it declares members dead

What the fleet saw: a router that suspects another and then gets no processor time for longer than a suspicion lasts (2 s) declares it dead in its first tick, though the refutation waits in its socket, and tells the others.

Cause: a late tick dropped the open probes and moved the silence of members on, but not the beginning of suspicions, so that the pause counted as time in which the suspect did not refute.

Evidence: woken_router_reads_refutations_first (tests/membership.rs) failed before (Dead, wanted Suspect) and passes now, with the 15 other tests of that file.

Fix: the time for which this process was paused doesn't count in a suspicion either.

--- a/src/fleet/swim/probing.rs
+++ b/src/fleet/swim/probing.rs
@@ -42,8 +42,8 @@
         out
     }
 
-    /// A late tick means that this process was paused: its open probes prove nothing about others,
-    /// and after a long pause others may have declared it dead.
+    /// A late tick means that this process was paused: its open probes and suspicions prove nothing
+    /// about others, and after a long pause others may have declared it dead.
     fn detect_pause(&mut self, now_ms: u64) {
         let paused_ms = now_ms.saturating_sub(self.last_tick_ms);
         self.last_tick_ms = now_ms;
@@ -51,6 +51,10 @@
             self.probes.clear();
             self.members.for_each(|entry| {
                 entry.silent_since_ms = entry.silent_since_ms.map(|since| since + paused_ms);
+                // A refutation may wait in the socket.
+                if entry.member.state == MemberState::Suspect {
+                    entry.since_ms += paused_ms;
+                }
             });
         }
         if paused_ms > self.policy.suspicion_ms && self.live() > 1 {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -39,6 +39,29 @@
     assert!(net.nodes[2].swim.me().incarnation > 1_000, "refuted");
 }
 
+/// A router suspects another and is itself paused, for longer than a suspect has to refute. The refutation
+/// waits in its socket when it resumes: it must not declare the other one dead before it has read it.
+#[test]
+fn woken_router_reads_refutations_first() {
+    let mut net = Net::start(9, 5_000);
+    net.nodes[2].frozen_until_ms = net.now_ms + 1_500;
+    let suspecting = |net: &Net| (0..9).find(|i| net.state(*i, 2) == MemberState::Suspect);
+    net.run_until(1_500, |net| suspecting(net).is_some());
+    let woken = suspecting(&net).unwrap();
+    net.nodes[woken].frozen_until_ms = net.now_ms + 3_000;
+    net.run(2_990);
+    net.nodes[woken].frozen_until_ms = net.now_ms;
+    let out = {
+        let now_ms = net.now_ms;
+        net.nodes[woken].swim.tick(now_ms, &mut net.rng)
+    };
+    assert_eq!(net.state(woken, 2), MemberState::Suspect);
+    net.send(woken, out);
+    net.run(2_000);
+    assert_eq!(net.state(woken, 2), MemberState::Alive);
+    assert!(net.all_see(2, MemberState::Alive));
+}
+
 /// A router is paused until all have declared it dead and its upstreams have other homes. On
 /// resuming, its own state still lists it as their home: it must not act on that state, and rejoin
 /// with a higher incarnation once it learns that it was declared dead.
