--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -54,6 +54,7 @@
 use crate::path::versions;
 use crate::peers::ORIGIN;
 use crate::schema::peer::{OriginReply, OriginRequest, StreamOrigin};
+use crate::time_limit::within;
 use crate::util::{self, Name};
 
 pub(crate) use crate::path::stream_origins::stored::{StoreCall, StreamsByOrigin};
@@ -259,7 +260,7 @@
         }
     };
     // What arrived before the time limit counts.
-    let _ = compio::time::timeout(ROUND_LIMIT, round).await;
+    let _ = within(ROUND_LIMIT, round).await;
     result
 }
 
--- a/src/path/stream_origins/stored.rs
+++ b/src/path/stream_origins/stored.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Mutex, mpsc, oneshot};
 
 use crate::decide::Origin;
+use crate::time_limit::within;
 
 /// Interval at which batches are written. Streams that begin within it before an end of all routers aren't
 /// known afterwards.
@@ -95,7 +96,7 @@
             store.send(StoreCall::Read(reply)).await.ok()?;
             read.await.ok()
         };
-        let answered = compio::time::timeout(READ_LIMIT, answered).await;
+        let answered = within(READ_LIMIT, answered).await;
         answered.ok().flatten().unwrap_or_default()
     }
 }
