--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -138,6 +138,19 @@
     pub pushback_ms: u64,
 }
 
+/// The end of a request that reached an upstream, printed when the upstream no longer works on it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RunEnd {
+    /// Id of the upstream.
+    pub ended_at: String,
+    /// Id that the caller gave the request.
+    pub request_id: String,
+    /// Time of the end, in Unix milliseconds.
+    pub ended_ms: u64,
+    /// Whether a fault that a test set spoilt the response.
+    pub was_spoilt: bool,
+}
+
 /// Configuration of an upstream.
 #[derive(Clone, Debug)]
 pub struct BackendConfig {
@@ -208,6 +221,12 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The delay that a request asks for in its query, instead of the knob.
+fn wanted_delay(target: &str) -> Option<Duration> {
+    let (_, delay_ms) = target.split_once("delay_ms=")?;
+    delay_ms.parse().ok().map(Duration::from_millis)
+}
+
 /// Returns the unique id of an incarnation.
 ///
 /// The id contains the IP address, because the upstreams of a test share one port: without it, two
@@ -355,11 +374,14 @@
                 .await;
         }
         if is_rejected {
-            return self.reject(connection, request).await;
+            let keep_open = self.reject(connection, request).await;
+            self.print_end(request, false);
+            return keep_open;
         }
         self.running.set(self.running.get() + 1);
         let keep_open = self.run(connection, request, fault).await;
         self.running.set(self.running.get() - 1);
+        self.print_end(request, fault != ResponseFault::None);
         keep_open
     }
 
@@ -405,6 +427,15 @@
         });
     }
 
+    fn print_end(&self, request: &ParsedRequest, was_spoilt: bool) {
+        print_run(&RunEnd {
+            ended_at: self.id.clone(),
+            request_id: request.header("attempt-id").to_owned(),
+            ended_ms: millis(since_epoch()),
+            was_spoilt,
+        });
+    }
+
     fn leaving_header(&self) -> String {
         let value = &self.knobs.borrow().leaving;
         if value.is_empty() {
@@ -455,7 +486,7 @@
         if let ResponseFault::Endless(fault) = fault {
             return self.respond_endlessly(connection, request, fault).await;
         }
-        let delay = Duration::from_millis(knobs.delay_ms);
+        let delay = wanted_delay(&request.target).unwrap_or(Duration::from_millis(knobs.delay_ms));
         if request.target.contains("/stream") {
             return self.stream(connection, request, after, delay, fault).await;
         }
