--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -19,6 +19,20 @@
 /// Maximum pause between two requests of one caller.
 const MAX_PAUSE_MS: u64 = 60;
 
+/// Interval between two events of a lasting stream.
+const EVENT_INTERVAL_MS: u64 = 36;
+/// Numbers of events of a lasting stream: some seconds, or longer than a router's grace time.
+const EVENTS: std::ops::Range<u32> = 55..110;
+const MANY_EVENTS: std::ops::Range<u32> = 150..200;
+/// Share of the lasting streams that are longer than a router's grace time.
+const MANY_EVENTS_SHARE: f64 = 0.2;
+/// Timeout of a lasting request, also sent to the router as its deadline.
+const LASTING_DEADLINE: Duration = Duration::from_secs(9);
+/// Duration of other lasting requests.
+const REQUEST_MS: std::ops::Range<u64> = 20..3_000;
+/// Offset of the seed of callers that send lasting requests.
+const LASTING_SEED: u64 = 0x7374_7265_616d;
+
 /// Kinds of requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RequestKind {
@@ -47,6 +61,63 @@
     }
 }
 
+/// What a caller asks for.
+struct Wanted {
+    kind: RequestKind,
+    /// Number of events of a stream; otherwise any number.
+    count: u32,
+    path: String,
+    deadline: Duration,
+}
+
+impl Wanted {
+    /// A request that is answered at once, unless its upstream has a fault.
+    fn short(rng: &mut SmallRng) -> Self {
+        let kinds = [
+            RequestKind::Get,
+            RequestKind::Ticket,
+            RequestKind::Resumed,
+            RequestKind::Once,
+        ];
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        Self {
+            kind,
+            count: rng.random_range(2..30),
+            path: kind.path().to_owned(),
+            deadline: DEADLINE,
+        }
+    }
+
+    /// Mostly a stream that lasts for seconds, otherwise a request that takes its time.
+    fn lasting(rng: &mut SmallRng) -> Self {
+        let kinds = [
+            RequestKind::Resumed,
+            RequestKind::Once,
+            RequestKind::Resumed,
+            RequestKind::Once,
+            RequestKind::Get,
+            RequestKind::Ticket,
+        ];
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        let events = if rng.random_bool(MANY_EVENTS_SHARE) {
+            MANY_EVENTS
+        } else {
+            EVENTS
+        };
+        let delay_ms = if kind.is_stream() {
+            EVENT_INTERVAL_MS
+        } else {
+            rng.random_range(REQUEST_MS)
+        };
+        Self {
+            kind,
+            count: rng.random_range(events),
+            path: format!("{}?delay_ms={delay_ms}", kind.path()),
+            deadline: LASTING_DEADLINE,
+        }
+    }
+}
+
 /// One request and the response that its caller received.
 pub(crate) struct RequestRecord {
     pub(crate) id: String,
@@ -58,6 +129,8 @@
     pub(crate) sent_ms: u64,
     /// Unix time at which its response ended.
     pub(crate) ended_ms: u64,
+    /// Its deadline, relative to its sending.
+    pub(crate) limit_ms: u64,
     /// `None` if no response began.
     pub(crate) received: Option<Received>,
 }
@@ -70,18 +143,25 @@
 }
 
 impl Callers {
-    pub(crate) fn spawn(routed: &RoutedFleet, count: u32, seed: u64) -> Self {
+    /// Starts `count` callers with short requests, and `lasting` with lasting ones only.
+    pub(crate) fn spawn(routed: &RoutedFleet, count: u32, lasting: u32, seed: u64) -> Self {
         let callers = Self {
             stop: Rc::default(),
             records: Rc::default(),
-            running: Rc::new(Cell::new(count)),
+            running: Rc::new(Cell::new(count + lasting)),
         };
         let entries = (0..u8::try_from(routed.routers.len()).unwrap_or(u8::MAX))
             .map(|i| routed.entry_addr(i))
             .collect::<Vec<_>>();
-        for n in 0..count {
+        for n in 0..count + lasting {
+            let (draw, seed): (fn(&mut SmallRng) -> Wanted, u64) = if n < count {
+                (Wanted::short, seed)
+            } else {
+                (Wanted::lasting, seed ^ LASTING_SEED)
+            };
             let task = CallerTask {
                 rng: SmallRng::seed_from_u64(seed ^ (u64::from(n) << 32)),
+                draw,
                 caller: Caller::new(KEY),
                 entries: entries.clone(),
                 addrs: Vec::new(),
@@ -115,6 +195,7 @@
 
 struct CallerTask {
     rng: SmallRng,
+    draw: fn(&mut SmallRng) -> Wanted,
     caller: Caller,
     entries: Vec<SocketAddr>,
     addrs: Vec<SocketAddr>,
@@ -164,31 +245,31 @@
     }
 
     async fn send_request(&mut self, addr: SocketAddr) -> RequestRecord {
-        let kinds = [
-            RequestKind::Get,
-            RequestKind::Ticket,
-            RequestKind::Resumed,
-            RequestKind::Once,
-        ];
-        let kind = kinds[self.rng.random_range(0..kinds.len())];
-        let body = self.rng.random_range(2..30_u32).to_string();
+        let wanted = (self.draw)(&mut self.rng);
+        let body = wanted.count.to_string();
         let id = new_request_id();
-        let deadline_ms = DEADLINE.as_millis().to_string();
+        let limit_ms = u64::try_from(wanted.deadline.as_millis()).unwrap_or(u64::MAX);
+        let deadline_ms = limit_ms.to_string();
         let headers = [
             ("attempt-id", id.as_str()),
             ("host", HOST),
             ("deadline-ms", deadline_ms.as_str()),
         ];
         let sent_ms = wall_ms();
-        let call = self.caller.call(addr, "POST", kind.path(), &headers, &body);
-        let received = compio::time::timeout(DEADLINE, call).await.ok().flatten();
+        let caller = &self.caller;
+        let call = caller.call(addr, "POST", &wanted.path, &headers, &body);
+        let received = compio::time::timeout(wanted.deadline, call)
+            .await
+            .ok()
+            .flatten();
         RequestRecord {
             id,
-            kind,
+            kind: wanted.kind,
             body,
             router: addr,
             sent_ms,
             ended_ms: wall_ms(),
+            limit_ms,
             received,
         }
     }
--- a/examples/soak/faults.rs
+++ b/examples/soak/faults.rs
@@ -10,9 +10,11 @@
 use serde_json::{Value, json};
 
 use crate::Args;
+use crate::maintenance;
 use crate::operator::Operator;
 use crate::outages::{Outage, Outages, Span};
 use crate::silences;
+use crate::stalls::{self, Stall};
 use crate::support::routed::RoutedFleet;
 use crate::support::{post, sleep_ms, wall_ms};
 use crate::suspend::{Hold, Suspender};
@@ -36,18 +38,22 @@
 const OMISSION_SEED: u64 = 0x6f6d_6974;
 const FULL_RESTART_SEED: u64 = 0x6675_6c6c;
 const SILENCE_SEED: u64 = 0x7369_6c65;
+const STALL_SEED: u64 = 0x7374_616c;
+const MAINTENANCE_SEED: u64 = 0x6d61_696e;
 
 /// Share of the steps in which all routers restart, once the last such restart is this long ago.
 const FULL_RESTART_SHARE: f64 = 0.3;
 const FULL_RESTART_PAUSE: Duration = Duration::from_secs(6);
 /// Longest silence of an upstream.
 const MAX_SILENCE: Duration = Duration::from_millis(*silences::SILENCE_MS.end());
+/// Longest stall of all processes.
+const MAX_STALL: Duration = Duration::from_millis(*stalls::STALL_MS.end());
 
 /// Maximum time for which all routers are down.
 const MAX_DOWN_MS: u64 = 1_500;
 
-/// Random numbers of the faults. Notices, departures and silences have their own, so that a seed keeps
-/// its other faults.
+/// Random numbers of the faults. Notices, departures, silences, stalls and maintenance have their own, so
+/// that a seed keeps its other faults.
 pub(crate) struct FaultRngs {
     faults: SmallRng,
     notices: SmallRng,
@@ -55,12 +61,18 @@
     omissions: SmallRng,
     full_restarts: SmallRng,
     silences: SmallRng,
+    stalls: SmallRng,
+    maintenance: SmallRng,
     /// Number of restarts of all routers that are left.
     full_restarts_left: u32,
     /// Share of the faults that excuse routers which are injected.
     excusing_share: f64,
     /// Share of the steps in which upstreams fall silent.
     silence_share: f64,
+    /// Share of the steps in which all processes stand still.
+    stall_share: f64,
+    /// Whether there are no other faults than maintenance, silences and stalls.
+    has_maintenance: bool,
 }
 
 impl FaultRngs {
@@ -73,9 +85,13 @@
             omissions: SmallRng::seed_from_u64(seed ^ OMISSION_SEED),
             full_restarts: SmallRng::seed_from_u64(seed ^ FULL_RESTART_SEED),
             silences: SmallRng::seed_from_u64(seed ^ SILENCE_SEED),
+            stalls: SmallRng::seed_from_u64(seed ^ STALL_SEED),
+            maintenance: SmallRng::seed_from_u64(seed ^ MAINTENANCE_SEED),
             full_restarts_left: args.full_restarts,
             excusing_share: args.excusing.clamp(0.0, 1.0),
             silence_share: args.silences.clamp(0.0, 1.0),
+            stall_share: args.stalls.clamp(0.0, 1.0),
+            has_maintenance: args.maintenance,
         }
     }
 }
@@ -109,6 +125,28 @@
         self.knobs.borrow()[upstream].clone()
     }
 
+    /// Stops a router with SIGTERM. The caller starts it again once it is gone.
+    pub(crate) fn stop_router(&self, routed: &mut RoutedFleet, router: usize) {
+        self.outages.begin(Outage::RouterDown(router));
+        self.outages.stopped(router);
+        routed.routers[router].terminate();
+        routed.stopping.push(router);
+    }
+
+    /// Has a router read its settings file again.
+    pub(crate) fn reload_router(&self, routed: &RoutedFleet, router: usize) {
+        self.outages.reloaded(router);
+        routed.routers[router].signal_reload();
+    }
+
+    /// Kills a router. The caller starts it again.
+    fn kill_router(&self, routed: &mut RoutedFleet, router: usize) {
+        self.outages.begin(Outage::RouterDown(router));
+        self.outages.begin(Outage::RouterKilled(router));
+        routed.routers[router].kill();
+        self.outages.end(Outage::RouterKilled(router));
+    }
+
     /// Starts a router again that was waited for.
     fn start_router(&self, routed: &mut RoutedFleet, router: usize) {
         self.outages.end(Outage::RouterDown(router));
@@ -219,14 +257,14 @@
             rngs.full_restarts_left -= 1;
             restarted = Instant::now();
         }
-        if rngs.departures.random_bool(DEPARTURE_SHARE) {
+        if !rngs.has_maintenance && rngs.departures.random_bool(DEPARTURE_SHARE) {
             let departure = departure(routed, scene, &mut rngs.departures).await;
             if let Some((description, fault)) = departure {
                 println!("{} ms: {description}", start.elapsed().as_millis());
                 active.push(fault);
             }
         }
-        if rngs.notices.random_bool(NOTICE_SHARE) {
+        if !rngs.has_maintenance && rngs.notices.random_bool(NOTICE_SHARE) {
             let (description, fault) = notice(routed, scene, &mut rngs.notices).await;
             println!("{} ms: {description}", start.elapsed().as_millis());
             active.push(fault);
@@ -237,6 +275,22 @@
             let description = silences::begin(routed, scene, silences, &mut interruptions).await;
             println!("{} ms: {description}", start.elapsed().as_millis());
         }
+        if rngs.stalls.random_bool(rngs.stall_share) && Instant::now() + MAX_STALL < until {
+            let (before_ms, after_ms) = stalls::draw(&mut rngs.stalls);
+            let stall = Stall::begin(routed, scene);
+            sleep_ms(before_ms).await;
+            if rngs.has_maintenance {
+                maintain(routed, scene, &mut rngs.maintenance, &mut active, start);
+            }
+            sleep_ms(after_ms).await;
+            stall.end(scene, &mut interruptions);
+            let (at_ms, stall_ms) = (start.elapsed().as_millis(), before_ms + after_ms);
+            println!("{at_ms} ms: all processes stood still for {stall_ms} ms");
+        }
+        if rngs.has_maintenance {
+            maintain(routed, scene, &mut rngs.maintenance, &mut active, start);
+            continue;
+        }
         let has_excusing = rngs.omissions.random_bool(rngs.excusing_share);
         let injected = inject(
             routed,
@@ -287,9 +341,28 @@
             interruptions.routers.push((i, freeze.to_ms));
         }
     }
+    interruptions.routers.extend(scene.outages.stops());
     interruptions
 }
 
+/// Takes a step of maintenance. Routers that it stops are started again as soon as they are gone.
+fn maintain(
+    routed: &mut RoutedFleet,
+    scene: &Scene,
+    rng: &mut SmallRng,
+    active: &mut Vec<ActiveFault>,
+    start: Instant,
+) {
+    let step = maintenance::step(routed, scene, rng);
+    println!("{} ms: {}", start.elapsed().as_millis(), step.description);
+    for router in step.stopped {
+        active.push(ActiveFault {
+            reverts_at: Instant::now(),
+            revert: Revert::StartRouter(u8::try_from(router).unwrap_or_default()),
+        });
+    }
+}
+
 /// Kills all routers at once, and starts them together after `down_ms`.
 async fn restart_all(
     routed: &mut RoutedFleet,
@@ -299,8 +372,7 @@
 ) {
     let all = 0..routed.routers.len();
     for router in all.clone() {
-        scene.outages.begin(Outage::RouterDown(router));
-        routed.routers[router].kill();
+        scene.kill_router(routed, router);
         interruptions.router(router);
     }
     sleep_ms(down_ms).await;
@@ -469,8 +541,7 @@
     match rng.random_range(0..12) {
         0..=2 if !has_excusing => ("no router fault".to_owned(), None),
         0 if !is_faulted => {
-            scene.outages.begin(Outage::RouterDown(router));
-            routed.routers[router].kill();
+            scene.kill_router(routed, router);
             scene.start_router(routed, router);
             interruptions.router(router);
             (format!("router {i} killed and started"), None)
@@ -484,10 +555,7 @@
             )
         }
         2 if !is_faulted => {
-            scene.outages.begin(Outage::RouterDown(router));
-            routed.routers[router].terminate();
-            interruptions.router(router);
-            routed.stopping.push(router);
+            scene.stop_router(routed, router);
             (
                 format!("router {i} stopped with SIGTERM"),
                 Some(Revert::StartRouter(i)),
@@ -495,7 +563,7 @@
         }
         3 => {
             if !is_faulted {
-                routed.routers[router].signal_reload();
+                scene.reload_router(routed, router);
             }
             (
                 format!("router {i} sent SIGHUP to reload its settings"),
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -9,6 +9,9 @@
 mod callers;
 mod faults;
 mod harmful;
+mod losses;
+mod lost_answers;
+mod maintenance;
 mod notices;
 mod operator;
 mod outages;
@@ -17,6 +20,7 @@
 mod restored;
 mod restores;
 mod silences;
+mod stalls;
 mod suspend;
 mod verdict;
 
@@ -53,6 +57,8 @@
     Promises,
     /// Requests that crash upstreams are stopped, and no others.
     Quarantine,
+    /// No answer is lost around stops, reloads and versions.
+    Losses,
 }
 
 /// Runs a fleet of processes under load and faults, and checks the responses that callers received
@@ -74,6 +80,9 @@
     /// Number of callers
     #[bpaf(long, argument("N"), fallback(8))]
     pub(crate) callers: u32,
+    /// Number of callers whose requests, mostly streams, last for seconds
+    #[bpaf(long, argument("N"), fallback(4))]
+    pub(crate) lasting: u32,
     /// Number of tasks per router that send requests on changing routes
     #[bpaf(long, argument("N"), fallback(3))]
     pub(crate) probes: u32,
@@ -92,7 +101,12 @@
     /// Share of the steps in which some upstreams fall silent for a time, from 0 to 1
     #[bpaf(long, argument("SHARE"), fallback(0.2))]
     pub(crate) silences: f64,
-    /// The only checks that decide, answers, promises or quarantine; by default all
+    /// Share of the steps in which all processes of the fleet stand still for a time, from 0 to 1
+    #[bpaf(long, argument("SHARE"), fallback(0.05))]
+    pub(crate) stalls: f64,
+    /// Inject nothing but stops, reloads and versions in series, beside silences and stalls
+    pub(crate) maintenance: bool,
+    /// The only checks that decide, answers, promises, quarantine or losses; by default all
     #[bpaf(long, argument("CHECKS"), optional)]
     pub(crate) only: Option<Checks>,
 }
@@ -148,7 +162,7 @@
     let operator = Operator::new(&routed, args.deletes_history());
     let suspender = Suspender::new(&routed, outages.clone());
     let scene = Scene::new(operator, suspender, outages, routed.upstreams.len());
-    let callers = Callers::spawn(&routed, args.callers, args.seed);
+    let callers = Callers::spawn(&routed, args.callers, args.lasting, args.seed);
     let probes = Probes::spawn(&routed, args.probes, args.seed ^ PROBE_SEED);
     let harmful = HarmfulCallers::spawn(&routed, args.harmful, args.seed ^ HARMFUL_SEED);
     let until = Instant::now() + Duration::from_secs(args.seconds);
@@ -176,7 +190,7 @@
     println!("seed {}: {}", args.seed, verdict::summary(&records));
     let versions = scene.operator.versions();
     let evacuations = scene.operator.evacuations();
-    let findings = promises::check(&Evidence {
+    let evidence = Evidence {
         seed: args.seed,
         routed: &routed,
         requests: &records,
@@ -184,13 +198,18 @@
         versions: &versions,
         evacuations: &evacuations,
         outages: &scene.outages,
-    });
+    };
+    let losses = losses::check(&evidence);
+    println!("seed {}: {}", args.seed, losses.summary());
+    if args.only.is_none_or(|only| only == Checks::Losses) {
+        violations.extend(losses.violations);
+    }
     let (probed, written) = (probes.len(), versions.len());
     println!(
         "seed {}: {probed} requests on {written} versions",
         args.seed
     );
-    for finding in findings {
+    for finding in promises::check(&evidence) {
         println!("seed {}: {}", args.seed, finding.summary());
         if args.only.is_none_or(|only| only == Checks::Promises) {
             violations.extend(finding.violations);
@@ -230,14 +249,12 @@
         .clone()
         .run_until(seed ^ OPERATOR_SEED, until);
     let store = routed.store.addr;
-    let shortages = scene
-        .suspender
-        .clone()
-        .run_until(seed ^ SUSPEND_SEED, until);
-    let mut others = vec![
-        compio::runtime::spawn(operator),
-        compio::runtime::spawn(shortages),
-    ];
+    let mut others = vec![compio::runtime::spawn(operator)];
+    if !args.maintenance {
+        let suspender = scene.suspender.clone();
+        let shortages = suspender.run_until(seed ^ SUSPEND_SEED, until);
+        others.push(compio::runtime::spawn(shortages));
+    }
     if args.deletes_history() {
         let truncations = operator::truncate_until(store, seed ^ TRUNCATE_SEED, until);
         others.push(compio::runtime::spawn(truncations));
--- a/examples/soak/operator.rs
+++ b/examples/soak/operator.rs
@@ -121,6 +121,11 @@
     /// Asks for a version at once, which also holds the given route from now on.
     pub(crate) fn want_route(&self, route: Value) {
         *self.more_route.borrow_mut() = Some(route);
+        self.want_version();
+    }
+
+    /// Asks for a version at once.
+    pub(crate) fn want_version(&self) {
         self.is_wanted.set(true);
     }
 
--- a/examples/soak/outages.rs
+++ b/examples/soak/outages.rs
@@ -15,6 +15,8 @@
 pub(crate) enum Outage {
     /// From a kill or SIGTERM until the next start of the router.
     RouterDown(usize),
+    /// The router was killed.
+    RouterKilled(usize),
     /// The router's process is suspended, for any time.
     RouterSuspended(usize),
     /// The router runs only in short cycles.
@@ -22,6 +24,8 @@
     /// The relay between the router and the store has a fault.
     Relay(usize),
     Store,
+    /// All processes are suspended; the suspensions are recorded too.
+    Stall,
     UpstreamFrozen(usize),
     /// The upstream sends and reads nothing for a time.
     UpstreamSilent(usize),
@@ -53,6 +57,8 @@
 pub(crate) struct Outages {
     spans: Rc<RefCell<Vec<(Outage, Span)>>>,
     restores: Rc<RefCell<Vec<Span>>>,
+    stops: Rc<RefCell<Vec<(usize, u64)>>>,
+    reloads: Rc<RefCell<Vec<(usize, u64)>>>,
 }
 
 impl Outages {
@@ -120,6 +126,51 @@
         kinds.iter().any(|kind| self.has(*kind, from_ms, to_ms))
     }
 
+    /// Records that a router was sent SIGTERM.
+    pub(crate) fn stopped(&self, router: usize) {
+        self.stops.borrow_mut().push((router, wall_ms()));
+    }
+
+    /// The routers that were sent SIGTERM, with the Unix times in milliseconds.
+    pub(crate) fn stops(&self) -> Vec<(usize, u64)> {
+        self.stops.borrow().clone()
+    }
+
+    /// Records that a router was sent SIGHUP.
+    pub(crate) fn reloaded(&self, router: usize) {
+        self.reloads.borrow_mut().push((router, wall_ms()));
+    }
+
+    /// The routers that were sent SIGHUP, with the Unix times in milliseconds.
+    pub(crate) fn reloads(&self) -> Vec<(usize, u64)> {
+        self.reloads.borrow().clone()
+    }
+
+    /// What an operator doesn't announce, wherever it was. A machine that stands still as a whole does not
+    /// count, nor do upstreams that fall silent.
+    pub(crate) fn disruptions(&self) -> Vec<Span> {
+        let stalls = self.of(Outage::Stall);
+        let is_of_stall = |span: &Span| {
+            stalls
+                .iter()
+                .any(|s| s.from_ms <= span.from_ms && span.to_ms <= s.to_ms)
+        };
+        let spans = self.spans.borrow();
+        let unannounced = spans.iter().filter(|(outage, span)| match outage {
+            Outage::RouterKilled(_)
+            | Outage::RouterShort(_)
+            | Outage::Relay(_)
+            | Outage::UpstreamFrozen(_)
+            | Outage::UpstreamFault(_) => true,
+            Outage::RouterSuspended(_) | Outage::Store => !is_of_stall(span),
+            Outage::RouterDown(_)
+            | Outage::Stall
+            | Outage::UpstreamSilent(_)
+            | Outage::UpstreamLeaving(_) => false,
+        });
+        unannounced.map(|(_, span)| *span).collect()
+    }
+
     /// Records that the store was away and came back from an older copy.
     pub(crate) fn restored(&self, away: Span) {
         self.restores.borrow_mut().push(away);
@@ -180,10 +231,11 @@
         let spans = self.spans.borrow();
         let is_of_router = |outage: &Outage| match outage {
             Outage::RouterDown(r)
+            | Outage::RouterKilled(r)
             | Outage::RouterSuspended(r)
             | Outage::RouterShort(r)
             | Outage::Relay(r) => *r == router,
-            Outage::Store => true,
+            Outage::Store | Outage::Stall => true,
             Outage::UpstreamFrozen(_)
             | Outage::UpstreamSilent(_)
             | Outage::UpstreamLeaving(_)
--- a/examples/soak/probes.rs
+++ b/examples/soak/probes.rs
@@ -13,7 +13,7 @@
 use crate::support::{Caller, sleep_ms, wall_ms};
 
 /// Timeout of a request, also sent to the router as its deadline.
-const DEADLINE: Duration = Duration::from_secs(4);
+pub(crate) const DEADLINE: Duration = Duration::from_secs(4);
 /// Maximum pause between two requests of one task.
 const MAX_PAUSE_MS: u64 = 60;
 /// Probability that a request uses a route, or a key, that every version holds.
@@ -33,6 +33,8 @@
     pub(crate) ended_ms: u64,
     /// `None` if no response began.
     pub(crate) status: Option<u16>,
+    /// Whether the response ended as the protocol requires.
+    pub(crate) is_complete: bool,
     /// Whether the response has an upstream's signature.
     pub(crate) is_signed: bool,
     /// Whether the router refused it for lack of upstreams.
@@ -134,6 +136,7 @@
             sent_ms,
             ended_ms: wall_ms(),
             status: received.as_ref().map(|r| r.status),
+            is_complete: received.as_ref().is_some_and(|r| r.complete),
             lacks_upstreams: received.as_ref().is_some_and(|r| lacks_upstreams(&r.body)),
             is_signed: received.is_some_and(|r| !r.header("server-signature").is_empty()),
         }
--- a/examples/soak/promises.rs
+++ b/examples/soak/promises.rs
@@ -6,6 +6,7 @@
 use standins::backend::{Arrival, Run};
 
 use crate::callers::RequestRecord;
+use crate::lost_answers::APPLY_BOUND_MS;
 use crate::notices::index_of;
 use crate::operator::{Evacuation, Version, account_of};
 use crate::outages::{Outage, Outages, Span};
@@ -13,8 +14,6 @@
 use crate::restored;
 use crate::support::routed::RoutedFleet;
 
-/// Time after the acknowledgement of a version from which it is in force.
-const APPLY_BOUND_MS: u64 = 2_000;
 /// Time after the acknowledgement of a departure from which no request reaches the upstream.
 pub(crate) const DRAIN_BOUND_MS: u64 = 2_000;
 /// Time after a router showed the effect of a version from which it never goes back behind it.
--- a/tests/support/options.rs
+++ b/tests/support/options.rs
@@ -59,7 +59,7 @@
 
 /// A fault relay and the address of its controls.
 pub(crate) struct Relay {
-    pub(super) process: Process,
+    pub(crate) process: Process,
     pub(crate) control: SocketAddr,
 }
 
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -10,7 +10,7 @@
 
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use standins::backend::{Arrival, EndlessResponse, Run, id_prefix, record};
+use standins::backend::{Arrival, EndlessResponse, Run, RunEnd, id_prefix, record};
 use standins::keyed::EntryChange;
 use tempfile::TempDir;
 
@@ -29,6 +29,8 @@
 
 pub(crate) const HOST: &str = "a.example";
 pub(crate) const KEY: &str = "caller-key-1";
+/// Timeout of every route.
+pub(crate) const ROUTE_TIMEOUT_MS: u64 = 10_000;
 /// The service behind every route.
 pub(crate) const SERVICE: &str = "s1";
 
@@ -79,7 +81,7 @@
 pub(crate) fn route(name: &str, kind: &str, more: Value) -> Value {
     let mut route = json!({
         "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "type": kind,
-        "timeout_ms": 10_000, "target_latency_ms": 200, "priority": 0, "service": SERVICE,
+        "timeout_ms": ROUTE_TIMEOUT_MS, "target_latency_ms": 200, "priority": 0, "service": SERVICE,
         "max_attempts": 3, "public": false,
     });
     for (field, value) in more.as_object().unwrap() {
@@ -487,6 +489,11 @@
         self.records(name)
     }
 
+    /// The ends of the runs of upstream process `name`, in order.
+    pub(crate) fn run_ends_at(&self, name: &str) -> Vec<RunEnd> {
+        self.records(name)
+    }
+
     /// The requests that reached upstream `i`, in all its starts.
     pub(crate) fn arrivals(&self, i: u8) -> Vec<Arrival> {
         let prefix = format!("upstream-{i}-");
