--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -134,8 +134,14 @@
     spawn(dir, name, command, at)
 }
 
+/// Environment variable with the path of another router's executable, for comparing versions.
+const OTHER_ROUTER: &str = "CASSIAGRADE_ROUTER";
+
 /// The router's executable: the one cargo built for a test, or the current one in the long run.
 pub(crate) fn router_program() -> PathBuf {
+    if let Some(other) = std::env::var_os(OTHER_ROUTER) {
+        return PathBuf::from(other);
+    }
     match option_env!("CARGO_BIN_EXE_cassiagrade") {
         Some(path) => PathBuf::from(path),
         None => std::env::current_exe().unwrap(),
