Stand-in upstream: places to wait, and a fall when too many are turned away

No stand-in could show it: further requests than slots were rejected without end.

Knobs: places (requests that wait for a slot), brittle (the header's value, as text so that bad ones can be sent), brittle_places (from 3 s after the first announcement on), down_ms. A request that finds neither slot nor place counts for a second; one more than N, and the process prints the fall and replaces itself by a new start, which listens after down_ms with the same knobs: its connections end at once, its port refuses, its id is new. An arrival says whether it found no room, so that a test can add up what an upstream turned away.

--- a/standins/src/backend/mod.rs
+++ b/standins/src/backend/mod.rs
@@ -2,6 +2,7 @@
 //! by byte, because an HTTP library would refuse to send the malformed ones.
 
 mod endless;
+mod room;
 mod silence;
 mod wire;
 
@@ -20,6 +21,7 @@
 use tokio::sync::Notify;
 
 pub use crate::backend::endless::{EndlessFault, EndlessResponse};
+use crate::backend::room::{NoSlot, Room, start_again};
 use crate::backend::silence::{Connection, Silence};
 use crate::backend::wire::{ParsedRequest, chunk, format_response, read_request};
 use crate::http::{post, print_run};
@@ -27,6 +29,13 @@
 /// Interval at which an upstream publishes its entry to the store.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time from the announcement that an upstream is brittle until it has fewer places to wait.
+pub const BRITTLE_NOTICE: Duration = Duration::from_secs(3);
+/// Time after which a brittle upstream that fell starts again, unless the knobs say otherwise.
+const DOWN_MS: u64 = 2_000;
+/// Longest wait for a slot of a request without a time limit.
+const MAX_WAIT: Duration = Duration::from_secs(30);
+
 /// A request whose body contains this text aborts the process whatever its knobs are, after its run is
 /// printed.
 pub const HARMFUL_BODY: &str = "crashes every upstream";
@@ -55,6 +64,16 @@
     pub leaving: String,
     /// Time that rejections ask for, in seconds; empty: none.
     pub retry_after: String,
+    /// Requests that wait for a slot at once; further ones are rejected.
+    pub places: u32,
+    /// Value with which every response announces that the upstream is brittle; empty: no announcement. If it
+    /// is a number, the upstream falls when it rejects more requests in a second for want of room: all its
+    /// connections end, and it starts again later, with the same knobs.
+    pub brittle: String,
+    /// Requests that wait for a slot from [`BRITTLE_NOTICE`] after the first announcement on.
+    pub brittle_places: u32,
+    /// Time after which an upstream that fell starts again; 0: some seconds.
+    pub down_ms: u64,
     /// Time for which new connections are refused, from the knobs' arrival on. Open ones live on.
     pub refuses_connections_ms: u64,
     /// Time for which nothing is sent or read on any connection, from the knobs' arrival on. Requests
@@ -136,6 +155,22 @@
     pub at_ms: u64,
     /// Time without requests that the response asks for; 0 if none.
     pub pushback_ms: u64,
+    /// Whether it is rejected for want of room.
+    #[serde(default)]
+    pub found_no_room: bool,
+}
+
+/// The fall of a brittle upstream, printed before it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Fall {
+    /// Id of the upstream.
+    pub fallen: String,
+    /// Requests that it rejected for want of room within a second.
+    pub turned_away: u32,
+    /// How many it would have borne.
+    pub borne: u32,
+    /// Time of the fall, in Unix milliseconds.
+    pub at_ms: u64,
 }
 
 /// Configuration of an upstream.
@@ -149,10 +184,12 @@
     pub data_center: String,
     /// Address of the store that it publishes its entry to.
     pub store: SocketAddr,
-    /// Maximum number of concurrent requests; further ones are rejected.
+    /// Maximum number of concurrent requests; further ones wait or are rejected.
     pub slots: u32,
     /// Version of its software in its entry; empty: the entry has no version.
     pub software: String,
+    /// Faults from the start on.
+    pub knobs: Knobs,
 }
 
 /// A running upstream.
@@ -170,7 +207,9 @@
     /// Notified when the knobs say that new connections are refused.
     refused: Notify,
     silence: Silence,
-    running: Cell<u32>,
+    room: Room,
+    /// When the knobs first said that the upstream is brittle.
+    brittle_since: Cell<Option<Instant>>,
 }
 
 impl Backend {
@@ -186,13 +225,15 @@
         let server = Rc::new(Server {
             id,
             started_ms: millis(started),
-            config,
+            room: Room::new(config.slots),
+            config: config.clone(),
             addr,
             knobs: RefCell::default(),
             refused: Notify::new(),
             silence: Silence::default(),
-            running: Cell::default(),
+            brittle_since: Cell::default(),
         });
+        server.set_knobs(config.knobs);
         compio::runtime::spawn(server.clone().publish_entries()).detach();
         compio::runtime::spawn(server.accept(listener)).detach();
         Ok(Self { addr })
@@ -309,6 +350,9 @@
         if knobs.silent_ms > 0 {
             self.silence.begin(Duration::from_millis(knobs.silent_ms));
         }
+        let is_brittle = !knobs.brittle.is_empty();
+        let since = self.brittle_since.get().unwrap_or_else(Instant::now);
+        self.brittle_since.set(is_brittle.then_some(since));
         self.knobs.replace(knobs);
     }
 
@@ -340,27 +384,70 @@
         }
         let target_instance = request.header("target-instance");
         if !target_instance.is_empty() && target_instance != self.id {
-            let head = format!("instance-id: {}\r\n{}", self.id, self.leaving_header());
+            let head = format!("instance-id: {}\r\n{}", self.id, self.notices());
             return connection
                 .send(&format_response("421 Misdirected Request", &head, ""))
                 .await;
         }
         let fault = self.take_fault();
         let is_endless_rejection = fault == ResponseFault::Endless(EndlessFault::Rejection);
-        let is_rejected = fault == ResponseFault::Reject || self.running.get() >= self.config.slots;
-        self.print_arrival(request, is_rejected || is_endless_rejection);
+        let places = self.places();
+        let is_spoilt = fault == ResponseFault::Reject;
+        let is_rejected = is_spoilt || self.room.is_full(places);
+        let found_no_room = is_rejected && !is_spoilt && !is_endless_rejection;
+        self.print_arrival(request, is_rejected || is_endless_rejection, found_no_room);
         if is_endless_rejection {
             return self
                 .respond_endlessly(connection, request, EndlessFault::Rejection)
                 .await;
         }
-        if is_rejected {
+        if is_spoilt {
             return self.reject(connection, request).await;
         }
-        self.running.set(self.running.get() + 1);
-        let keep_open = self.run(connection, request, fault).await;
-        self.running.set(self.running.get() - 1);
-        keep_open
+        let patience = request.header("deadline-ms").parse();
+        let patience = patience.map_or(MAX_WAIT, Duration::from_millis);
+        match self.room.take_slot(places, patience).await {
+            Ok(_slot) => self.run(connection, request, fault).await,
+            Err(NoSlot::TooLate) => self.reject(connection, request).await,
+            Err(NoSlot::NoRoom) => {
+                self.fall_if_overrun();
+                self.reject(connection, request).await
+            }
+        }
+    }
+
+    /// Requests that may wait for a slot now.
+    fn places(&self) -> u32 {
+        let knobs = self.knobs.borrow();
+        let since = self.brittle_since.get();
+        if since.is_some_and(|since| since.elapsed() >= BRITTLE_NOTICE) {
+            knobs.brittle_places
+        } else {
+            knobs.places
+        }
+    }
+
+    /// Records that a request was turned away for want of room, and falls if these are more than a brittle
+    /// upstream bears.
+    fn fall_if_overrun(&self) {
+        let turned_away = self.room.turn_away(Instant::now());
+        let knobs = self.knobs.borrow().clone();
+        let Some(borne) = knobs.brittle.parse().ok().filter(|n| turned_away > *n) else {
+            return;
+        };
+        print_run(&Fall {
+            fallen: self.id.clone(),
+            turned_away,
+            borne,
+            at_ms: millis(since_epoch()),
+        });
+        let down_ms = if knobs.down_ms == 0 {
+            DOWN_MS
+        } else {
+            knobs.down_ms
+        };
+        let error = start_again(&self.config, self.addr, knobs, down_ms);
+        panic!("the upstream can't be started again: {error}");
     }
 
     async fn reject(&self, connection: &mut Connection<'_>, request: &ParsedRequest) -> bool {
@@ -368,7 +455,7 @@
         let mut head = format!(
             "not-executed: 1\r\nattempt-id: {}\r\n{}",
             request.header("attempt-id"),
-            self.leaving_header()
+            self.notices()
         );
         if !retry_after.is_empty() {
             head.push_str(&format!("retry-after: {retry_after}\r\n"));
@@ -389,7 +476,7 @@
         false
     }
 
-    fn print_arrival(&self, request: &ParsedRequest, is_rejected: bool) {
+    fn print_arrival(&self, request: &ParsedRequest, is_rejected: bool, found_no_room: bool) {
         let retry_after_s: f64 = self.knobs.borrow().retry_after.parse().unwrap_or(0.0);
         let pushback_ms = if is_rejected {
             (retry_after_s * 1_000.0) as u64
@@ -402,15 +489,20 @@
             request_id: request.header("attempt-id").to_owned(),
             at_ms: millis(since_epoch()),
             pushback_ms,
+            found_no_room,
         });
     }
 
-    fn leaving_header(&self) -> String {
-        let value = &self.knobs.borrow().leaving;
-        if value.is_empty() {
-            return String::new();
-        }
-        format!("server-leaving: {value}\r\n")
+    /// What every response says about the upstream.
+    fn notices(&self) -> String {
+        let knobs = self.knobs.borrow();
+        let notices = [
+            ("server-leaving", &knobs.leaving),
+            ("server-brittle", &knobs.brittle),
+        ];
+        let said = notices.iter().filter(|(_, value)| !value.is_empty());
+        said.map(|(name, value)| format!("{name}: {value}\r\n"))
+            .collect()
     }
 
     fn take_fault(&self) -> ResponseFault {
@@ -522,11 +614,12 @@
 
     fn response_headers(&self, request_id: &str) -> String {
         format!(
-            "attempt-id: {request_id}\r\nserver-signature: {}\r\ninstance-load: {},0,{}\r\n{}",
+            "attempt-id: {request_id}\r\nserver-signature: {}\r\ninstance-load: {},{},{}\r\n{}",
             self.id,
-            self.running.get(),
+            self.room.running(self.config.slots),
+            self.room.waiting(),
             self.config.slots,
-            self.leaving_header()
+            self.notices()
         )
     }
 
--- a/standins/src/backend/tests.rs
+++ b/standins/src/backend/tests.rs
@@ -5,7 +5,7 @@
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 
-use super::{Backend, BackendConfig, id};
+use super::{Backend, BackendConfig, Knobs, id};
 
 /// An upstream that publishes its entry to nobody.
 async fn backend() -> SocketAddr {
@@ -16,6 +16,7 @@
         store: "127.0.0.1:9".parse().unwrap(),
         slots: 8,
         software: "v1".to_owned(),
+        knobs: Knobs::default(),
     };
     let addr = "127.0.0.1:0".parse().unwrap();
     Backend::bind(addr, config).await.unwrap().addr
@@ -34,6 +35,12 @@
     read_until(&mut stream, "\r\n\r\n").await;
 }
 
+async fn read_some(stream: &mut TcpStream) -> String {
+    let BufResult(read, bytes) = stream.read(Vec::with_capacity(4_096)).await;
+    assert!(read.unwrap() > 0);
+    String::from_utf8(bytes).unwrap()
+}
+
 /// Reads until the text received ends with `end`.
 async fn read_until(stream: &mut TcpStream, end: &str) -> String {
     let mut text = String::new();
@@ -81,6 +88,28 @@
     assert_eq!(read.unwrap(), 0);
 }
 
+/// A request that finds no slot must wait in one of the places, and only what finds none there is turned away.
+#[compio::test]
+async fn requests_wait_in_the_places_and_further_ones_are_turned_away() {
+    let addr = backend().await;
+    set_knobs(addr, r#"{"delay_ms":1000,"places":1,"brittle":"many"}"#).await;
+    let mut streams = Vec::new();
+    for _ in 0..10 {
+        streams.push(send(addr, "/get", "").await);
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut answers = Vec::new();
+    for stream in &mut streams {
+        let text = read_some(stream).await;
+        assert!(text.contains("server-brittle: many\r\n"), "{text}");
+        answers.push(text);
+    }
+    let is_served = |text: &String| text.starts_with("HTTP/1.1 200");
+    assert_eq!(answers.iter().filter(|text| is_served(text)).count(), 9);
+    assert!(!is_served(&answers[9]), "{answers:?}");
+    assert!(answers[9].contains("not-executed: 1"), "{answers:?}");
+}
+
 /// Two upstreams that start within one microsecond on different hosts, at the same port, must not
 /// share an id: they would overwrite each other's entry in the store.
 #[test]
--- a/standins/src/cli.rs
+++ b/standins/src/cli.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bpaf::Bpaf;
 
@@ -74,6 +75,12 @@
         /// Version of its software; empty: its entry has no version
         #[bpaf(long, argument("VERSION"), fallback("v1".to_owned()))]
         software: String,
+        /// Initial knobs, as JSON
+        #[bpaf(short, long, argument("JSON"), optional)]
+        knobs: Option<String>,
+        /// Time until it starts to listen
+        #[bpaf(long, argument("MS"), fallback(0))]
+        starts_after_ms: u64,
         /// Address to listen on
         #[bpaf(positional("ADDR"))]
         addr: SocketAddr,
@@ -127,6 +134,8 @@
             store,
             slots,
             software,
+            knobs,
+            starts_after_ms,
             addr,
         } => {
             let config = BackendConfig {
@@ -136,7 +145,9 @@
                 store,
                 slots,
                 software,
+                knobs: parse_knobs(knobs)?,
             };
+            compio::time::sleep(Duration::from_millis(starts_after_ms)).await;
             Ok(Backend::bind(addr, config).await?.addr)
         }
         Command::Plain { knobs, addr } => {
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -10,7 +10,7 @@
 
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use standins::backend::{Arrival, EndlessResponse, Run, id_prefix, record};
+use standins::backend::{Arrival, EndlessResponse, Fall, Run, id_prefix, record};
 use standins::keyed::EntryChange;
 use tempfile::TempDir;
 
@@ -27,6 +27,9 @@
 const STANDIN_PORT: u16 = 7010;
 const CONTROL_PORT: u16 = 7011;
 
+/// Slots of an upstream, more than most tests use at once.
+const UPSTREAM_SLOTS: u32 = 64;
+
 pub(crate) const HOST: &str = "a.example";
 pub(crate) const KEY: &str = "caller-key-1";
 /// The service behind every route.
@@ -200,23 +203,29 @@
 
     /// Starts or restarts upstream `i` with a new id.
     pub(crate) fn spawn_upstream(&mut self, i: u8) {
-        self.spawn_upstream_with(i, &[]);
+        self.spawn_upstream_with(i, UPSTREAM_SLOTS, &[]);
     }
 
     /// Starts or restarts upstream `i` with the given id.
     pub(crate) fn spawn_upstream_as(&mut self, i: u8, id: &str) {
-        self.spawn_upstream_with(i, &["--id", id]);
+        self.spawn_upstream_with(i, UPSTREAM_SLOTS, &["--id", id]);
     }
 
     /// Starts or restarts upstream `i` with a new id and the given version of its software.
     pub(crate) fn spawn_upstream_of(&mut self, i: u8, software: &str) {
-        self.spawn_upstream_with(i, &["--software", software]);
+        self.spawn_upstream_with(i, UPSTREAM_SLOTS, &["--software", software]);
+    }
+
+    /// Starts or restarts upstream `i` with a new id, `slots` and the given initial knobs.
+    pub(crate) fn spawn_upstream_with_knobs(&mut self, i: u8, slots: u32, knobs: &Value) {
+        self.spawn_upstream_with(i, slots, &["--knobs", &knobs.to_string()]);
     }
 
-    fn spawn_upstream_with(&mut self, i: u8, more: &[&str]) {
+    fn spawn_upstream_with(&mut self, i: u8, slots: u32, more: &[&str]) {
         let name = format!("upstream-{i}-{}", self.upstream_names.len());
         let store = self.store.addr.to_string();
         let center = format!("dc-{}", i % 3);
+        let slots = slots.to_string();
         let mut args = vec![
             "backend",
             "--service",
@@ -226,7 +235,7 @@
             "--store",
             &store,
             "--slots",
-            "64",
+            &slots,
         ];
         args.extend_from_slice(more);
         let at = addr(self.prefix, 100 + i, STANDIN_PORT);
@@ -495,6 +504,11 @@
         names.flat_map(|name| self.arrivals_at(name)).collect()
     }
 
+    /// The falls of upstream process `name`.
+    pub(crate) fn falls_of(&self, name: &str) -> Vec<Fall> {
+        self.records(name)
+    }
+
     /// The endless answers of all upstreams whose connections were closed.
     pub(crate) fn endless_responses(&self) -> Vec<EndlessResponse> {
         let names = self.upstream_names.iter();
