--- a/src/fleet/swim/entry.rs
+++ b/src/fleet/swim/entry.rs
@@ -4,12 +4,18 @@
 
 use crate::fleet::member::{Member, MemberState};
 
+/// Number of pauses of this process that prolong one suspicion. One that lacks processor time for long still
+/// notices the end of others.
+const MAX_EXCUSED_PAUSES: u8 = 3;
+
 #[derive(Debug)]
 pub(super) struct Entry {
     pub(super) member: Member,
     pub(super) addr: Option<SocketAddr>,
     /// When its state last changed here.
     pub(super) since_ms: u64,
+    /// Number of pauses of this process since then that prolonged a suspicion.
+    pub(super) excused_pauses: u8,
     /// When its last message arrived.
     pub(super) last_received_ms: u64,
     /// Since when no probe has been answered, direct or indirect.
@@ -27,6 +33,7 @@
             addr: member.peer_addr.parse().ok(),
             member,
             since_ms: now_ms,
+            excused_pauses: 0,
             last_received_ms: 0,
             silent_since_ms: None,
             sends: 0,
@@ -35,6 +42,15 @@
         }
     }
 
+    /// Prolongs a suspicion by a pause of this process: a refutation may wait in its socket.
+    pub(super) fn excuse_pause(&mut self, paused_ms: u64, now_ms: u64) {
+        let is_suspect = self.member.state == MemberState::Suspect;
+        if is_suspect && self.excused_pauses < MAX_EXCUSED_PAUSES {
+            self.excused_pauses += 1;
+            self.since_ms = (self.since_ms + paused_ms).min(now_ms);
+        }
+    }
+
     pub(super) fn is_live(&self) -> bool {
         self.member.state != MemberState::Dead
     }
--- a/src/fleet/swim/merge.rs
+++ b/src/fleet/swim/merge.rs
@@ -120,6 +120,7 @@
             entry.member.incarnation = incarnation;
             entry.member.state = state;
             entry.since_ms = now_ms;
+            entry.excused_pauses = 0;
             entry.silent_since_ms = None;
             entry.sends = if confirmed { SENT_ENOUGH } else { 0 };
         });
--- a/src/fleet/swim/probing.rs
+++ b/src/fleet/swim/probing.rs
@@ -51,10 +51,7 @@
             self.probes.clear();
             self.members.for_each(|entry| {
                 entry.silent_since_ms = entry.silent_since_ms.map(|since| since + paused_ms);
-                // A refutation may wait in the socket.
-                if entry.member.state == MemberState::Suspect {
-                    entry.since_ms += paused_ms;
-                }
+                entry.excuse_pause(paused_ms, now_ms);
             });
         }
         if paused_ms > self.policy.suspicion_ms && self.live() > 1 {
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -18,7 +18,7 @@
 //! bytes, answered by 2 bytes, whatever the size of the fleet; none otherwise. A stream that is resumed
 //! at a router that didn't begin it costs two queries of some 25 bytes, answered by some 30; if that
 //! settles nothing, 6 more at 9 routers and 14 more at 390 or 985, and then a read of what is stored, at most one a
-//! second and router. Up to 16 routers store a batch a second while streams begin whose keepers are told, whatever the
+//! second and router and 50 a second in all. Up to 16 routers store a batch a second while streams begin whose keepers are told, whatever the
 //! size of the fleet, with 8 bytes for each stream. Keepers are chosen by one of 16 groups
 //! of streams, so a router connects to at most 32 of them; at 985 routers that begin a stream a second
 //! each, a keeper is told of 123 a second and keeps 15,000.
@@ -90,7 +90,7 @@
     shared: RefCell<HashSet<Name>>,
     keepers: RefCell<Keepers>,
     moves: RefCell<Moves>,
-    stored: Stored,
+    stored: Rc<Stored>,
 }
 
 /// The keepers of each group of streams.
@@ -147,7 +147,7 @@
 }
 
 /// Finds where the stream began of which `request_id` brought the first event. The time limit of all
-/// queries together is 300 ms.
+/// queries together is 300 ms, and that of a read of what is stored another 500 ms.
 pub(crate) async fn find<D: Records>(
     path: &Rc<RequestPath<D>>,
     request_id: Option<&str>,
@@ -191,14 +191,8 @@
 
 /// Looks the stream up among those whose origins are stored: the routers that knew it may have ended.
 async fn find_stored<D: Records>(path: &Rc<RequestPath<D>>, stream: u64) -> Found {
-    let stored = path.origins.stored.read(path.clock.now_ms()).await;
-    let now_ms = path.clock.now_ms();
-    for (origin, streams) in stored {
-        for stream in streams {
-            path.origins.insert(stream, origin.clone(), false, now_ms);
-        }
-    }
-    let Some(origin) = path.origins.get(stream, now_ms) else {
+    let (routers, now_ms) = (path.routers(), path.clock.now_ms());
+    let Some(origin) = path.origins.stored.find(stream, routers, now_ms).await else {
         return Found::Unknown;
     };
     keep(path, stream, &origin);
@@ -383,11 +377,11 @@
 }
 
 /// Whether this router writes the origins of streams of this group for all: it is a keeper of each of them
-/// that another router began.
+/// that another router began. If no router takes work any more, each writes its own.
 fn is_writer<D>(path: &RequestPath<D>, group: u64) -> bool {
     let fleet = path.fleet.borrow();
     let first = homes::home(&fleet, &format!("origins/{group}"), "");
-    first.is_some_and(|m| *m.host == *path.host)
+    first.is_none_or(|m| *m.host == *path.host)
 }
 
 /// Answers another router.
--- a/src/path/stream_origins/stored.rs
+++ b/src/path/stream_origins/stored.rs
@@ -8,9 +8,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::{Mutex, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::decide::Origin;
 use crate::time_limit::within;
@@ -20,8 +21,10 @@
 const WRITE_INTERVAL_MS: u64 = 1_000;
 /// Least interval between two reads, however many streams of unknown origin are taken up.
 const READ_INTERVAL_MS: u64 = 1_000;
-/// Time limit of a read: its callers wait.
-const READ_LIMIT: Duration = Duration::from_millis(500);
+/// Number of reads in a second by all routers from which each of them reads less often.
+const FLEET_READS_PER_S: u64 = 50;
+/// Time for which a caller waits for a read.
+const READ_WAIT: Duration = Duration::from_millis(500);
 /// Largest number of streams that wait to be written. More at a time mean an outage.
 const MAX_PENDING: usize = 1 << 14;
 
@@ -32,7 +35,7 @@
 pub(crate) enum StoreCall {
     /// Writes batches by group of streams.
     Write(BTreeMap<u64, StreamsByOrigin>),
-    /// Reads the batches that have not expired.
+    /// Reads the batches that have not expired; the reply is dropped if they can't be read.
     Read(oneshot::Sender<StreamsByOrigin>),
 }
 
@@ -43,8 +46,12 @@
     pending: RefCell<BTreeMap<u64, StreamsByOrigin>>,
     pending_streams: Cell<usize>,
     written_ms: Cell<u64>,
-    /// Time of the last read; one read serves all that wait for it.
-    read_ms: Mutex<Option<u64>>,
+    /// What was read last.
+    known: RefCell<HashMap<u64, Origin>>,
+    /// Time at which the last read began.
+    read_ms: Cell<Option<u64>>,
+    is_reading: Cell<bool>,
+    read: Notify,
 }
 
 impl Stored {
@@ -80,23 +87,65 @@
         permit.send(StoreCall::Write(self.pending.take()));
     }
 
-    /// Reads the batches, unless that was done a moment ago.
-    pub(super) async fn read(&self, now_ms: u64) -> StreamsByOrigin {
-        let mut read_ms = self.read_ms.lock().await;
-        let is_recent = |at: u64| now_ms.saturating_sub(at) < READ_INTERVAL_MS;
-        let Some(store) = self.store.borrow().clone() else {
-            return StreamsByOrigin::default();
-        };
-        if read_ms.is_some_and(is_recent) {
-            return StreamsByOrigin::default();
+    /// Looks a stream up in what is stored, which a fleet of `routers` reads again if that was not done a
+    /// moment ago. A read that takes longer than the caller waits serves the next one.
+    pub(super) async fn find(
+        self: &Rc<Self>,
+        stream: u64,
+        routers: usize,
+        now_ms: u64,
+    ) -> Option<Origin> {
+        if let Some(origin) = self.known(stream) {
+            return Some(origin);
         }
-        *read_ms = Some(now_ms);
-        let (reply, read) = oneshot::channel();
-        let answered = async {
-            store.send(StoreCall::Read(reply)).await.ok()?;
-            read.await.ok()
+        self.begin_read(routers, now_ms);
+        let read = self.read.notified();
+        if self.is_reading.get() {
+            // What was read before the time limit counts.
+            let _ = within(READ_WAIT, read).await;
+        }
+        self.known(stream)
+    }
+
+    fn known(&self, stream: u64) -> Option<Origin> {
+        self.known.borrow().get(&stream).cloned()
+    }
+
+    fn begin_read(self: &Rc<Self>, routers: usize, now_ms: u64) {
+        let interval_ms = (routers as u64 * 1_000 / FLEET_READS_PER_S).max(READ_INTERVAL_MS);
+        let is_recent = |at: u64| now_ms.saturating_sub(at) < interval_ms;
+        if self.is_reading.get() || self.read_ms.get().is_some_and(is_recent) {
+            return;
+        }
+        let Some(store) = self.store.borrow().clone() else {
+            return;
         };
-        let answered = within(READ_LIMIT, answered).await;
-        answered.ok().flatten().unwrap_or_default()
+        self.read_ms.set(Some(now_ms));
+        self.is_reading.set(true);
+        let this = self.clone();
+        compio::runtime::spawn(async move {
+            match read(&store).await {
+                Some(streams) => this.set_known(streams),
+                // The next stream that is taken up has it read again.
+                None => this.read_ms.set(None),
+            }
+            this.is_reading.set(false);
+            this.read.notify_waiters();
+        })
+        .detach();
     }
+
+    fn set_known(&self, streams: StreamsByOrigin) {
+        let streams = streams.into_iter().flat_map(|(origin, streams)| {
+            let known = streams.into_iter();
+            known.map(move |stream| (stream, origin.clone()))
+        });
+        self.known.replace(streams.collect());
+    }
+}
+
+async fn read(store: &mpsc::Sender<StoreCall>) -> Option<StreamsByOrigin> {
+    let (reply, read) = oneshot::channel();
+    store.send(StoreCall::Read(reply)).await.ok()?;
+    read.await.ok()
 }
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -125,7 +125,8 @@
         path.state.set_stored_suspicions(suspicions);
         let (stored_versions, versions) = VersionStore::open(open());
         path.versions.set_store(versions);
-        path.origins.set_store(OriginStore::spawn(open()));
+        path.origins
+            .set_store(OriginStore::spawn(open(), &path.host));
         let stored = Stored {
             suspicions: stored_suspicions,
             versions: stored_versions,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -62,6 +62,19 @@
     assert!(net.all_see(2, MemberState::Alive));
 }
 
+/// A router that hardly gets processor time prolongs each suspicion by each of its pauses, and goes on to send
+/// callers to a router that has ended.
+#[test]
+fn router_with_many_pauses_notices_an_end() {
+    let mut net = Net::start(2, 5_000);
+    net.nodes[1].frozen_until_ms = u64::MAX;
+    for _ in 0..30 {
+        net.nodes[0].frozen_until_ms = net.now_ms + 950;
+        net.run(970);
+    }
+    assert_eq!(net.state(0, 1), MemberState::Dead);
+}
+
 /// A router is paused until all have declared it dead and its upstreams have other homes. On
 /// resuming, its own state still lists it as their home: it must not act on that state, and rejoin
 /// with a higher incarnation once it learns that it was declared dead.
