Shortly before the exit, requests that no upstream has are refused

What callers see: requests that waited for their turn or for state when a stopping router exited ended without an answer. Cause: the exit waited for requests in flight, whatever they waited for, and then ended with all of them. Fix: at nine tenths of the grace time the stop closes: what is being read or waits and can't have run is refused as not run (draining, 503, 50 ms), what waits for another attempt after one that may have run gets 502, unknown; no further attempt begins, except for an answer that goes on. What an upstream has is waited for as before. Each has a request_refused line. A new stage, retrying, tells the two apart; an answer that has begun stays in the stage answering when its rest is sought elsewhere.

--- a/src/decide/stop.rs
+++ b/src/decide/stop.rs
@@ -6,6 +6,9 @@
 
 /// Share of the grace time after which the process exits by itself. The rest is for the last log lines.
 const EXIT_SHARE: f64 = 0.95;
+/// Share of the grace time after which requests that no upstream has are refused, which leaves time to send
+/// the refusals.
+const CLOSE_SHARE: f64 = 0.9;
 /// Share of the grace time that requests in flight get, however late the signal was noticed: their callers
 /// count on most of it.
 const LEAST_SHARE: f64 = 5.0 / 6.0;
@@ -28,6 +31,8 @@
 pub(crate) struct StopTimes {
     /// End of the announcement: new requests are refused.
     pub(crate) refuse_ms: u64,
+    /// Requests that no upstream has are refused.
+    pub(crate) close_ms: u64,
     /// The process exits.
     pub(crate) exit_ms: u64,
 }
@@ -47,6 +52,7 @@
         let exit_ms = (earliest_ms + share(EXIT_SHARE)).max(noticed_ms + share(LEAST_SHARE));
         Self {
             refuse_ms: earliest_ms + notice_ms.min(share(EXIT_SHARE * MAX_NOTICE_SHARE)),
+            close_ms: earliest_ms + share(CLOSE_SHARE),
             exit_ms,
         }
     }
--- a/src/decide/stop_tests.rs
+++ b/src/decide/stop_tests.rs
@@ -15,6 +15,7 @@
 fn stop_that_is_noticed_at_once_uses_the_grace_time() {
     let expected = StopTimes {
         refuse_ms: 4_000,
+        close_ms: 8_200,
         exit_ms: 8_600,
     };
     assert_eq!(times(1_000, 1_000), expected);
@@ -32,7 +33,7 @@
 #[test]
 fn answers_in_flight_get_most_of_the_grace_time() {
     let late = times(1_000, 5_000);
-    assert_eq!(late.refuse_ms, 4_000);
+    assert_eq!((late.refuse_ms, late.close_ms), (4_000, 8_200));
     assert!(late.exit_ms >= 5_000 + GRACE_MS * 5 / 6, "{late:?}");
 }
 
--- a/src/front/drain.rs
+++ b/src/front/drain.rs
@@ -14,6 +14,7 @@
 use http::{HeaderValue, Response};
 use http_body::{Body, Frame, SizeHint};
 use strum::IntoStaticStr;
+use tokio::sync::Notify;
 
 use crate::event::Events;
 use crate::front::body::Answer;
@@ -35,6 +36,8 @@
     Leaving,
     /// New work is refused; requests in flight are finished.
     Refusing,
+    /// Requests that no upstream has are refused too.
+    Closing,
 }
 
 /// When a planned stop goes on.
@@ -42,13 +45,18 @@
 pub(crate) struct Schedule {
     /// New work is refused from then on.
     pub(crate) refuse: Instant,
+    /// Requests that no upstream has are refused.
+    pub(crate) close: Instant,
     /// The process exits.
     pub(crate) exit: Instant,
 }
 
 impl Schedule {
     fn phase(&self) -> Phase {
-        if Instant::now() >= self.refuse {
+        let now = Instant::now();
+        if now >= self.close {
+            Phase::Closing
+        } else if now >= self.refuse {
             Phase::Refusing
         } else {
             Phase::Leaving
@@ -61,6 +69,8 @@
 pub(crate) struct Drain {
     phase: Rc<Cell<Phase>>,
     schedule: Rc<Cell<Option<Schedule>>>,
+    /// Notified when a stop is planned.
+    planned: Rc<Notify>,
     requests: Requests,
 }
 
@@ -71,6 +81,7 @@
         Self {
             phase: Rc::default(),
             schedule: Rc::default(),
+            planned: Rc::default(),
             requests: Requests::new(events),
         }
     }
@@ -90,6 +101,18 @@
     /// that have arrived since before the timer that ends the phase.
     pub(crate) fn plan(&self, schedule: Schedule) {
         self.schedule.set(Some(schedule));
+        self.planned.notify_waiters();
+    }
+
+    /// Returns once requests that no upstream has are refused.
+    pub(crate) async fn closing(&self) {
+        let planned = self.planned.notified();
+        if self.schedule.get().is_none() {
+            planned.await;
+        }
+        if let Some(schedule) = self.schedule.get() {
+            compio::time::sleep_until(schedule.close).await;
+        }
     }
 
     pub(crate) fn enter(&self, phase: Phase) {
--- a/src/front/drain_tests.rs
+++ b/src/front/drain_tests.rs
@@ -47,11 +47,18 @@
 async fn phase_goes_on_by_the_clock() {
     let drain = drain();
     let now = Instant::now();
-    let exit = now + LIMIT;
-    let refuse = now + LIMIT / 2;
-    drain.plan(Schedule { refuse, exit });
-    assert_eq!(drain.phase(), Phase::Leaving);
-    let refuse = now;
-    drain.plan(Schedule { refuse, exit });
-    assert_eq!(drain.phase(), Phase::Refusing);
+    let later = now + LIMIT;
+    let schedule = |refuse, close| Schedule {
+        refuse,
+        close,
+        exit: later,
+    };
+    for (schedule, phase) in [
+        (schedule(later, later), Phase::Leaving),
+        (schedule(now, later), Phase::Refusing),
+        (schedule(now, now), Phase::Closing),
+    ] {
+        drain.plan(schedule);
+        assert_eq!(drain.phase(), phase);
+    }
 }
--- a/src/front/in_flight.rs
+++ b/src/front/in_flight.rs
@@ -25,10 +25,12 @@
     /// It is being read.
     #[default]
     Reading,
-    /// It waits for state, for its turn or between two attempts.
+    /// It waits for state, for its turn or between two attempts, and no upstream has run it.
     Waiting,
     /// It was sent to an upstream or to another router.
     Sent,
+    /// An upstream may have run it, and it waits for another attempt.
+    Retrying,
     /// Its answer is being sent.
     Answering,
 }
@@ -182,8 +184,20 @@
         self.update(|request| request.id = id.map(Name::from));
     }
 
+    /// Sets how far the request has come. An answer that has begun goes on whatever is tried for its rest.
     pub(crate) fn set_stage(&self, stage: Stage) {
-        self.update(|request| request.stage = stage);
+        self.update(|request| {
+            if request.stage != Stage::Answering {
+                request.stage = stage;
+            }
+        });
+    }
+
+    /// How far the request has come.
+    pub(crate) fn stage(&self) -> Stage {
+        let table = self.requests.table.borrow();
+        let request = table.by_number.get(&self.number);
+        request.map_or_else(Stage::default, |request| request.stage)
     }
 
     /// Records that the request is answered, or that another module reports its end.
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -17,6 +17,7 @@
 use crate::decide::Origin;
 use crate::decide::refusal::Cause;
 use crate::event::Kind;
+use crate::front::drain::Phase;
 use crate::front::in_flight::{Stage, Tracker};
 use crate::path::RequestPath;
 use crate::path::admission_queue::Permit;
@@ -25,6 +26,7 @@
 use crate::path::delegate::Delegated;
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::refusal::{Refused, STALE_STATE};
+use crate::path::request;
 use crate::path::routes::{Account, Repeat, Route};
 use crate::path::stream_origins;
 use crate::path::trials::Trial;
@@ -193,6 +195,8 @@
     pub(crate) async fn next(&mut self, resume_after: Option<u64>) -> Result<Reply, Refused> {
         let tried_before = self.tried.len();
         loop {
+            self.record_wait();
+            self.check_closing()?;
             let is_retry = !self.delivered_to.is_empty();
             if is_retry && self.is_suspected() {
                 compio::time::sleep(SUSPECT_PAUSE.min(self.remaining())).await;
@@ -262,7 +266,6 @@
                 }
                 Err(failed) => failed,
             };
-            self.context.tracker.set_stage(Stage::Waiting);
             let now_ms = self.context.path.clock.now_ms();
             let state = &self.context.path.state;
             match failed.kind {
@@ -307,6 +310,29 @@
         }
     }
 
+    /// Records that this request waits for its next attempt.
+    fn record_wait(&self) {
+        let stage = if self.runs > 0 {
+            Stage::Retrying
+        } else {
+            Stage::Waiting
+        };
+        self.context.tracker.set_stage(stage);
+    }
+
+    /// Refuses another attempt if this router is about to exit, unless an answer has begun, which may still end.
+    fn check_closing(&self) -> Result<(), Refused> {
+        let is_answering = self.context.tracker.stage() == Stage::Answering;
+        if is_answering || self.context.path.drain.phase() < Phase::Closing {
+            return Ok(());
+        }
+        let refused = request::stopping();
+        if self.runs > 0 {
+            return Err(self.refuse(Cause::UpstreamFailed, refused.detail));
+        }
+        Err(refused)
+    }
+
     /// Whether no router has counted this request towards its retry budget yet.
     fn is_first_try(&self) -> bool {
         let delegated = self.context.delegated.as_ref();
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -105,7 +105,7 @@
         let delegation = self.send_to(router, &request).await;
         self.calling = None;
         if !matches!(delegation, Delegation::Answered(_)) {
-            self.context.tracker.set_stage(Stage::Waiting);
+            self.record_wait();
         }
         delegation
     }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -92,6 +92,8 @@
 #[cfg(test)]
 mod regions_tests;
 #[cfg(test)]
+mod request_tests;
+#[cfg(test)]
 mod router_state_tests;
 #[cfg(test)]
 mod state_requests_tests;
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -5,6 +5,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
@@ -15,6 +17,7 @@
 use crate::decide::{ChatKey, Cost, Job, Origin};
 use crate::decide::{admission, quarantine};
 use crate::event::{Events, Kind};
+use crate::front::Drain;
 use crate::front::body::Answer;
 use crate::front::check::{self, RequestError};
 use crate::front::drain::Phase;
@@ -87,7 +90,15 @@
     tracker.set_id(request_id.as_deref());
     let waits_to_continue = check::waits_to_continue(&parts.headers);
     let mut tally = Tally::start();
-    match admit(path.clone(), parts, head, &mut body, &mut tally, tracker).await {
+    let admitted = admit(
+        path.clone(),
+        parts,
+        head,
+        &mut body,
+        &mut tally,
+        tracker.clone(),
+    );
+    match until_closing(&path.drain, &tracker, admitted).await {
         Ok(response) => response,
         Err(refused) => {
             record_refusal(&path.events, &refused, request_id.as_deref(), &mut tally);
@@ -100,6 +111,29 @@
     }
 }
 
+/// Waits for the answer to a request until shortly before this process exits. Then a request that no upstream
+/// has is refused as not run, and one that waits for another attempt as unknown.
+pub(super) async fn until_closing<A>(
+    drain: &Drain,
+    tracker: &Tracker,
+    answered: impl Future<Output = Result<A, Refused>>,
+) -> Result<A, Refused> {
+    let closing = drain.closing();
+    pin_mut!(answered, closing);
+    let answered = match select(answered, closing).await {
+        Either::Left((answered, _)) => return answered,
+        Either::Right(((), answered)) => answered,
+    };
+    match tracker.stage() {
+        Stage::Reading | Stage::Waiting => Err(stopping()),
+        Stage::Retrying => Err(Refused {
+            cause: Cause::UpstreamFailed,
+            ..stopping().after(1)
+        }),
+        Stage::Sent | Stage::Answering => answered.await,
+    }
+}
+
 /// Handles a request that another router delegates to this one.
 ///
 /// # Errors
@@ -117,7 +151,9 @@
         e.detail = format!("delegated by {}", received.from);
     });
     let mut tally = Tally::start();
-    let answered = admit_delegated(path, received, &mut tally, tracker).await;
+    let drain = path.drain.clone();
+    let admitted = admit_delegated(path, received, &mut tally, tracker.clone());
+    let answered = until_closing(&drain, &tracker, admitted).await;
     answered.inspect_err(|refused| {
         record_refusal(&events, refused, request_id.as_deref(), &mut tally);
     })
@@ -288,13 +324,18 @@
 /// Failure guarded against: a request waits for state that doesn't matter any more, and the process
 /// exits meanwhile, without an answer.
 fn check_stopping<D>(path: &RequestPath<D>) -> Result<(), Refused> {
-    if path.drain.phase() == Phase::Refusing {
-        let detail = "this router is stopping";
-        return Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail));
+    if path.drain.phase() >= Phase::Refusing {
+        return Err(stopping());
     }
     Ok(())
 }
 
+/// The refusal by a router that is stopping.
+pub(crate) fn stopping() -> Refused {
+    let detail = "this router is stopping";
+    Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail)
+}
+
 /// Refuses a request that most likely can't end before this router does, if another router can take it.
 ///
 /// Failure guarded against: a router that is leaving takes a long stream, and its exit cuts it.
--- a/src/path/stop.rs
+++ b/src/path/stop.rs
@@ -4,6 +4,9 @@
 //! requests are cut off. It is removed from entry answers at once and continues to serve, closing
 //! each connection after its answer, until every caller has queried the entry again. Only then is
 //! new work refused.
+//!
+//! Failure guarded against: the process exits while requests wait for their turn or for state, and their
+//! callers learn nothing. Shortly before, what no upstream has is refused as not run.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,7 +33,11 @@
     path.gossip.send(GossipCommand::Leave);
     compio::time::sleep_until(schedule.refuse).await;
     path.drain.enter(Phase::Refusing);
-    let left = path.drain.wait_until_idle(until(schedule.exit)).await;
+    let mut left = path.drain.wait_until_idle(until(schedule.close)).await;
+    if left > 0 {
+        path.drain.enter(Phase::Closing);
+        left = path.drain.wait_until_idle(until(schedule.exit)).await;
+    }
     path.drain.report_stop();
     log::info!("stopped, {left} in flight");
 }
@@ -47,6 +54,7 @@
     let at = |ms: u64| now + Duration::from_millis(ms.saturating_sub(signal.noticed_ms));
     Schedule {
         refuse: at(times.refuse_ms),
+        close: at(times.close_ms),
         exit: at(times.exit_ms),
     }
 }
