A refusal of a stopping router doesn't wait for a body that doesn't end

What callers see: a request whose body had arrived in part when the announcement ended, or began after it, ended with the process, without an answer. Cause: a refused request's body is read to its end first, for up to 10 s, so that the caller isn't reset while it sends; a stopping router exits sooner. Fix: the stop ends that wait when it closes. The connection is closed after the refusal.

--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -105,7 +105,7 @@
             let may_read = !refused.ends_connection() && !waits_to_continue;
             let max_bytes = path.state.deployment().limits.max_body_bytes;
             let is_read = body.is_end_stream()
-                || may_read && check::discard(&mut body, max_bytes, BODY_TIMEOUT).await;
+                || may_read && discard(&path.drain, &mut body, max_bytes).await;
             refused.response::<D>(request_id.as_deref(), is_read)
         }
     }
@@ -134,6 +134,21 @@
     }
 }
 
+/// Reads the rest of a refused request's body, until shortly before this process exits at the latest. Returns
+/// whether it was complete.
+///
+/// Failure guarded against: a router that stops refuses a request whose body doesn't end, waits for the body, and
+/// exits without having sent the refusal.
+async fn discard(drain: &Drain, body: &mut Incoming, max_bytes: usize) -> bool {
+    let closing = drain.closing();
+    let read = check::discard(body, max_bytes, BODY_TIMEOUT);
+    pin_mut!(read, closing);
+    match select(read, closing).await {
+        Either::Left((is_read, _)) => is_read,
+        Either::Right(_) => false,
+    }
+}
+
 /// Handles a request that another router delegates to this one.
 ///
 /// # Errors
