A request whose body ends after the announcement is refused

What callers see: a request whose body arrives while the announcement of a stop ends is run although the router refuses new work, with only the rest of the grace time to end in. Cause: the phase was looked at before the body was read, not when the request was there. Fix: it is looked at again after the body.

--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -200,6 +200,8 @@
     let max_bytes = deployment.limits.max_body_bytes;
     let body = check::body(&parts.headers, body, max_bytes, BODY_TIMEOUT).await;
     let body = body.map_err(|e| malformed(&e))?;
+    // The announcement may have ended while the body arrived.
+    check_stopping(&path)?;
     let origin = origin(&path, &head, &route).await?;
     let service = match &origin {
         Some(origin) => origin.service.clone(),
