Callers' limits wait for what arrived while the process stood still

What callers saw: a caller sends a request while the router gets no processor time for 1.9 s. When it goes on, it closes the connection by the time limit on heads or on idle connections, though the request is in its socket.

Cause: hyper looks at its timer as soon as a read would block, and a head of more than one read would block after the first. The checks of slow heads and blocked writes, and the time for which a closed connection is read on, ran out in the same way.

Evidence: routed_stalls requests_that_arrived_during_a_stall_are_answered, 24 callers with heads of 40 KB and limits of 1 s.

Fix: `time_limit::run_out`, which gives a timer that ran late as long again, is also the timer of all HTTP connections (`HttpTimer`) and of the checks of callers.

--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use compio::net::TcpStream;
-use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -19,6 +18,7 @@
 use crate::front::in_flight::{ConnectionEnd, Tracker};
 use crate::front::paced::PacedStream;
 use crate::stats;
+use crate::time_limit::HttpTimer;
 
 /// Smallest buffer size that hyper accepts.
 pub(crate) const MIN_BUFFER_BYTES: usize = 8 << 10;
@@ -69,7 +69,7 @@
     });
     let blocked = stream.blocked();
     let served = hyper::server::conn::http1::Builder::new()
-        .timer(CompioTimer)
+        .timer(HttpTimer)
         .max_headers(bounds.headers * PARSER_SLACK)
         .max_buf_size((bounds.header_bytes * PARSER_SLACK).max(MIN_BUFFER_BYTES))
         .header_read_timeout(bounds.idle_time)
--- a/src/front/head_clock.rs
+++ b/src/front/head_clock.rs
@@ -6,6 +6,8 @@
 
 use tokio::sync::Notify;
 
+use crate::time_limit::run_out;
+
 /// Number of checks of a slow head per time limit.
 const POLLS_PER_LIMIT: u32 = 4;
 
@@ -76,7 +78,7 @@
             if self.reading.get().is_none() {
                 self.read_started.notified().await;
             }
-            compio::time::sleep(self.limit / POLLS_PER_LIMIT).await;
+            run_out(self.limit / POLLS_PER_LIMIT).await;
         }
     }
 }
--- a/src/front/paced.rs
+++ b/src/front/paced.rs
@@ -24,6 +24,7 @@
 use crate::front::connection::MIN_BUFFER_BYTES;
 use crate::front::drain::Unflushed;
 use crate::front::head_clock::HeadClock;
+use crate::time_limit::run_out;
 
 /// Number of checks of a blocked write per time limit.
 const POLLS_PER_LIMIT: u32 = 4;
@@ -43,7 +44,7 @@
     /// Returns once a write has been blocked for longer than `limit`.
     pub(crate) async fn wait_until_longer_than(&self, limit: Duration) {
         loop {
-            compio::time::sleep(limit / POLLS_PER_LIMIT).await;
+            run_out(limit / POLLS_PER_LIMIT).await;
             let since = self.since.get();
             if since.is_some_and(|at| at.elapsed() > limit) {
                 return;
@@ -98,9 +99,7 @@
 
     /// Reads and drops what the caller still sends, until it closes, sends too much or the time is up.
     fn poll_linger(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let timer = self
-            .linger
-            .get_or_insert_with(|| Box::pin(compio::time::sleep(LINGER)));
+        let timer = self.linger.get_or_insert_with(|| Box::pin(run_out(LINGER)));
         if timer.as_mut().poll(cx).is_ready() {
             return Poll::Ready(());
         }
--- a/src/front/pages.rs
+++ b/src/front/pages.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -15,6 +15,7 @@
 use crate::front::body::Answer;
 use crate::front::listen::{self, ConnectionPermit, ConnectionPermits};
 use crate::socket::{OtherEnd, set_keepalive};
+use crate::time_limit::HttpTimer;
 
 /// Limit on open connections; more are expected only if all callers lose their addresses at once.
 const MAX_CONNECTIONS: usize = 512;
@@ -51,7 +52,7 @@
         async move { Ok::<_, Infallible>(response) }
     });
     let served = hyper::server::conn::http1::Builder::new()
-        .timer(CompioTimer)
+        .timer(HttpTimer)
         .header_read_timeout(IDLE)
         .serve_connection(HyperStream::new_plain(stream), service)
         .await;
--- a/src/peers/http2.rs
+++ b/src/peers/http2.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use compio::net::TcpStream;
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use http_body::Body;
 use hyper::client::conn::http2::SendRequest;
 use hyper::rt::Executor;
 use snafu::{ResultExt, Snafu};
 
 use crate::socket::{OtherEnd, set_keepalive};
-use crate::time_limit::within;
+use crate::time_limit::{HttpTimer, within};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -52,7 +52,7 @@
     set_keepalive(&stream, OtherEnd::Peer);
     let io = HyperStream::new_plain(stream);
     let (send, conn) = hyper::client::conn::http2::Builder::new(LocalExec)
-        .timer(CompioTimer)
+        .timer(HttpTimer)
         .handshake(io)
         .await
         .context(HandshakeSnafu)?;
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -25,6 +25,7 @@
 use crate::schema::peer::{self, MembersReply, MembersRequest};
 use crate::socket::{OtherEnd, set_keepalive};
 use crate::stats;
+use crate::time_limit::HttpTimer;
 use crate::util::Name;
 
 /// Handler of other routers' queries.
@@ -76,7 +77,7 @@
         }
     });
     let served = hyper::server::conn::http2::Builder::new(LocalExec)
-        .timer(CompioTimer)
+        .timer(HttpTimer)
         .serve_connection(HyperStream::new_plain(stream), service)
         .await;
     if let Err(e) = served {
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -17,6 +17,7 @@
 use crate::front::pages::Page;
 use crate::log::follow::FollowStatus;
 use crate::serve::SharedCtx;
+use crate::time_limit::HttpTimer;
 
 /// Far more than scrapers need; the bound keeps file descriptors free for callers.
 const MAX_CONNECTIONS: usize = 64;
@@ -79,7 +80,7 @@
         async move { Ok::<_, Infallible>(response) }
     });
     let served = hyper::server::conn::http1::Builder::new()
-        .timer(CompioTimer)
+        .timer(HttpTimer)
         .serve_connection(HyperStream::new_plain(stream), service)
         .await;
     if let Err(e) = served {
--- a/src/serve/operator/mod.rs
+++ b/src/serve/operator/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::HyperStream;
 use http::{Request, Response, Uri};
 use hyper::body::Incoming;
 use hyper_util::service::TowerToHyperService;
@@ -38,6 +38,7 @@
 use crate::serve::home::Homes;
 use crate::serve::home::messages::HomeLoad;
 use crate::serve::operator::orders::Orders;
+use crate::time_limit::HttpTimer;
 use crate::util::Name;
 
 /// Far more than operators need; the bound keeps file descriptors free for callers.
@@ -97,7 +98,7 @@
 async fn serve(stream: TcpStream, rpc: Arc<Rpc>, _permit: ConnectionPermit) {
     let service = TowerToHyperService::new(OperatorServer::from_arc(rpc));
     let served = hyper::server::conn::http2::Builder::new(LocalExec)
-        .timer(CompioTimer)
+        .timer(HttpTimer)
         .keep_alive_interval(KEEP_ALIVE)
         .keep_alive_timeout(KEEP_ALIVE)
         .serve_connection(HyperStream::new_plain(stream), service)
--- a/src/time_limit.rs
+++ b/src/time_limit.rs
@@ -1,9 +1,12 @@
-//! A time limit that counts nothing as late that has arrived.
+//! Time limits that count nothing as late that has arrived.
 
 use std::pin::{Pin, pin};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
+use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
+use hyper::rt::{Sleep, Timer};
 use snafu::Snafu;
 
 /// Upper bound of the time in which a future may take what has arrived, after a timer that ran late: enough
@@ -15,29 +18,64 @@
 #[snafu(display("time limit exceeded"))]
 pub(crate) struct Elapsed;
 
-/// Runs `future` for at most `limit`, and for as long again as the timer ran late, up to [`CATCH_UP`].
+/// Runs `future` for at most `limit`, as [`run_out`] has it. If both are ready, the output counts.
 ///
 /// Failure guarded against: a process gets no processor time for a second. When it goes on, all its timers have
 /// run out while what they wait for has arrived, but was not read. Answers, connections and reads of many
 /// requests count as failed at once.
 pub(crate) async fn within<F: Future>(limit: Duration, future: F) -> Result<F::Output, Elapsed> {
-    let mut future = pin!(future);
+    match select(pin!(future), pin!(run_out(limit))).await {
+        Either::Left((output, _)) => Ok(output),
+        Either::Right(_) => Err(Elapsed),
+    }
+}
+
+/// Waits until `limit` has passed, and for as long again as the timer ran late, up to [`CATCH_UP`].
+pub(crate) async fn run_out(limit: Duration) {
     let due = Instant::now() + limit;
-    if let Some(output) = run_until(due, future.as_mut()).await {
-        return Ok(output);
+    compio::time::sleep_until(due).await;
+    compio::time::sleep(lateness(due)).await;
+}
+
+fn lateness(due: Instant) -> Duration {
+    Instant::now().saturating_duration_since(due).min(CATCH_UP)
+}
+
+/// The timer of HTTP connections, whose time limits run out as [`run_out`] has it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct HttpTimer;
+
+impl Timer for HttpTimer {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
+        self.sleep_until(Instant::now() + duration)
+    }
+
+    fn sleep_until(&self, due: Instant) -> Pin<Box<dyn Sleep>> {
+        Box::pin(HttpSleep {
+            inner: CompioTimer.sleep_until(due),
+            due: Some(due),
+        })
     }
-    let now = Instant::now();
-    let late = now.saturating_duration_since(due);
-    let caught_up = run_until(now + late.min(CATCH_UP), future).await;
-    caught_up.ok_or(Elapsed)
 }
 
-/// Runs `future` until `due`; if both are ready, its output counts.
-async fn run_until<F: Future>(due: Instant, future: Pin<&mut F>) -> Option<F::Output> {
-    let timer = pin!(compio::time::sleep_until(due));
-    match select(future, timer).await {
-        Either::Left((output, _)) => Some(output),
-        Either::Right(_) => None,
+struct HttpSleep {
+    inner: Pin<Box<dyn Sleep>>,
+    /// `None` once the time in which to catch up has begun.
+    due: Option<Instant>,
+}
+
+impl Sleep for HttpSleep {}
+
+impl Future for HttpSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        ready!(self.inner.as_mut().poll(cx));
+        if let Some(due) = self.due.take() {
+            self.inner = CompioTimer.sleep(lateness(due));
+            ready!(self.inner.as_mut().poll(cx));
+        }
+        Poll::Ready(())
     }
 }
 
--- a/tests/routed_stalls.rs
+++ b/tests/routed_stalls.rs
@@ -3,10 +3,12 @@
 mod support;
 
 use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 
 use futures_util::future::{join, join_all};
 use serde_json::{Value, json};
-use support::routed::{FleetSize, RoutedFleet};
+use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
 use support::sleep_ms;
 use test_case::test_case;
 
@@ -58,3 +60,88 @@
     assert_eq!((served, runs), (REQUESTS, REQUESTS), "{events:?}");
     assert_eq!(events.get("request_retried"), None, "{events:?}");
 }
+
+/// What a caller has sent when the router stands still; the rest arrives meanwhile.
+#[derive(Clone, Copy, Debug)]
+enum Sent {
+    Nothing,
+    PartOfHead,
+    PartOfBody,
+}
+
+/// A request with a head of more than one read of the router, in two parts.
+fn request(sent: Sent) -> (String, String) {
+    let (id, filler) = (new_request_id(), "x".repeat(40_000));
+    let head = format!(
+        "POST /get/1 HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {id}\r\n\
+         authorization: Bearer {KEY}\r\nx-filler: {filler}\r\ncontent-length: 4\r\n\r\n"
+    );
+    let first = match sent {
+        Sent::Nothing => 0,
+        Sent::PartOfHead => 40,
+        Sent::PartOfBody => head.len() + 1,
+    };
+    let mut request = head + "body";
+    let rest = request.split_off(first);
+    (request, rest)
+}
+
+/// Reads the next answer, whose body is JSON, and returns its status, or 0 if the connection was closed.
+fn read_status(connection: &mut TcpStream) -> u16 {
+    let mut text = String::new();
+    let mut bytes = [0; 4 << 10];
+    while !text.ends_with('}') {
+        match connection.read(&mut bytes) {
+            Ok(len) if len > 0 => text.push_str(&String::from_utf8_lossy(&bytes[..len])),
+            _ => return 0,
+        }
+    }
+    let status = text.get(9..12).and_then(|status| status.parse().ok());
+    status.unwrap_or(0)
+}
+
+/// Callers send while the router stands still, and their limits run out meanwhile. A router that looks at its
+/// timers first closes their connections with requests that have arrived whole.
+#[test_case(Sent::Nothing; "on an idle connection")]
+#[test_case(Sent::PartOfHead; "in the head")]
+#[test_case(Sent::PartOfBody; "in the body")]
+#[compio::test]
+async fn requests_that_arrived_during_a_stall_are_answered(sent: Sent) {
+    const IDLE_MS: u64 = 800;
+    const STALL_MS: u64 = 1_900;
+    let mut routed = RoutedFleet::start(FleetSize::default()).await;
+    let limits = json!({
+        "max_header_bytes": 64_000, "max_body_bytes": 100_000,
+        "header_timeout_ms": 1_000, "idle_timeout_ms": 1_000,
+    });
+    let routes = json!([support::routed::route("get", "idempotent", json!({}))]);
+    routed
+        .configure(json!({ "limits": limits, "routes": routes }))
+        .await;
+    routed.wait_status(0, "/ticket/1", 404).await;
+    let connect = |_| TcpStream::connect(routed.caller(0)).unwrap();
+    let mut connections: Vec<TcpStream> = (0..REQUESTS).map(connect).collect();
+    for connection in &mut connections {
+        let (first, rest) = request(Sent::Nothing);
+        connection.write_all((first + &rest).as_bytes()).unwrap();
+        assert_eq!(read_status(connection), 200);
+    }
+    sleep_ms(IDLE_MS).await;
+    let mut rests = Vec::new();
+    for connection in &mut connections {
+        let (first, rest) = request(sent);
+        connection.write_all(first.as_bytes()).unwrap();
+        rests.push(rest);
+    }
+    sleep_ms(100).await;
+    routed.routers[0].freeze();
+    for (connection, rest) in connections.iter_mut().zip(&rests) {
+        connection.write_all(rest.as_bytes()).unwrap();
+    }
+    sleep_ms(STALL_MS).await;
+    routed.routers[0].unfreeze();
+    let statuses: Vec<u16> = connections.iter_mut().map(read_status).collect();
+    let log = routed.log_until_now(0).await;
+    let cuts: Vec<&str> = log.lines().filter(|l| l.contains("caller")).collect();
+    assert_eq!(statuses, [200; REQUESTS], "{}", cuts.join("\n"));
+}
