Test: no process of the machine gets processor time

Three routers, four upstreams and the store are stopped for 0.9 or 2.4 s with 72 calls, tickets and streams in flight, and go on together. All must be answered with one run each, without a retry, a cut, an ejection or a member declared dead.

--- a/tests/routed_stalls.rs
+++ b/tests/routed_stalls.rs
@@ -9,7 +9,7 @@
 use futures_util::future::{join, join_all};
 use serde_json::{Value, json};
 use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
-use support::sleep_ms;
+use support::{Process, sleep_ms};
 use test_case::test_case;
 
 const REQUESTS: usize = 24;
@@ -19,10 +19,14 @@
 const BEGIN_MS: u64 = 150;
 const STALL_MS: u64 = 900;
 
-/// Counts the lines of router 0's log by kind of event.
-async fn count_events(routed: &RoutedFleet) -> HashMap<String, usize> {
+/// Counts the lines of the log of the first `routers` by kind of event.
+async fn count_events(routed: &RoutedFleet, routers: u8) -> HashMap<String, usize> {
+    let mut logs = String::new();
+    for router in 0..routers {
+        logs += &routed.log_until_now(router).await;
+    }
     let mut counts = HashMap::new();
-    for line in routed.log_until_now(0).await.lines() {
+    for line in logs.lines() {
         let line: Value = serde_json::from_str(line).unwrap_or_default();
         if let Some(kind) = line["kind"].as_str() {
             *counts.entry(kind.to_owned()).or_default() += 1;
@@ -56,11 +60,53 @@
     let served = received.filter(|r| r.status == 200 && r.complete);
     let served = served.count();
     let runs: usize = answers.iter().map(|(id, _)| routed.runs_of(id)).sum();
-    let events = count_events(&routed).await;
+    let events = count_events(&routed, 1).await;
     assert_eq!((served, runs), (REQUESTS, REQUESTS), "{events:?}");
     assert_eq!(events.get("request_retried"), None, "{events:?}");
 }
 
+/// No process of the machine gets processor time. When all go on, each router has requests that are due and
+/// upstreams that answer a moment later: none may be given up, sent once more, ejected or declared dead.
+#[test_case(900; "shorter than a suspicion")]
+#[test_case(2_400; "longer than a suspicion")]
+#[compio::test]
+async fn stall_of_all_processes_ends_no_requests(stall_ms: u64) {
+    const ROUTERS: u8 = 3;
+    let routed = RoutedFleet::start(FleetSize {
+        routers: ROUTERS,
+        upstreams: 4,
+        ..FleetSize::default()
+    })
+    .await;
+    let knobs = json!({ "delay_ms": DELAY_MS });
+    routed.upstream_knobs(knobs).await;
+    let paths = ["/get/1", "/ticket/1", "/resumed/stream", "/once/stream"];
+    let calls = (0..ROUTERS).flat_map(|router| paths.map(|path| (router, path)));
+    let calls = calls.flat_map(|call| [call; REQUESTS / 4]);
+    let requests = join_all(calls.map(|(router, path)| routed.call(router, path, "4")));
+    let stall = async {
+        sleep_ms(BEGIN_MS).await;
+        let all = [&routed.routers, &routed.upstreams];
+        let all = || all.iter().copied().flatten().chain([&routed.store]);
+        all().for_each(Process::freeze);
+        sleep_ms(stall_ms).await;
+        all().for_each(Process::unfreeze);
+    };
+    let (answers, ()) = join(requests, stall).await;
+    let received = answers.iter().filter_map(|(_, received)| received.as_ref());
+    let served = received.filter(|r| r.status == 200 && r.complete).count();
+    let runs: usize = answers.iter().map(|(id, _)| routed.runs_of(id)).sum();
+    let events = count_events(&routed, ROUTERS).await;
+    assert_eq!((served, runs), (answers.len(), answers.len()), "{events:?}");
+    for kind in ["request_retried", "request_cut", "upstream_ejected"] {
+        assert_eq!(events.get(kind), None, "{events:?}");
+    }
+    let logs: String = (0..ROUTERS).map(|i| routed.log(i)).collect();
+    let is_death = |l: &&str| l.contains("member_changed") && l.contains(" dead ");
+    let deaths: Vec<&str> = logs.lines().filter(is_death).collect();
+    assert!(deaths.is_empty(), "{}", deaths.join("\n"));
+}
+
 /// What a caller has sent when the router stands still; the rest arrives meanwhile.
 #[derive(Clone, Copy, Debug)]
 enum Sent {
