A resumable stream through another router goes on when that router ends

What callers saw: a stream that passed through another router, because its own router reached no upstream, broke off when the other router died, was stopped before the stream's end, or lost its link.

Cause: an answer through another router was final for the first one, which didn't know how many upstreams the other one had used.

Fix: beside the head of its answer, the other router tells how many upstreams may run the request by the answer's end, and at which service and software version the stream began. Of a resumable stream it leaves the last attempt to the first router. That resumes it after its last whole event: at a third router first, at the same one, or itself once it reaches upstreams. The limit on attempts of the route holds over all routers, the router that makes the next attempt charges its retry budget, and the rest keeps to the stream's version. Requests that may run once stay final, and so do suspected ones and answers lost before their head. The head travels as the value of a header that earlier builds remove unread; they send "1", which is taken for "final", as before. DelegatedRequest is unchanged. An earlier first router never uses the attempt that is left to it.

Not covered by a test of processes: a stream that may run once, as it needs a new connection to its upstream, which the cut forbids to all routers; two builds side by side, of which only the header is tested.

--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -718,6 +718,18 @@
     #[prost(message, optional, tag = "13")]
     pub origin: ::core::option::Option<StreamOrigin>,
 }
+/// Beside the head of an upstream's answer to a delegated request.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct DelegatedHead {
+    /// Number of upstreams that may have run the request by the end of the answer.
+    #[prost(uint32, tag = "1")]
+    pub runs: u32,
+    /// Where the stream began, if the answer is one.
+    #[prost(message, optional, tag = "2")]
+    pub origin: ::core::option::Option<StreamOrigin>,
+}
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/path/answer.rs
+++ b/src/path/answer.rs
@@ -44,7 +44,8 @@
             if !reply.parts.status.is_server_error() {
                 attempts.record_answered();
             }
-            Ok(respond(reply.parts, Answer::whole(reply.body)))
+            let response = respond(reply.parts, Answer::whole(reply.body));
+            Ok(with_delegated_head(response, &attempts))
         }
         UpstreamAnswer::Stream(reply) => stream(attempts, reply, tally).await,
     }
@@ -101,12 +102,25 @@
 ) -> Result<Response<Answer>, Refused> {
     let mut events = EventStream::new(attempts, reply);
     let first = events.next().await?;
-    let parts = clone_head(events.head());
+    events.leave_attempt_to_sender();
+    let response = respond(clone_head(events.head()), Answer::Whole(None));
+    let response = with_delegated_head(response, events.attempts());
     tally.first_byte();
     let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
     let tally = tally.take();
     compio::runtime::spawn(relay(events, first, tx, tally)).detach();
-    Ok(respond(parts, Answer::Stream(rx)))
+    Ok(response.map(|_| Answer::Stream(rx)))
+}
+
+/// Adds what the router is told that delegated the request, if one did.
+fn with_delegated_head<D: Dialect + Records>(
+    mut response: Response<Answer>,
+    attempts: &Attempts<D>,
+) -> Response<Answer> {
+    if let Some(head) = attempts.delegated_head() {
+        response.extensions_mut().insert(head);
+    }
+    response
 }
 
 /// Forwards events, `next` first, until the stream ends or the caller disconnects.
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -76,6 +76,8 @@
     is_sent: Cell<bool>,
     /// Upstream whose answer is kept beside the next attempt.
     kept: Option<Name>,
+    /// Number of attempts that are left to the router that delegated the request.
+    left_to_sender: u32,
     /// Whether the retry budget was charged for the next attempt before the last one was given up.
     is_retry_reserved: bool,
     /// Where the stream began that the answer is or goes on with; all further attempts keep to it.
@@ -107,6 +109,7 @@
             calling: None,
             is_sent: Cell::default(),
             kept: None,
+            left_to_sender: 0,
             is_retry_reserved: false,
             trial: None,
             _permit: permit,
@@ -378,7 +381,8 @@
 
     /// Whether the request may run again after a run that may have begun.
     pub(crate) fn may_retry(&self) -> bool {
-        !self.context.route.repeat.at_most_once() && self.runs < self.context.route.max_attempts
+        let left = self.runs + self.left_to_sender < self.context.route.max_attempts;
+        !self.context.route.repeat.at_most_once() && left
     }
 
     pub(crate) fn remaining(&self) -> Duration {
--- a/src/path/attempts/calls.rs
+++ b/src/path/attempts/calls.rs
@@ -145,7 +145,7 @@
     /// Returns the time after which an attempt is given up if another one can follow.
     fn attempt_timeout(&self) -> Option<Duration> {
         let route = &self.context.route;
-        let is_last = self.runs + 1 >= route.max_attempts;
+        let is_last = self.runs + self.left_to_sender + 1 >= route.max_attempts;
         let may_retry_elsewhere = self.context.path.state.decisions().ask_elsewhere;
         if route.repeat.at_most_once() || is_last || !may_retry_elsewhere {
             return None;
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -11,9 +11,10 @@
 use crate::path::delegate::{DelegatedAnswer, decode_answer, encode_headers};
 use crate::path::dialect::{Dialect, Records};
 use crate::path::refusal::Refused;
+use crate::path::routes::Repeat;
 use crate::path::trials::Trial;
 use crate::peers::DelegateError;
-use crate::schema::peer::DelegatedRequest;
+use crate::schema::peer::{DelegatedHead, DelegatedRequest};
 
 /// Number of routers that are asked in turn to run a suspected request. The first one may have stopped a
 /// moment ago.
@@ -52,7 +53,11 @@
             }
             let reason = "runs of this suspected request take place there";
             match self.delegate(router, resume_after, reason).await {
-                Delegation::Answered(reply) => return Ok(Some(reply)),
+                Delegation::Answered(reply) => {
+                    // Another run could begin before this one ends.
+                    self.use_up_attempts();
+                    return Ok(Some(reply));
+                }
                 Delegation::Refused(refused) => return Err(refused.after(self.runs)),
                 Delegation::NotSent => {}
             }
@@ -72,7 +77,9 @@
         }
         let path = self.context.path.clone();
         let mut refusal = None;
-        for router in path.delegates(&self.context.service) {
+        let mut routers = path.delegates(&self.context.service);
+        routers.sort_by_key(|router| self.delivered_to.contains(&router.host));
+        for router in routers {
             let reason = "no upstream can be reached from here";
             match self.delegate(&router, resume_after, reason).await {
                 Delegation::Answered(reply) => return Ok(Some(reply)),
@@ -84,8 +91,8 @@
         refusal.map_or(Ok(None), |refused| Err(refused.after(self.runs)))
     }
 
-    /// Delegates this request to `router`. An answer through another router is final, as this one
-    /// doesn't know how many upstreams ran the request.
+    /// Delegates this request to `router`, which tells in its answer how many upstreams may run the request. A
+    /// lost answer is final.
     async fn delegate(
         &mut self,
         router: &Member,
@@ -122,8 +129,8 @@
                 return Delegation::NotSent;
             }
             Ok(Ok(answer)) => match decode_answer(host, answer).await {
-                Ok(DelegatedAnswer::Upstream(answer)) => {
-                    self.record_delegation(router);
+                Ok(DelegatedAnswer::Upstream { answer, head }) => {
+                    self.record_delegation(router, head);
                     let (parts, body) = answer.into_parts();
                     return Delegation::Answered(Reply::of_router(host.clone(), parts, body));
                 }
@@ -133,16 +140,56 @@
             Ok(Err(DelegateError::Lost { reason })) => reason,
             Err(_) => "no answer before the deadline".to_owned(),
         };
-        self.record_delegation(router);
+        self.record_delegation(router, None);
         let detail = format!("answer of router {host} lost: {lost}");
         Delegation::Refused(self.refuse(Cause::UpstreamFailed, detail))
     }
 
-    fn record_delegation(&mut self, router: &Member) {
+    /// Records that `router` ran the request as `head` says. Without it, the request may have run as often as
+    /// its route allows.
+    fn record_delegation(&mut self, router: &Member, head: Option<DelegatedHead>) {
         self.delivered_to.push(router.host.clone());
+        let Some(head) = head else {
+            return self.use_up_attempts();
+        };
+        self.runs = head.runs.max(self.runs + 1);
+        let origin = head.origin.map(Into::into);
+        self.origin = self.origin.take().or(origin);
+    }
+
+    /// Makes the attempt that is under way the last one.
+    fn use_up_attempts(&mut self) {
         self.runs = self.context.route.max_attempts.max(self.runs + 1);
     }
 
+    /// Leaves the next attempt to the router that delegated the request, if one did and the stream may be
+    /// resumed: it goes on if this router stops.
+    pub(crate) fn leave_attempt_to_sender(&mut self) {
+        let is_resumable = self.context.route.repeat == Repeat::Stream { resumable: true };
+        if is_resumable && self.context.delegated.is_some() {
+            self.left_to_sender = 1;
+        }
+    }
+
+    /// What the router that delegated the request is told beside the head of the answer, if one did.
+    pub(crate) fn delegated_head(&self) -> Option<DelegatedHead> {
+        self.context.delegated.as_ref()?;
+        let mut head = DelegatedHead {
+            runs: self.runs,
+            origin: None,
+        };
+        if self.left_to_sender > 0 {
+            let may_run = self
+                .context
+                .route
+                .max_attempts
+                .saturating_sub(self.left_to_sender);
+            head.runs = head.runs.max(may_run);
+            head.origin = self.origin.as_ref().map(Into::into);
+        }
+        Some(head)
+    }
+
     fn delegated_request(&self, resume_after: Option<u64>) -> DelegatedRequest {
         let context = &self.context;
         let parts = &context.parts;
--- a/src/path/delegate.rs
+++ b/src/path/delegate.rs
@@ -1,9 +1,12 @@
 //! Requests that one router delegates to another, which sends them to upstreams in its place.
 //!
-//! A request is delegated at most once. Its answer passes through the delegating router unchanged.
+//! A router to which a request is delegated doesn't delegate it again. Its answer passes through the
+//! delegating router unchanged. If that breaks off, the delegating router resumes a resumable stream.
 
 use std::rc::Rc;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -17,10 +20,10 @@
 use crate::path::refusal::Refused;
 use crate::path::request;
 use crate::peers::{frames, refuse, server};
-use crate::schema::peer::{DelegatedRequest, Header, Refusal};
+use crate::schema::peer::{DelegatedHead, DelegatedRequest, Header, Refusal};
 use crate::util::Name;
 
-/// Set on answers of upstreams. Answers without it are the router's own.
+/// Set on answers of upstreams, with the encoded [`DelegatedHead`]. Answers without it are the router's own.
 const FROM_UPSTREAM: HeaderName = HeaderName::from_static("from-upstream");
 
 /// What the delegating router did before.
@@ -39,7 +42,11 @@
 /// Answer of the router to which a request was delegated.
 pub(crate) enum DelegatedAnswer {
     /// The answer of an upstream.
-    Upstream(Response<Incoming>),
+    Upstream {
+        answer: Response<Incoming>,
+        /// `None` if the router didn't tell what may run.
+        head: Option<DelegatedHead>,
+    },
     /// The router refused the request.
     Refused(Refused),
 }
@@ -71,8 +78,10 @@
     };
     match request::handle_delegated(path.clone(), delegated, tracker).await {
         Ok(mut response) => {
-            let headers = response.headers_mut();
-            headers.insert(FROM_UPSTREAM, HeaderValue::from_static("1"));
+            let head = response.extensions_mut().remove::<DelegatedHead>();
+            let encoded = head.map_or_else(String::new, |head| encode_head(&head));
+            let value = HeaderValue::try_from(encoded).unwrap_or(HeaderValue::from_static(""));
+            response.headers_mut().insert(FROM_UPSTREAM, value);
             response
         }
         Err(refused) => encode_refusal(&refused),
@@ -109,6 +118,23 @@
     })
 }
 
+/// Encodes `head` as the value of a header.
+pub(super) fn encode_head(head: &DelegatedHead) -> String {
+    match frames::to_vec(head) {
+        Ok(bytes) => BASE64.encode(bytes),
+        Err(e) => {
+            log::warn!("head of a delegated answer can't be encoded; its end will be final: {e}");
+            String::new()
+        }
+    }
+}
+
+/// Decodes the value of a header. An earlier release sends one that says nothing.
+pub(super) fn decode_head(value: &HeaderValue) -> Option<DelegatedHead> {
+    let bytes = BASE64.decode(value.as_bytes()).ok()?;
+    frames::from_slice(&bytes).ok()
+}
+
 fn encode_refusal(refused: &Refused) -> Response<Answer> {
     let refusal = Refusal {
         cause: refused.cause.to_string(),
@@ -134,8 +160,9 @@
     router: &str,
     mut answer: Response<Incoming>,
 ) -> Result<DelegatedAnswer, String> {
-    if answer.headers_mut().remove(FROM_UPSTREAM).is_some() {
-        return Ok(DelegatedAnswer::Upstream(answer));
+    if let Some(value) = answer.headers_mut().remove(FROM_UPSTREAM) {
+        let head = decode_head(&value);
+        return Ok(DelegatedAnswer::Upstream { answer, head });
     }
     let status = answer.status();
     if status != StatusCode::OK {
--- a/src/path/delegate_tests.rs
+++ b/src/path/delegate_tests.rs
@@ -1,10 +1,11 @@
-use super::delegate::decode;
+use super::delegate::{decode, decode_head, encode_head};
 use super::refusal::Refused;
 use crate::decide::Origin;
 use crate::decide::refusal::{Cause, RunState};
 use crate::peers::frames;
 use crate::platform::Headers;
-use crate::schema::peer::DelegatedRequest;
+use crate::schema::peer::{DelegatedHead, DelegatedRequest};
+use http::HeaderValue;
 use test_case::test_case;
 
 /// A stream goes on through another router, which draws among all upstreams unless it is told where
@@ -39,3 +40,23 @@
     let run = refused().after(1);
     assert_eq!((run.run, run.retry_after_ms), (RunState::Unknown, 0));
 }
+
+/// A router tells how often it may run the request, and the other one resumes the stream as if it had run
+/// less often.
+#[test]
+fn head_of_a_delegated_answer_is_decoded() {
+    let head = DelegatedHead {
+        runs: 2,
+        origin: None,
+    };
+    let value = HeaderValue::try_from(encode_head(&head)).unwrap();
+    assert_eq!(decode_head(&value), Some(head));
+}
+
+/// A router of an earlier release doesn't tell how often it runs the request. Another run could exceed the
+/// limit of its route.
+#[test_case("1"; "earlier release")]
+#[test_case(""; "not encoded")]
+fn head_that_says_nothing_is_no_permission_to_resume(value: &'static str) {
+    assert_eq!(decode_head(&HeaderValue::from_static(value)), None);
+}
--- a/src/path/stream.rs
+++ b/src/path/stream.rs
@@ -1,7 +1,8 @@
 //! Events of one streamed answer, which several upstreams may produce in turn.
 //!
-//! An upstream that breaks off is replaced by one that resumes after its last whole event. One that falls
-//! silent may be alive: its answer is kept until another upstream has begun to answer.
+//! An upstream that breaks off, or a router that its answer passes through, is replaced by one that resumes
+//! after the last whole event. An upstream that falls silent may be alive: its answer is kept until another
+//! upstream has begun to answer.
 
 use std::time::{Duration, Instant};
 
@@ -81,6 +82,14 @@
         &self.head
     }
 
+    pub(crate) fn attempts(&self) -> &Attempts<D> {
+        &self.attempts
+    }
+
+    pub(crate) fn leave_attempt_to_sender(&mut self) {
+        self.attempts.leave_attempt_to_sender();
+    }
+
     /// Returns the next whole events, or `None` once the stream is complete.
     ///
     /// # Errors
@@ -118,7 +127,7 @@
     ///
     /// Failure guarded against: an upstream sends an event that never ends, a byte at a time.
     fn unfinished(&self, started: Instant) -> Option<String> {
-        let limit = silence_limit(&self.attempts) * EVENT_FACTOR;
+        let limit = self.silence_limit() * EVENT_FACTOR;
         let is_late = may_resume(&self.attempts) && started.elapsed() >= limit;
         is_late.then(|| format!("no whole event within {} ms", limit.as_millis()))
     }
@@ -132,13 +141,27 @@
         }
     }
 
+    /// Returns how long the sender may be silent before another one is sought. A router that runs the request
+    /// in place of this one seeks another upstream itself.
+    fn silence_limit(&self) -> Duration {
+        let attempts = &self.attempts;
+        let remaining = attempts.remaining();
+        let is_upstream = self.reply.as_ref().is_some_and(|r| r.upstream().is_some());
+        if !is_upstream || !may_resume(attempts) {
+            return remaining;
+        }
+        let gap_ms = attempts.context.route.gap_objective_ms;
+        let limit = Duration::from_millis(gap_ms * SILENCE_FACTOR);
+        limit.max(MIN_SILENCE).min(remaining)
+    }
+
     /// Waits until the upstream sends something or ends.
     async fn progress(&mut self) -> Result<Progress, Refused> {
         loop {
+            let silence = self.silence_limit();
             let Some(reply) = &mut self.reply else {
                 return Ok(Progress::End);
             };
-            let silence = silence_limit(&self.attempts);
             match compio::time::timeout(silence, reply.next()).await {
                 Ok(chunk) => return Ok(self.classify(chunk)),
                 Err(_) if self.attempts.remaining().is_zero() => {
@@ -321,17 +344,6 @@
     attempts.context.path.state.decisions().resume && attempts.may_retry()
 }
 
-/// Returns how long an upstream may be silent before another one is sought.
-fn silence_limit<D: Dialect + Records>(attempts: &Attempts<D>) -> Duration {
-    let remaining = attempts.remaining();
-    if !may_resume(attempts) {
-        return remaining;
-    }
-    let gap_ms = attempts.context.route.gap_objective_ms;
-    let limit = Duration::from_millis(gap_ms * SILENCE_FACTOR);
-    limit.max(MIN_SILENCE).min(remaining)
-}
-
 /// Copies status and headers.
 pub(crate) fn clone_head(parts: &Parts) -> Parts {
     let mut response = Response::new(());
