Model: three ways to send to brittle upstreams, and the gate of the one that is kept

Nothing in the routers reads that yet; this is the decision without network or clock, and the grounds for it. It isn't used by the request path.

Model (src/decide/brittle_model_tests.rs, virtual time): 12 brittle upstreams with 8 slots, places to wait 4 and then 1, requests of 200 ms on average, 0.7 of what they can run, three times that for 10 s, a third of the routers killed in the burst and back 3 s later, one in 20 with a list that never changes.

--- /dev/null
+++ b/src/decide/brittle_tests.rs
@@ -0,0 +1,106 @@
+use super::brittle::{DOUBT_MS, Gate, WINDOW_MS};
+use test_case::test_case;
+
+/// Sends until the gate closes, and returns how many went.
+fn send_all(gate: &mut Gate, now_ms: u64) -> u32 {
+    (0..1_000).take_while(|_| gate.send(now_ms)).count() as u32
+}
+
+/// A router becomes the home of an upstream that is full of what the last home sent: all that it sends is
+/// rejected. With both homes' rejections the upstream must still stand.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(9)]
+#[test_case(50)]
+fn full_upstream_rejects_no_more_than_a_share(borne: u32) {
+    let mut gate = Gate::new(64, borne);
+    let mut rejected: Vec<u64> = Vec::new();
+    for now_ms in 0..10_000 {
+        for _ in 0..send_all(&mut gate, now_ms) {
+            // The rejection comes while others are in doubt.
+            gate.rejected(now_ms);
+            rejected.push(now_ms);
+        }
+    }
+    let share = (borne / 2).max(1) as usize;
+    let most = rejected
+        .iter()
+        .map(|at| {
+            let window = *at..*at + WINDOW_MS;
+            rejected.iter().filter(|ms| window.contains(ms)).count()
+        })
+        .max();
+    assert_eq!(most, Some(share), "of {borne}");
+}
+
+/// The upstream takes all that its slots hold. A gate that stays at its first level would leave them idle.
+#[test]
+fn level_rises_to_the_slots_and_not_beyond() {
+    let mut gate = Gate::new(8, 2);
+    let mut sent = 0;
+    for now_ms in 0..10 * DOUBT_MS {
+        sent += send_all(&mut gate, now_ms);
+    }
+    assert_eq!(sent, 8);
+    for _ in 0..8 {
+        gate.ended();
+    }
+    assert_eq!(
+        send_all(&mut gate, 10 * DOUBT_MS),
+        8,
+        "all at once from now on"
+    );
+}
+
+/// A known level must not be used while the share is used up: the upstream may have fewer slots than before.
+#[test]
+fn nothing_is_sent_while_the_share_is_used_up() {
+    let mut gate = Gate::new(8, 2);
+    for now_ms in 0..10 * DOUBT_MS {
+        send_all(&mut gate, now_ms);
+    }
+    let at_ms = 10 * DOUBT_MS;
+    gate.ended();
+    assert!(gate.send(at_ms));
+    gate.rejected(at_ms);
+    for _ in 0..7 {
+        gate.ended();
+    }
+    assert_eq!(send_all(&mut gate, at_ms + WINDOW_MS - 1), 0);
+    assert!(send_all(&mut gate, at_ms + WINDOW_MS) > 0);
+}
+
+/// A router is an upstream's home again after another one. What that one sent still runs there, and the old
+/// level would be sent at once.
+#[test]
+fn level_ends_with_the_hand_over() {
+    let mut gate = Gate::new(8, 2);
+    for now_ms in 0..10 * DOUBT_MS {
+        send_all(&mut gate, now_ms);
+    }
+    for _ in 0..8 {
+        gate.ended();
+    }
+    gate.hand_over();
+    assert_eq!(send_all(&mut gate, 10 * DOUBT_MS), 1);
+}
+
+/// What an upstream bears may change from one answer to the next.
+#[test]
+fn later_number_holds() {
+    let mut gate = Gate::new(64, 50);
+    gate.set_borne(4);
+    assert_eq!(send_all(&mut gate, 0), 2);
+    gate.set_borne(u32::MAX);
+    assert_eq!(send_all(&mut gate, 0), 62, "the slots are the bound");
+}
+
+/// A request that ends late, after its upstream's state was dropped, must not wrap the count.
+#[test]
+fn unknown_end_changes_nothing() {
+    let mut gate = Gate::new(1, 2);
+    gate.ended();
+    assert!(gate.is_idle(0));
+    assert!(gate.send(0) && !gate.is_idle(0));
+    assert!(!gate.send(DOUBT_MS));
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod brittle;
 pub mod classes;
 pub mod cold_start;
 pub mod concurrency;
@@ -37,6 +38,10 @@
 #[cfg(test)]
 mod allowance_tests;
 #[cfg(test)]
+mod brittle_model_tests;
+#[cfg(test)]
+mod brittle_tests;
+#[cfg(test)]
 mod classes_tests;
 #[cfg(test)]
 mod cold_start_tests;
