What brittle upstreams say of themselves is read, logged and counted

An upstream may say in all its answers that it ends when it turns away more than N requests in a second (Server-Brittle: N). No line or metric showed it, and nothing could decide by it. What is known holds for one start of an upstream, until an answer without the header or its record is gone. A change is logged once, and lines about attempts name the number. No decision uses it yet; without brittle upstreams the price is one header look-up an answer.

--- a/src/decide/brittle.rs
+++ b/src/decide/brittle.rs
@@ -14,7 +14,9 @@
 //!
 //! A decision costs a look at two short queues.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
+
+use crate::decide::Incarnation;
 
 /// Window over which an upstream counts what it turns away.
 pub const WINDOW_MS: u64 = 1_000;
@@ -23,6 +25,81 @@
 /// Routers that may hold themselves for an upstream's home at the same time.
 const HOMES: u32 = 2;
 
+/// What an answer says about how its upstream bears rejections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Frailty {
+    /// It is not brittle.
+    #[default]
+    None,
+    /// It ends when it rejects more requests in a second for want of room.
+    Bears(u32),
+    /// It says something that can't be read.
+    Unreadable,
+}
+
+/// What changed by an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FrailtyChange {
+    /// Nothing.
+    Same,
+    /// The upstream is brittle, or bears another number.
+    Bears(u32),
+    /// The upstream is no longer brittle.
+    Ended,
+}
+
+/// The upstreams that say that they are brittle.
+#[derive(Clone, Debug, Default)]
+pub struct BrittleUpstreams {
+    borne: HashMap<Incarnation, u32>,
+}
+
+impl BrittleUpstreams {
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.borne.is_empty()
+    }
+
+    /// Records what an answer of `upstream` says, and returns what changed. What can't be read changes nothing:
+    /// it would be as wrong to take the upstream for a sturdy one.
+    ///
+    /// ```
+    /// use cassiagrade::decide::Incarnation;
+    /// use cassiagrade::decide::brittle::{BrittleUpstreams, Frailty, FrailtyChange};
+    /// let upstream = Incarnation { id: "up-1".into(), started_ms: 7 };
+    /// let mut brittle = BrittleUpstreams::default();
+    /// assert_eq!(brittle.record(&upstream, Frailty::Bears(2)), FrailtyChange::Bears(2));
+    /// assert_eq!(brittle.record(&upstream, Frailty::Unreadable), FrailtyChange::Same);
+    /// assert_eq!(brittle.borne(&upstream), Some(2));
+    /// assert_eq!(brittle.record(&upstream, Frailty::None), FrailtyChange::Ended);
+    /// ```
+    pub fn record(&mut self, upstream: &Incarnation, frailty: Frailty) -> FrailtyChange {
+        match frailty {
+            Frailty::None if self.borne.remove(upstream).is_some() => FrailtyChange::Ended,
+            Frailty::Bears(borne) if self.borne.get(upstream) != Some(&borne) => {
+                self.borne.insert(upstream.clone(), borne);
+                FrailtyChange::Bears(borne)
+            }
+            _ => FrailtyChange::Same,
+        }
+    }
+
+    /// Rejections in a second that `upstream` bears, if it is brittle.
+    pub fn borne(&self, upstream: &Incarnation) -> Option<u32> {
+        self.borne.get(upstream).copied()
+    }
+
+    /// The upstreams that are brittle.
+    pub fn all(&self) -> impl Iterator<Item = &Incarnation> {
+        self.borne.keys()
+    }
+
+    /// Drops the upstreams that are gone.
+    pub fn retain(&mut self, is_listed: impl Fn(&Incarnation) -> bool) {
+        self.borne.retain(|upstream, _| is_listed(upstream));
+    }
+}
+
 /// A request that may still be rejected.
 #[derive(Clone, Copy, Debug)]
 struct Doubt {
--- a/src/decide/brittle_tests.rs
+++ b/src/decide/brittle_tests.rs
@@ -1,4 +1,5 @@
-use super::brittle::{DOUBT_MS, Gate, WINDOW_MS};
+use super::Incarnation;
+use super::brittle::{BrittleUpstreams, DOUBT_MS, Frailty, FrailtyChange, Gate, WINDOW_MS};
 use test_case::test_case;
 
 /// Sends until the gate closes, and returns how many went.
@@ -104,3 +105,29 @@
     assert!(gate.send(0) && !gate.is_idle(0));
     assert!(!gate.send(DOUBT_MS));
 }
+
+/// An upstream's number changes, can't be read, and is withdrawn; a later start has said nothing yet.
+#[test]
+fn word_of_an_upstream_counts_for_that_start_until_it_says_otherwise() {
+    let upstream = |started_ms| Incarnation {
+        id: "up-1".into(),
+        started_ms,
+    };
+    let mut brittle = BrittleUpstreams::default();
+    for (frailty, borne, change) in [
+        (Frailty::None, None, FrailtyChange::Same),
+        (Frailty::Unreadable, None, FrailtyChange::Same),
+        (Frailty::Bears(9), Some(9), FrailtyChange::Bears(9)),
+        (Frailty::Bears(9), Some(9), FrailtyChange::Same),
+        (Frailty::Bears(2), Some(2), FrailtyChange::Bears(2)),
+        (Frailty::Unreadable, Some(2), FrailtyChange::Same),
+        (Frailty::None, None, FrailtyChange::Ended),
+        (Frailty::Bears(0), Some(0), FrailtyChange::Bears(0)),
+    ] {
+        assert_eq!(brittle.record(&upstream(1), frailty), change);
+        assert_eq!(brittle.borne(&upstream(1)), borne);
+    }
+    assert_eq!(brittle.borne(&upstream(2)), None);
+    brittle.retain(|listed| listed.started_ms == 2);
+    assert!(brittle.is_empty());
+}
--- a/src/path/dialect.rs
+++ b/src/path/dialect.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, StatusCode};
 
+use crate::decide::brittle::Frailty;
 use crate::path::routes::Deployment;
 use crate::path::upstreams::Upstream;
 
@@ -59,6 +60,8 @@
     pub is_leaving: bool,
     /// Time for which the upstream wants no further request from this router.
     pub pushback_ms: Option<u64>,
+    /// Whether the upstream says that it is brittle.
+    pub frailty: Frailty,
 }
 
 /// Decodes the records that operators and upstreams write to the platform's log.
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::config::ALL_ON;
+use crate::decide::brittle::BrittleUpstreams;
 use crate::decide::cold_start::ColdStarts;
 use crate::decide::connections::{self, ConnectionQuota};
 use crate::decide::pushback::Pushbacks;
@@ -56,6 +57,7 @@
     /// By service.
     reaches: RefCell<HashMap<Name, Reach>>,
     pushbacks: RefCell<Pushbacks>,
+    brittle: RefCell<BrittleUpstreams>,
     /// Digests of the leaving upstreams that were last published to the other routers.
     published_leaving: RefCell<HashSet<u32>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
@@ -145,6 +147,7 @@
             health: RefCell::default(),
             reaches: RefCell::default(),
             pushbacks: RefCell::default(),
+            brittle: RefCell::default(),
             published_leaving: RefCell::default(),
             budgets: RefCell::default(),
             running: RefCell::default(),
--- a/src/path/router_state/notices.rs
+++ b/src/path/router_state/notices.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use crate::decide::brittle::{Frailty, FrailtyChange};
 use crate::fleet::gossip::Publish;
 use crate::path::dialect::AnswerHead;
 use crate::path::router_state::RouterState;
@@ -17,6 +18,26 @@
         if let Some(pushback_ms) = head.pushback_ms {
             self.record_pushback(upstream, pushback_ms, now_ms);
         }
+        self.record_frailty(upstream, head.frailty);
+    }
+
+    fn record_frailty(&self, upstream: &Upstream, frailty: Frailty) {
+        if let Frailty::Bears(_) = frailty {
+            stats::brittle_notice();
+        }
+        let mut brittle = self.brittle.borrow_mut();
+        if frailty == Frailty::None && brittle.is_empty() {
+            return;
+        }
+        match brittle.record(&upstream.incarnation(), frailty) {
+            FrailtyChange::Same => {}
+            FrailtyChange::Bears(borne) => {
+                log::info!(upstream = &*upstream.id, borne; "upstream ends when it rejects more requests in a second");
+            }
+            FrailtyChange::Ended => {
+                log::info!(upstream = &*upstream.id; "upstream bears rejections again");
+            }
+        }
     }
 
     fn record_leaving(&self, upstream: &Upstream, now_ms: u64) {
@@ -66,12 +87,19 @@
         let left_ms = pushbacks.left_ms(&upstream.incarnation(), now_ms);
         let leaving = leaving_ms.map(|ms| format!(", announced its shutdown {ms} ms ago"));
         let pushback = left_ms.map(|ms| format!(", wants no requests for {ms} ms"));
-        leaving.unwrap_or_default() + &pushback.unwrap_or_default()
+        let brittle = self.brittle.borrow().borne(&upstream.incarnation());
+        let brittle = brittle.map(|borne| format!(", bears {borne} rejections in a second"));
+        leaving.unwrap_or_default() + &pushback.unwrap_or_default() + &brittle.unwrap_or_default()
     }
 
     pub(super) fn sweep_notices(&self, now_ms: u64) {
         self.upstreams.borrow_mut().sweep(now_ms);
         self.pushbacks.borrow_mut().sweep(now_ms);
+        let upstreams = self.upstreams.borrow();
+        self.brittle.borrow_mut().retain(|upstream| {
+            let listed = upstreams.get(&upstream.id);
+            listed.is_some_and(|u| u.started_ms == upstream.started_ms)
+        });
     }
 
     /// Whether a request that was meant for `upstream` may still be sent to it.
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -28,6 +28,7 @@
 const INVALID_NOTICES: &str = "cassiagrade_invalid_notices_total";
 const LEAVING_NOTICES: &str = "cassiagrade_leaving_notices_total";
 const PUSHBACKS: &str = "cassiagrade_pushbacks_total";
+const BRITTLE_NOTICES: &str = "cassiagrade_brittle_notices_total";
 const STREAMS_NOT_RESUMED: &str = "cassiagrade_streams_not_resumed_total";
 const SUSPICIONS: &str = "cassiagrade_suspicions_total";
 const SILENT_ANSWERS: &str = "cassiagrade_silent_answers_total";
@@ -148,6 +149,10 @@
         PUSHBACKS,
         "Answers in which an upstream asked for a time without requests"
     );
+    describe_counter!(
+        BRITTLE_NOTICES,
+        "Answers in which an upstream said how many rejections in a second it bears"
+    );
     describe_counter!(
         STREAMS_NOT_RESUMED,
         "Streams not resumed for want of the software version that began them, by reason"
@@ -341,6 +346,11 @@
     counter!(PUSHBACKS).increment(1);
 }
 
+/// Counts an answer in which an upstream said that it is brittle.
+pub(crate) fn brittle_notice() {
+    counter!(BRITTLE_NOTICES).increment(1);
+}
+
 /// Counts a stream that wasn't resumed for want of the software version that began it.
 pub(crate) fn not_resumed(reason: NotResumed) {
     let reason: &str = reason.into();
--- a/tests/routed_brittle.rs
+++ b/tests/routed_brittle.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use standins::backend::BRITTLE_NOTICE;
 use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
-use support::{Caller, Received, sleep_ms, wait_until};
+use support::{Caller, Received, get, set_knobs, sleep_ms, wait_until};
 
 const SLOTS: u32 = 2;
 
@@ -119,3 +119,28 @@
     assert_eq!(answers.iter().filter(|status| **status == 503).count(), 10);
     assert!(routed.falls_of(&routed.upstream_names[0]).is_empty());
 }
+
+/// On-call engineers see only logs and metrics: what an upstream says of itself must be there, each change
+/// once, and what can't be read must change nothing.
+#[compio::test]
+async fn announcements_are_logged_as_they_change() {
+    let size = FleetSize {
+        upstreams: 1,
+        ..FleetSize::default()
+    };
+    let routed = RoutedFleet::start(size).await;
+    for brittle in ["7", "7", "few", "9", "", ""] {
+        set_knobs(routed.upstreams[0].addr, &json!({ "brittle": brittle })).await;
+        let (_, received) = routed.call(0, "/get/1", "1").await;
+        assert_eq!(received.map(|r| r.status), Some(200));
+    }
+    let log = routed.log_until_now(0).await;
+    let count = |text: &str| log.lines().filter(|line| line.contains(text)).count();
+    assert_eq!(count("upstream ends when it rejects more"), 2);
+    assert_eq!(count(r#""borne":7"#), 1);
+    assert_eq!(count(r#""borne":9"#), 1);
+    assert_eq!(count("upstream bears rejections again"), 1);
+    let metrics = get(routed.admin(0), "/metrics").await.unwrap();
+    assert!(metrics.contains(r#"cassiagrade_invalid_notices_total{field="brittle"} 1"#));
+    assert!(metrics.contains("cassiagrade_brittle_notices_total 3"));
+}
