--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod allowance;
 pub(crate) mod answer_times;
+pub mod brittle;
 pub mod classes;
 pub mod cold_start;
 pub mod concurrency;
@@ -40,6 +41,9 @@
 mod allowance_tests;
 #[cfg(test)]
 mod answer_times_tests;
+mod brittle_model_tests;
+#[cfg(test)]
+mod brittle_tests;
 #[cfg(test)]
 mod classes_tests;
 #[cfg(test)]
