--- a/examples/soak/losses.rs
+++ b/examples/soak/losses.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use standins::backend::{Arrival, RunEnd};
 
-use crate::lost_answers::{self, Beside, History, Period, Request, Work};
+use crate::lost_answers::{self, Beside, End, History, Period, Request, Work};
 use crate::notices::index_of;
 use crate::outages::Span;
 use crate::probes;
@@ -26,18 +26,21 @@
     let history = history(evidence);
     let ended = ended(evidence);
     let requests: Vec<Request> = ended.iter().map(|e| e.request.clone()).collect();
-    for request in &requests {
-        if history.judges(request) {
-            finding.checked += 1;
-        } else {
-            finding.excused += usize::from(!request.is_answered);
+    finding.checked = requests.iter().filter(|r| history.judges(r)).count();
+    for (ended, end) in ended.iter().zip(lost_answers::ends(&requests, &history)) {
+        match end {
+            End::Answered | End::Unread | End::Disrupted => {}
+            End::Lost(beside) => {
+                let around = format!("lost {}", describe_beside(beside));
+                let violation = describe(evidence, ended, &around);
+                finding.violations.push(violation);
+            }
+            excuse => {
+                finding.excused += 1;
+                println!("{}", describe(evidence, ended, &format!("{excuse:?}")));
+            }
         }
     }
-    for (index, beside) in lost_answers::lost(&requests, &history) {
-        finding
-            .violations
-            .push(describe(evidence, &ended[index], beside));
-    }
     finding
 }
 
@@ -127,13 +130,17 @@
     end.request_id == arrival.request_id && end.ended_ms >= arrival.at_ms
 }
 
-fn describe(evidence: &Evidence<'_>, ended: &Ended<'_>, beside: Beside) -> String {
+fn describe_beside(beside: Beside) -> String {
+    match beside {
+        Beside::Stop { before_ms } => format!("{before_ms} ms after SIGTERM"),
+        Beside::Reload { before_ms } => format!("{before_ms} ms after SIGHUP"),
+        Beside::Version { before_ms } => format!("{before_ms} ms after a version was sent"),
+    }
+}
+
+/// One line on a request without an answer.
+fn describe(evidence: &Evidence<'_>, ended: &Ended<'_>, judgement: &str) -> String {
     let Ended { id, what, request } = ended;
-    let (change, before_ms) = match beside {
-        Beside::Stop { before_ms } => ("SIGTERM", before_ms),
-        Beside::Reload { before_ms } => ("SIGHUP", before_ms),
-        Beside::Version { before_ms } => ("a version", before_ms),
-    };
     let relative = |at_ms: u64| i128::from(at_ms) - i128::from(request.sent_ms);
     let work = request.work.iter().map(|w| {
         if w.period.to_ms == u64::MAX {
@@ -153,8 +160,8 @@
         ended_ms: request.ended_ms,
     };
     format!(
-        "seed {} losses {id}: {what} ended at router {} without its answer after {} ms, at {}, {before_ms} \
-         ms after {change}; at upstreams {work:?}; log: {}; outages relative to the request: {}",
+        "seed {} losses {id}: {judgement}: {what} ended at router {} without its answer after {} ms, at \
+         {}; at upstreams {work:?}; log: {}; outages relative to the request: {}",
         evidence.seed,
         request.router,
         relative(request.ended_ms),
--- a/examples/soak/lost_answers.rs
+++ b/examples/soak/lost_answers.rs
@@ -76,19 +76,47 @@
     Version { before_ms: u64 },
 }
 
-/// The answers that routers lost, as indexes of `requests`.
-pub(crate) fn lost(requests: &[Request], history: &History) -> Vec<(usize, Beside)> {
-    let ends = requests.iter().enumerate();
-    let lost = ends.filter(|(_, request)| history.is_cut(request));
-    let lost = lost.filter_map(|(index, request)| {
-        let version = history.version_beside(request).filter(|_| {
-            !request.is_near_limit() && history.cuts_beside_versions(request, requests)
-        });
+/// How a request ended, as far as its router is to blame for it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum End {
+    Answered,
+    /// The connection ended before the router had read it, as far as can be told from outside.
+    Unread,
+    TimeLimit,
+    /// An upstream ended its answer early.
+    BrokenOff,
+    /// A disruption was near.
+    Disrupted,
+    /// An upstream still worked on it when the grace time of a stop was nearly over.
+    Outlasted,
+    /// No stop, reload or version was near.
+    Elsewhere,
+    /// A version was near, but the router cuts nearly as often at other times, or the time limit was near.
+    NotByVersion,
+    Lost(Beside),
+}
+
+/// How each request ended.
+pub(crate) fn ends(requests: &[Request], history: &History) -> Vec<End> {
+    let ends = requests.iter().map(|request| {
+        if let Some(excuse) = history.excuse(request) {
+            return excuse;
+        }
         let beside = history.stop_beside(request);
-        let beside = beside.or_else(|| history.reload_beside(request));
-        Some((index, beside.or(version)?))
+        if let Some(beside) = beside.or_else(|| history.reload_beside(request)) {
+            return End::Lost(beside);
+        }
+        match history.version_beside(request) {
+            Some(beside)
+                if !request.is_near_limit() && history.cuts_beside_versions(request, requests) =>
+            {
+                End::Lost(beside)
+            }
+            Some(_) => End::NotByVersion,
+            None => End::Elsewhere,
+        }
     });
-    lost.collect()
+    ends.collect()
 }
 
 impl Request {
@@ -125,16 +153,23 @@
         beside.is_some() && !self.is_disrupted(request)
     }
 
-    /// Whether the router cut a request that it had read, without an excuse.
-    fn is_cut(&self, request: &Request) -> bool {
-        !request.is_answered
-            && request.was_read()
-            && request.took_ms() < request.limit_ms
-            && !request.work.iter().any(|w| w.is_broken_off)
-            && !self.is_disrupted(request)
-            && !self
-                .stops_of(request)
-                .any(|stop_ms| request.outlasts(stop_ms))
+    /// What excuses the router, whatever was near; `None` if it cut a request that it had read.
+    fn excuse(&self, request: &Request) -> Option<End> {
+        let mut stops = self.stops_of(request);
+        if request.is_answered {
+            Some(End::Answered)
+        } else if !request.was_read() {
+            Some(End::Unread)
+        } else if request.took_ms() >= request.limit_ms {
+            Some(End::TimeLimit)
+        } else if request.work.iter().any(|w| w.is_broken_off) {
+            Some(End::BrokenOff)
+        } else if self.is_disrupted(request) {
+            Some(End::Disrupted)
+        } else {
+            let is_outlasted = stops.any(|stop_ms| request.outlasts(stop_ms));
+            is_outlasted.then_some(End::Outlasted)
+        }
     }
 
     fn is_disrupted(&self, request: &Request) -> bool {
@@ -184,7 +219,8 @@
         let (beside, others): (Vec<&Request>, Vec<&Request>) = of_router
             .filter(|r| !self.is_disrupted(r))
             .partition(|r| self.version_beside(r).is_some());
-        let cuts = |all: &[&Request]| all.iter().filter(|r| self.is_cut(r)).count() as u128;
+        let cuts =
+            |all: &[&Request]| all.iter().filter(|r| self.excuse(r).is_none()).count() as u128;
         let (cuts_beside, cuts_else) = (cuts(&beside), cuts(&others));
         // Compares shares. A router without other times has cut none in them.
         cuts_else == 0
--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -83,6 +83,9 @@
     /// Number of callers whose requests, mostly streams, last for seconds
     #[bpaf(long, argument("N"), fallback(4))]
     pub(crate) lasting: u32,
+    /// Number of requests that each upstream runs at once
+    #[bpaf(long, argument("N"), fallback(64))]
+    pub(crate) slots: u32,
     /// Number of tasks per router that send requests on changing routes
     #[bpaf(long, argument("N"), fallback(3))]
     pub(crate) probes: u32,
@@ -155,6 +158,7 @@
         routers: args.routers,
         upstreams: args.upstreams,
         store_relays: true,
+        slots: args.slots,
         ..FleetSize::default()
     };
     let mut routed = RoutedFleet::start(size).await;
--- a/tests/routed_evacuation.rs
+++ b/tests/routed_evacuation.rs
@@ -12,6 +12,7 @@
     store_relays: true,
     max_open_files: 0,
     retry_burst: None,
+    slots: 64,
 };
 
 /// Sends twelve requests, four through each router, and returns how many of them upstream 1, in
--- a/tests/routed_restart.rs
+++ b/tests/routed_restart.rs
@@ -17,6 +17,7 @@
     store_relays: false,
     max_open_files: 0,
     retry_burst: None,
+    slots: 64,
 };
 
 /// Kills all routers and starts them again, until each serves callers.
--- a/tests/routed_restore.rs
+++ b/tests/routed_restore.rs
@@ -24,6 +24,7 @@
     store_relays: true,
     max_open_files: 0,
     retry_burst: None,
+    slots: 64,
 };
 
 /// Starts a fleet whose routers know one another and have chosen their readers.
--- a/tests/soak_lost_answers.rs
+++ b/tests/soak_lost_answers.rs
@@ -3,7 +3,7 @@
 #[path = "../examples/soak/lost_answers.rs"]
 mod lost_answers;
 
-use lost_answers::{APPLY_BOUND_MS, Beside, GRACE_MS, History, Period, Request, Work, lost};
+use lost_answers::{APPLY_BOUND_MS, Beside, End, GRACE_MS, History, Period, Request, Work, ends};
 use test_case::test_case;
 
 /// Unix time of the stop, reload or version of each test.
@@ -60,6 +60,16 @@
     found
 }
 
+/// The lost requests, as indexes.
+fn lost(requests: &[Request], history: &History) -> Vec<(usize, Beside)> {
+    let ends = ends(requests, history).into_iter().enumerate();
+    let lost = ends.filter_map(|(index, end)| match end {
+        End::Lost(beside) => Some((index, beside)),
+        _ => None,
+    });
+    lost.collect()
+}
+
 /// A cut beside a stop is overlooked: before it, while it lasts, and until the process should be gone.
 #[test_case(-500, 0, true; "cut at once")]
 #[test_case(-500, 1_000, true; "sent before")]
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -47,6 +47,8 @@
     pub(crate) max_open_files: u32,
     /// The burst of retries in each router's settings; `None`: not set.
     pub(crate) retry_burst: Option<u32>,
+    /// Number of requests that each upstream runs at once.
+    pub(crate) slots: u32,
 }
 
 impl Default for FleetSize {
@@ -57,6 +59,7 @@
             store_relays: false,
             max_open_files: 0,
             retry_burst: None,
+            slots: 64,
         }
     }
 }
@@ -74,6 +77,7 @@
     pub(crate) stopping: Vec<usize>,
     max_open_files: u32,
     retry_burst: Option<u32>,
+    slots: u32,
     version: u64,
 }
 
@@ -166,6 +170,7 @@
             stopping: Vec::new(),
             max_open_files: size.max_open_files,
             retry_burst: size.retry_burst,
+            slots: size.slots,
             version: 0,
         };
         routed.configure(json!({})).await;
@@ -219,6 +224,7 @@
         let name = format!("upstream-{i}-{}", self.upstream_names.len());
         let store = self.store.addr.to_string();
         let center = format!("dc-{}", i % 3);
+        let slots = self.slots.to_string();
         let mut args = vec![
             "backend",
             "--service",
@@ -228,7 +234,7 @@
             "--store",
             &store,
             "--slots",
-            "64",
+            &slots,
         ];
         args.extend_from_slice(more);
         let at = addr(self.prefix, 100 + i, STANDIN_PORT);
