The soak's lasting requests arrive in two parts, and maintenance is a test

One in five of them pauses for 50 to 1500 ms within its body, so that stops and versions meet requests that are half read; the rule takes the time of the last byte. An upstream that broke off excuses a cut only if it had the request last.

--- a/examples/soak/callers.rs
+++ b/examples/soak/callers.rs
@@ -5,9 +5,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use tokio::sync::oneshot;
 
 use crate::support::routed::{HOST, KEY, RoutedFleet, new_request_id};
 use crate::support::{Caller, Received, get, sleep_ms, wall_ms};
@@ -26,6 +28,9 @@
 const MANY_EVENTS: std::ops::Range<u32> = 150..200;
 /// Share of the lasting streams that are longer than a router's grace time.
 const MANY_EVENTS_SHARE: f64 = 0.2;
+/// Share of the lasting requests whose body arrives in two parts, and the pause between them.
+const PAUSE_SHARE: f64 = 0.2;
+const PAUSE_MS: std::ops::Range<u64> = 50..1_500;
 /// Timeout of a lasting request, also sent to the router as its deadline.
 const LASTING_DEADLINE: Duration = Duration::from_secs(9);
 /// Duration of other lasting requests.
@@ -68,6 +73,8 @@
     count: u32,
     path: String,
     deadline: Duration,
+    /// Pause within the body.
+    pause_ms: Option<u64>,
 }
 
 impl Wanted {
@@ -85,6 +92,7 @@
             count: rng.random_range(2..30),
             path: kind.path().to_owned(),
             deadline: DEADLINE,
+            pause_ms: None,
         }
     }
 
@@ -114,6 +122,9 @@
             count: rng.random_range(events),
             path: format!("{}?delay_ms={delay_ms}", kind.path()),
             deadline: LASTING_DEADLINE,
+            pause_ms: rng
+                .random_bool(PAUSE_SHARE)
+                .then(|| rng.random_range(PAUSE_MS)),
         }
     }
 }
@@ -127,6 +138,8 @@
     pub(crate) router: SocketAddr,
     /// Unix time at which it was sent.
     pub(crate) sent_ms: u64,
+    /// Unix time at which its last byte was sent; `None` if it ended before.
+    pub(crate) whole_ms: Option<u64>,
     /// Unix time at which its response ended.
     pub(crate) ended_ms: u64,
     /// Its deadline, relative to its sending.
@@ -256,21 +269,52 @@
             ("deadline-ms", deadline_ms.as_str()),
         ];
         let sent_ms = wall_ms();
-        let caller = &self.caller;
-        let call = caller.call(addr, "POST", &wanted.path, &headers, &body);
-        let received = compio::time::timeout(wanted.deadline, call)
-            .await
-            .ok()
-            .flatten();
+        let whole_ms = Cell::new(None);
+        let call = self.call(addr, &wanted, &headers, &body, &whole_ms);
+        let received = compio::time::timeout(wanted.deadline, call).await;
+        let (received, ended_ms) = received.unwrap_or_else(|_| (None, wall_ms()));
         RequestRecord {
             id,
             kind: wanted.kind,
             body,
             router: addr,
             sent_ms,
-            ended_ms: wall_ms(),
+            whole_ms: whole_ms.get(),
+            ended_ms,
             limit_ms,
             received,
         }
     }
+
+    /// Sends a request, and returns its response and the Unix time at which it ended.
+    async fn call(
+        &self,
+        addr: SocketAddr,
+        wanted: &Wanted,
+        headers: &[(&str, &str)],
+        body: &str,
+        whole_ms: &Cell<Option<u64>>,
+    ) -> (Option<Received>, u64) {
+        let Some(pause_ms) = wanted.pause_ms else {
+            whole_ms.set(Some(wall_ms()));
+            let call = self.caller.call(addr, "POST", &wanted.path, headers, body);
+            return (call.await, wall_ms());
+        };
+        let (rest, rest_receiver) = oneshot::channel();
+        let (first_text, rest_text) = body.split_at(1);
+        let call = async {
+            let path = &wanted.path;
+            let call = self
+                .caller
+                .call_in_parts(addr, path, headers, first_text, rest_receiver);
+            (call.await, wall_ms())
+        };
+        let send_rest = async {
+            sleep_ms(pause_ms).await;
+            if rest.send(rest_text.to_owned()).is_ok() {
+                whole_ms.set(Some(wall_ms()));
+            }
+        };
+        join(call, send_rest).await.0
+    }
 }
--- a/examples/soak/losses.rs
+++ b/examples/soak/losses.rs
@@ -72,6 +72,7 @@
         let request = Request {
             router: index_of(evidence.routed, record)?,
             sent_ms: record.sent_ms,
+            whole_ms: record.whole_ms,
             ended_ms: record.ended_ms,
             limit_ms: record.limit_ms.min(ROUTE_TIMEOUT_MS),
             is_answered: record.received.as_ref().is_some_and(|r| r.complete),
@@ -88,6 +89,7 @@
         request: Request {
             router: record.router,
             sent_ms: record.sent_ms,
+            whole_ms: Some(record.sent_ms),
             ended_ms: record.ended_ms,
             limit_ms: deadline_ms.min(ROUTE_TIMEOUT_MS),
             is_answered: record.is_complete,
--- a/examples/soak/lost_answers.rs
+++ b/examples/soak/lost_answers.rs
@@ -48,6 +48,8 @@
     /// The router that took it.
     pub(crate) router: usize,
     pub(crate) sent_ms: u64,
+    /// Unix time at which its last byte was sent; `None` if it ended before.
+    pub(crate) whole_ms: Option<u64>,
     /// Unix time at which its answer or its connection ended.
     pub(crate) ended_ms: u64,
     /// The lower of the caller's and the route's time limit.
@@ -126,7 +128,15 @@
 
     /// Whether its router has read it, as far as can be told from outside.
     fn was_read(&self) -> bool {
-        !self.work.is_empty() || self.took_ms() > UNREAD_MS
+        self.whole_ms.is_some_and(|whole_ms| {
+            !self.work.is_empty() || self.ended_ms.saturating_sub(whole_ms) > UNREAD_MS
+        })
+    }
+
+    /// Whether the upstream that had it last broke off its answer.
+    fn is_broken_off(&self) -> bool {
+        let last = self.work.iter().max_by_key(|w| w.period.from_ms);
+        last.is_some_and(|w| w.is_broken_off)
     }
 
     fn is_near_limit(&self) -> bool {
@@ -162,7 +172,7 @@
             Some(End::Unread)
         } else if request.took_ms() >= request.limit_ms {
             Some(End::TimeLimit)
-        } else if request.work.iter().any(|w| w.is_broken_off) {
+        } else if request.is_broken_off() {
             Some(End::BrokenOff)
         } else if self.is_disrupted(request) {
             Some(End::Disrupted)
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -57,6 +57,16 @@
     );
 }
 
+/// Guards against answers that are lost around stops, reloads and versions, though nothing else happens but
+/// silences of upstreams and stalls of the whole machine.
+#[test_case(9004, 8, "--stalls 0.15"; "with many short requests")]
+#[test_case(9013, 8, "--stalls 0.15"; "with streams that outlast the grace time")]
+#[test_case(9102, 8, "--stalls 0.15 --slots 5 --lasting 10 --probes 1"; "with requests that wait for their turn")]
+fn maintenance_loses_no_answer(seed: u32, seconds: u32, more: &str) {
+    let _shared = FLEETS.read();
+    soak("losses", seed, seconds, &format!("--maintenance {more}"));
+}
+
 /// A request crashes each upstream that runs it and is repeated through all routers. It is stopped
 /// everywhere, and the requests beside it aren't refused as quarantined.
 #[test_case(6001, 10, "--routers 6 --upstreams 8 --excusing 0.1")]
--- a/tests/soak_lost_answers.rs
+++ b/tests/soak_lost_answers.rs
@@ -21,6 +21,7 @@
     Request {
         router: 0,
         sent_ms: at(sent_ms),
+        whole_ms: Some(at(sent_ms)),
         ended_ms: at(ended_ms),
         limit_ms: LIMIT_MS,
         is_answered: false,
@@ -151,6 +152,17 @@
     }
 }
 
+/// A request of which the last byte was sent late, or never, isn't read before.
+#[test_case(Some(801), false; "last byte sent shortly before the end")]
+#[test_case(Some(799), true; "last byte sent earlier")]
+#[test_case(None, false; "last byte never sent")]
+fn request_counts_from_its_last_byte(whole_ms: Option<u64>, is_lost: bool) {
+    let mut request = cut(0, 1_000);
+    request.work.clear();
+    request.whole_ms = whole_ms.map(|ms| CHANGE_MS + ms);
+    assert_eq!(beside(request, &stop()).is_some(), is_lost);
+}
+
 /// A disruption near a request excuses its end, from 3 s before it was sent until it ended.
 #[test_case(-4_000, -3_500, false; "that ended more than 3 s before")]
 #[test_case(-4_000, -3_499, true; "that ended 3 s before")]
@@ -176,6 +188,17 @@
     }
 }
 
+/// An upstream that broke off doesn't excuse what the router did with another after it.
+#[test]
+fn upstream_that_broke_off_before_excuses_nothing() {
+    let mut request = cut(-500, 500);
+    let mut first = request.work[0];
+    first.is_broken_off = true;
+    first.period.from_ms -= 100;
+    request.work.push(first);
+    assert!(beside(request, &stop()).is_some());
+}
+
 /// A request whose time limit was reached isn't lost.
 #[test_case(1_500, false; "reached")]
 #[test_case(1_501, true; "not reached")]
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use futures_util::StreamExt;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use serde_json::{Value, json};
+use tokio::sync::oneshot;
 
 use super::ACCOUNT_KEY;
 
@@ -166,19 +168,46 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> Option<Received> {
+        let request = self.request(addr, method, path, headers);
+        let sent = Instant::now();
+        let response = request.body(body.to_owned()).send().await.ok()?;
+        Some(receive(response, sent).await)
+    }
+
+    /// Sends the first byte of the body at once and the rest when `rest` is sent.
+    pub(crate) async fn call_in_parts(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        first: &str,
+        rest: oneshot::Receiver<String>,
+    ) -> Option<Received> {
+        let first = Bytes::from(first.to_owned());
+        let first = stream::once(async move { Ok(first) });
+        let rest = stream::once(async move { Ok(Bytes::from(rest.await.unwrap_or_default())) });
+        let body = cyper::Body::stream(first.chain(rest));
+        let request = self.request(addr, "POST", path, headers);
+        let sent = Instant::now();
+        let response = request.body(body).send().await.ok()?;
+        Some(receive(response, sent).await)
+    }
+
+    fn request(
+        &self,
+        addr: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> cyper::RequestBuilder {
         let method = method.parse().unwrap();
-        let mut request = self
-            .client
-            .request(method, format!("http://{addr}{path}"))
-            .unwrap()
-            .bearer_auth(&self.key)
-            .unwrap();
+        let url = format!("http://{addr}{path}");
+        let request = self.client.request(method, url).unwrap();
+        let mut request = request.bearer_auth(&self.key).unwrap();
         for (name, value) in headers {
             request = request.header(*name, *value).unwrap();
         }
-        let sent = Instant::now();
-        let response = request.body(body.to_owned()).send().await.ok()?;
-        Some(receive(response, sent).await)
+        request
     }
 
     /// Requests a streamed chat answer.
