--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -41,6 +41,7 @@
 mod allowance_tests;
 #[cfg(test)]
 mod answer_times_tests;
+#[cfg(test)]
 mod brittle_model_tests;
 #[cfg(test)]
 mod brittle_tests;
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -27,9 +27,6 @@
 const STANDIN_PORT: u16 = 7010;
 const CONTROL_PORT: u16 = 7011;
 
-/// Slots of an upstream, more than most tests use at once.
-const UPSTREAM_SLOTS: u32 = 64;
-
 pub(crate) const HOST: &str = "a.example";
 pub(crate) const KEY: &str = "caller-key-1";
 /// Timeout of every route.
@@ -50,6 +47,8 @@
     pub(crate) max_open_files: u32,
     /// The burst of retries in each router's settings; `None`: not set.
     pub(crate) retry_burst: Option<u32>,
+    /// Number of requests that each upstream runs at once.
+    pub(crate) slots: u32,
 }
 
 impl Default for FleetSize {
@@ -60,6 +59,7 @@
             store_relays: false,
             max_open_files: 0,
             retry_burst: None,
+            slots: 64,
         }
     }
 }
@@ -77,6 +77,7 @@
     pub(crate) stopping: Vec<usize>,
     max_open_files: u32,
     retry_burst: Option<u32>,
+    slots: u32,
     version: u64,
 }
 
@@ -169,6 +170,7 @@
             stopping: Vec::new(),
             max_open_files: size.max_open_files,
             retry_burst: size.retry_burst,
+            slots: size.slots,
             version: 0,
         };
         routed.configure(json!({})).await;
@@ -205,17 +207,17 @@
 
     /// Starts or restarts upstream `i` with a new id.
     pub(crate) fn spawn_upstream(&mut self, i: u8) {
-        self.spawn_upstream_with(i, UPSTREAM_SLOTS, &[]);
+        self.spawn_upstream_with(i, self.slots, &[]);
     }
 
     /// Starts or restarts upstream `i` with the given id.
     pub(crate) fn spawn_upstream_as(&mut self, i: u8, id: &str) {
-        self.spawn_upstream_with(i, UPSTREAM_SLOTS, &["--id", id]);
+        self.spawn_upstream_with(i, self.slots, &["--id", id]);
     }
 
     /// Starts or restarts upstream `i` with a new id and the given version of its software.
     pub(crate) fn spawn_upstream_of(&mut self, i: u8, software: &str) {
-        self.spawn_upstream_with(i, UPSTREAM_SLOTS, &["--software", software]);
+        self.spawn_upstream_with(i, self.slots, &["--software", software]);
     }
 
     /// Starts or restarts upstream `i` with a new id, `slots` and the given initial knobs.
