--- a/tests/routed_changes.rs
+++ b/tests/routed_changes.rs
@@ -11,10 +11,10 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use serde_json::{Value, json};
 use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id, route, routes};
-use support::sleep_ms;
+use support::{Process, sleep_ms};
 use test_case::test_case;
 
 /// How long versions arrive.
@@ -198,8 +198,8 @@
     }
 }
 
-/// Lets versions arrive for `CHANGES_MS`, each with SIGHUP to router 0, of which every second one finds
-/// settings that are invalid. `beside` runs with each of them.
+/// Lets versions arrive for `CHANGES_MS`, each with SIGHUP to all routers; router 0 finds invalid settings at
+/// every second one. `beside` runs with each of them.
 async fn change_steadily(routed: &mut RoutedFleet, beside: impl AsyncFn(&RoutedFleet, usize)) {
     let (settings, path) = (routed.settings(0).to_string(), routed.settings_path(0));
     let mut left_ms = CHANGES_MS;
@@ -209,7 +209,7 @@
         let invalid = n % 2 == 1;
         std::fs::write(&path, if invalid { "{ \"host\": 5" } else { &settings }).unwrap();
         for _ in 0..=n % 4 {
-            routed.routers[0].signal_reload();
+            routed.routers.iter().for_each(Process::signal_reload);
         }
         beside(routed, n).await;
         let pause_ms = PAUSES_MS[n % PAUSES_MS.len()];
@@ -347,3 +347,33 @@
     .await;
     assert_answered(&routed, &callers.end(), CALLERS).await;
 }
+
+/// Changes reach requests that run through another router, as their own reaches no upstream.
+#[compio::test]
+async fn changes_end_no_requests_through_another_router() {
+    const CONNECTIONS: usize = 12;
+    const REPORTS_MS: u64 = 600;
+    let mut routed = RoutedFleet::start(FleetSize {
+        routers: 2,
+        upstreams: 1,
+        ..FleetSize::default()
+    })
+    .await;
+    sleep_ms(REPORTS_MS).await;
+    routed.upstream_knobs(json!({ "delay_ms": 200 })).await;
+    // Router 0 keeps the connections that it has.
+    join_all((0..CONNECTIONS).map(|_| routed.call(0, "/get/1", "1"))).await;
+    let knobs = json!({ "delay_ms": EVENT_MS, "refuses_connections_ms": CHANGES_MS });
+    routed.upstream_knobs(knobs).await;
+    sleep_ms(100).await;
+    let paths = ["/get/1", "/resumed/stream"];
+    let callers = Callers::start(routed.caller(1), CALLERS / 2, &paths, Pause::None);
+    change_steadily(&mut routed, async |_, _| {}).await;
+    assert_answered(&routed, &callers.end(), CALLERS).await;
+    let delegated = routed
+        .log_until_now(1)
+        .await
+        .matches("delegated to")
+        .count();
+    assert!(delegated >= CALLERS, "{delegated} requests were delegated");
+}
