A router's answers to other routers are sent before it exits

What callers saw: calls that passed through another router ended with 502 when that router stopped as planned while their own router didn't read for a second.

Cause: an answer to another router counted as sent once the link had taken it over. HTTP/2 holds back what exceeds the 5 MiB that the reader admits, and the process exited with that part in its memory: its log said "refusing, 0 in flight" and "stopped, 0 in flight".

Fix: at the end of a planned stop each link to another router is closed as HTTP/2 closes one: no further requests, and the rest of the answers first. The last log line tells how many are open then.

--- a/src/front/drain.rs
+++ b/src/front/drain.rs
@@ -14,15 +14,20 @@
 use http::{HeaderValue, Response};
 use http_body::{Body, Frame, SizeHint};
 use strum::IntoStaticStr;
+use tokio::sync::watch;
 
 use crate::event::Events;
 use crate::front::body::Answer;
 use crate::front::in_flight::{ConnectionEnd, InFlight, Requests, Stage};
+use crate::socket::OtherEnd;
 
 /// Interval between checks whether requests are in flight.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for the kernel to send the last bytes after the last request was counted as finished.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
+/// Time limit for closing the links to other routers. One that doesn't answer for so long counts as lost
+/// anyway.
+const LINKS_LIMIT: Duration = OtherEnd::Peer.unacked_limit();
 
 /// Phase of a planned stop.
 #[derive(Clone, Copy, Debug, Default, Eq, IntoStaticStr, PartialEq)]
@@ -42,6 +47,8 @@
 pub(crate) struct Drain {
     phase: Rc<Cell<Phase>>,
     requests: Requests,
+    /// Whether links to other routers are closed. Each open one holds a receiver.
+    closes_links: watch::Sender<bool>,
 }
 
 impl Drain {
@@ -51,6 +58,7 @@
         Self {
             phase: Rc::default(),
             requests: Requests::new(events),
+            closes_links: watch::Sender::new(false),
         }
     }
 
@@ -90,6 +98,23 @@
         }
     }
 
+    /// Counts a link to another router as open until the result is dropped.
+    pub(crate) fn open_link(&self) -> LinkClosing {
+        LinkClosing(self.closes_links.subscribe())
+    }
+
+    /// Closes the links to other routers once the answers on them are sent, and returns the number of those
+    /// that are still open after `limit`.
+    ///
+    /// Failure guarded against: another router reads late, and this process exits with the rest of its
+    /// answers in the links' buffers.
+    pub(crate) async fn close_links(&self, limit: Duration) -> usize {
+        self.closes_links.send_replace(true);
+        let closed = self.closes_links.closed();
+        let _ = compio::time::timeout(limit.min(LINKS_LIMIT), closed).await;
+        self.closes_links.receiver_count()
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         self.phase.get()
     }
@@ -107,6 +132,18 @@
     }
 }
 
+/// Notifies an open link to another router when it must close.
+pub(crate) struct LinkClosing(watch::Receiver<bool>);
+
+impl LinkClosing {
+    pub(crate) async fn wait(&mut self) {
+        // Without its sender nothing will close the link.
+        if self.0.wait_for(|closes| *closes).await.is_err() {
+            std::future::pending().await
+        }
+    }
+}
+
 impl InFlight {
     /// Counts `response` as in flight until its body is dropped.
     pub(crate) fn track(self, response: Response<Answer>) -> Response<Tracked> {
--- a/src/front/drain_tests.rs
+++ b/src/front/drain_tests.rs
@@ -3,6 +3,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use futures_util::future::join;
+
 use super::drain::Drain;
 use super::in_flight::ConnectionEnd;
 use crate::event::Events;
@@ -40,3 +42,25 @@
     let _endless = drain.begin(&ConnectionEnd::default());
     assert_eq!(drain.wait_until_idle(LONGER).await, 1);
 }
+
+/// Answers are still being sent to another router, and the process exits.
+#[compio::test]
+async fn links_are_closed_before_the_process_exits() {
+    let drain = drain();
+    let mut link = drain.open_link();
+    let sent_late = async {
+        link.wait().await;
+        compio::time::sleep(LONGER).await;
+        drop(link);
+    };
+    let (open, ()) = join(drain.close_links(LIMIT), sent_late).await;
+    assert_eq!(open, 0);
+}
+
+/// Another router doesn't answer any more: the process exits once a link to it would have ended.
+#[compio::test]
+async fn link_that_stays_open_is_not_waited_for() {
+    let drain = drain();
+    let _open = drain.open_link();
+    assert_eq!(drain.close_links(LONGER).await, 1);
+}
--- a/src/path/stop.rs
+++ b/src/path/stop.rs
@@ -30,6 +30,8 @@
         .drain
         .wait_until_idle(limit.saturating_sub(started.elapsed()))
         .await;
+    let limit_left = limit.saturating_sub(started.elapsed());
+    let links = path.drain.close_links(limit_left).await;
     path.drain.report_stop();
-    log::info!("stopped, {left} in flight");
+    log::info!("stopped, {left} in flight, {links} links to other routers open");
 }
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -3,9 +3,11 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
+use futures_util::future::{Either, select};
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -61,6 +63,7 @@
 async fn serve<H: PeerHandler>(stream: TcpStream, key: Name, drain: Drain, handler: H) {
     set_keepalive(&stream, OtherEnd::Peer);
     let end = ConnectionEnd::default();
+    let mut closing = drain.open_link();
     let service = service_fn(move |request: Request<Incoming>| {
         let (key, handler) = (key.clone(), handler.clone());
         let in_flight = drain.begin(&end);
@@ -75,10 +78,17 @@
             Ok::<_, Infallible>(in_flight.track(response))
         }
     });
-    let served = hyper::server::conn::http2::Builder::new(LocalExec)
+    let connection = hyper::server::conn::http2::Builder::new(LocalExec)
         .timer(CompioTimer)
-        .serve_connection(HyperStream::new_plain(stream), service)
-        .await;
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin!(connection);
+    let served = match select(connection.as_mut(), pin!(closing.wait())).await {
+        Either::Left((served, _)) => served,
+        Either::Right(_) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(e) = served {
         log::debug!("connection from a peer ended with an error: {e}");
     }
--- a/src/serve/stop.rs
+++ b/src/serve/stop.rs
@@ -40,12 +40,15 @@
     enter(ctx, Phase::Refusing);
     let limit = Duration::from_millis(fleet.drain_limit_ms.into());
     let unfinished = ctx.drain.wait_until_idle(limit).await;
+    let links = ctx.drain.close_links(limit).await;
     ctx.drain.report_stop();
     let (done, notified) = oneshot::channel();
     ctx.gossip.send(GossipCommand::Finish(done));
     let _ = compio::time::timeout(LEAVE_NOTICE_TIMEOUT, notified).await;
     ctx.events.emit(Kind::RouterStopped, |e| {
-        e.detail = format!("{unfinished} still in flight at the limit");
+        e.detail = format!(
+            "{unfinished} still in flight at the limit, {links} links to other routers open"
+        );
     });
 }
 
--- a/src/socket.rs
+++ b/src/socket.rs
@@ -21,7 +21,7 @@
 
 impl OtherEnd {
     /// Time without an acknowledgement, of sent data or of probes, after which the connection is closed.
-    fn unacked_limit(self) -> Duration {
+    pub(crate) const fn unacked_limit(self) -> Duration {
         match self {
             // The limit also applies to a live receiver without room for more data.
             Self::Caller => Duration::from_secs(10),
--- a/tests/routed_delegated_streams.rs
+++ b/tests/routed_delegated_streams.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future::{join, join_all};
 use serde_json::{Value, json};
-use support::routed::{FleetSize, RoutedFleet};
+use support::routed::{FleetSize, RoutedFleet, route};
 use support::{Process, Received, sleep_ms};
 
 /// Path of a resumable stream.
@@ -29,6 +29,16 @@
 /// Three routers before upstreams of these versions, which refuse new connections for `cut_ms` and treat
 /// requests as `knobs` say.
 async fn start(versions: &[&str], cut_ms: u64, knobs: Value) -> RoutedFleet {
+    start_with(versions, (&CONNECTED, STREAMS), cut_ms, knobs).await
+}
+
+/// The same, with so many connections from each of these routers to each upstream.
+async fn start_with(
+    versions: &[&str],
+    (connected, connections): (&[u8], usize),
+    cut_ms: u64,
+    knobs: Value,
+) -> RoutedFleet {
     let size = FleetSize {
         routers: 0,
         upstreams: 0,
@@ -46,11 +56,13 @@
     }
     sleep_ms(REPORTS_MS).await;
     routed.upstream_knobs(json!({ "delay_ms": 100 })).await;
-    let count = STREAMS * versions.len();
-    let opened = CONNECTED.iter().flat_map(|i| vec![*i; count]);
+    let count = connections * versions.len();
+    let opened = connected.iter().flat_map(|i| vec![*i; count]);
     join_all(opened.map(|i| routed.call(i, "/get/1", "1"))).await;
-    let mut cut = knobs;
-    cut["delay_ms"] = json!(EVENT_MS);
+    let mut cut = json!({ "delay_ms": EVENT_MS });
+    cut.as_object_mut()
+        .unwrap()
+        .extend(knobs.as_object().unwrap().clone());
     cut["refuses_connections_ms"] = json!(cut_ms);
     routed.upstream_knobs(cut).await;
     sleep_ms(100).await;
@@ -141,3 +153,40 @@
     let log = routed.log_until_now(CUT_OFF).await;
     assert!(delegate_in(&log, &id).is_some(), "{log}");
 }
+
+/// A router has run requests for another one that reads their answers late, and its process ends with parts
+/// of them in its memory.
+#[compio::test]
+async fn answers_for_another_router_are_sent_to_their_end_before_the_process_exits() {
+    const CALLS: usize = 10;
+    // The echo has six bytes for each: together a little more than the 5 MiB that the other router admits on a
+    // link before it reads, so that the last answer is in the link's buffer and no request is in flight.
+    const BODY_BYTES: usize = 90_000;
+    const RUN_MS: u64 = 300;
+    const UNREAD_MS: u64 = 1_200;
+    const RUNNING: u8 = 0;
+    let mut routed = start_with(
+        &["1"],
+        (&[RUNNING], CALLS),
+        4_000,
+        json!({ "delay_ms": RUN_MS }),
+    )
+    .await;
+    let single = route("single", "idempotent", json!({ "max_attempts": 1 }));
+    routed.configure(json!({ "routes": [single] })).await;
+    routed.wait_status(CUT_OFF, "/single/1", 200).await;
+    let body = "\u{1}".repeat(BODY_BYTES);
+    let calls = join_all((0..CALLS).map(|_| routed.call(CUT_OFF, "/single/1", &body)));
+    let stop = async {
+        sleep_ms(RUN_MS / 2).await;
+        routed.routers[usize::from(RUNNING)].terminate();
+        routed.routers[usize::from(CUT_OFF)].freeze();
+        sleep_ms(UNREAD_MS).await;
+        routed.routers[usize::from(CUT_OFF)].unfreeze();
+    };
+    let (answers, ()) = join(calls, stop).await;
+    let statuses = answers
+        .iter()
+        .map(|(_, received)| received.as_ref().map_or(0, |r| r.status));
+    assert_eq!(statuses.collect::<Vec<u16>>(), [200; CALLS]);
+}
