--- a/src/path/stop.rs
+++ b/src/path/stop.rs
@@ -38,8 +38,9 @@
         path.drain.enter(Phase::Closing);
         left = path.drain.wait_until_idle(until(schedule.exit)).await;
     }
+    let links = path.drain.close_links(until(schedule.exit)).await;
     path.drain.report_stop();
-    log::info!("stopped, {left} in flight");
+    log::info!("stopped, {left} in flight, {links} links to other routers open");
 }
 
 /// Returns when the stop goes on whose signal was noticed now.
