Brittle upstreams get requests from one router only, through a gate

What callers saw: with more requests than places, upstreams that end when they turn away more than N requests in a second ended, with all that they ran (status 502, "connection closed before message completed", "retry budget of the fleet is exhausted").

Cause: each router learns by rejections that an upstream is full, retries the rejected request at the next one, and knows nothing of the others' rejections, so the sum grows with the routers.

Others delegate and name the upstream; a home that can't send refuses as not run, and up to three are asked. What is left is refused at once, as not run, with a spread Retry-After. A request that a brittle upstream rejected goes to no other brittle one. What an upstream bears is told with the load reports and to a router that has started before it takes requests, and is forgotten a minute after it was last heard. One that nothing was heard of, as after a fall, bears the least of its service. A router is no home in its first 3 s, unless it is alone. Without brittle upstreams: a look at an empty table for each choice and call.

Unit tests: gate_follows_what_the_home_sends, brittle_upstreams_are_known_before_the_list, least_that_an_upstream_bears_is_known_to_all, chosen_upstream_reaches_its_home, and two more in brittle_tests.

RunningGuard holds its upstream instead of a name, so that it doesn't grow.

--- a/src/decide/brittle.rs
+++ b/src/decide/brittle.rs
@@ -16,12 +16,14 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use crate::decide::Incarnation;
+use crate::decide::{Incarnation, Name};
 
 /// Window over which an upstream counts what it turns away.
 pub const WINDOW_MS: u64 = 1_000;
 /// Time after which a request that was not rejected has been taken. Above a round trip between regions.
 pub const DOUBT_MS: u64 = 50;
+/// What an upstream said is forgotten when neither an answer nor another router has repeated it for so long.
+const WORD_TTL_MS: u64 = 60_000;
 /// Routers that may hold themselves for an upstream's home at the same time.
 const HOMES: u32 = 2;
 
@@ -48,16 +50,31 @@
     Ended,
 }
 
-/// The upstreams that say that they are brittle.
+/// What is known of one start of an upstream.
+#[derive(Clone, Debug)]
+struct Word {
+    service: Name,
+    /// Rejections in a second that it bears; `None` if it said that it isn't brittle any more.
+    borne: Option<u32>,
+    heard_ms: u64,
+    /// It said so to this router.
+    is_own: bool,
+}
+
+/// What a router reports of an upstream that said that it isn't brittle.
+const BEARS_ANY: u32 = u32::MAX;
+
+/// The upstreams that say that they are brittle, to this router or to others, and what the others of their
+/// services say.
 #[derive(Clone, Debug, Default)]
 pub struct BrittleUpstreams {
-    borne: HashMap<Incarnation, u32>,
+    words: HashMap<Incarnation, Word>,
 }
 
 impl BrittleUpstreams {
-    /// Whether none is.
+    /// Whether nothing is known of any.
     pub fn is_empty(&self) -> bool {
-        self.borne.is_empty()
+        self.words.is_empty()
     }
 
     /// Records what an answer of `upstream` says, and returns what changed. What can't be read changes nothing:
@@ -68,35 +85,84 @@
     /// use cassiagrade::decide::brittle::{BrittleUpstreams, Frailty, FrailtyChange};
     /// let upstream = Incarnation { id: "up-1".into(), started_ms: 7 };
     /// let mut brittle = BrittleUpstreams::default();
-    /// assert_eq!(brittle.record(&upstream, Frailty::Bears(2)), FrailtyChange::Bears(2));
-    /// assert_eq!(brittle.record(&upstream, Frailty::Unreadable), FrailtyChange::Same);
-    /// assert_eq!(brittle.borne(&upstream), Some(2));
-    /// assert_eq!(brittle.record(&upstream, Frailty::None), FrailtyChange::Ended);
+    /// let service = "s".into();
+    /// let mut record = |frailty| brittle.record(&upstream, &service, frailty, 0);
+    /// assert_eq!(record(Frailty::Bears(2)), FrailtyChange::Bears(2));
+    /// assert_eq!(record(Frailty::Unreadable), FrailtyChange::Same);
+    /// assert_eq!(record(Frailty::None), FrailtyChange::Ended);
     /// ```
-    pub fn record(&mut self, upstream: &Incarnation, frailty: Frailty) -> FrailtyChange {
-        match frailty {
-            Frailty::None if self.borne.remove(upstream).is_some() => FrailtyChange::Ended,
-            Frailty::Bears(borne) if self.borne.get(upstream) != Some(&borne) => {
-                self.borne.insert(upstream.clone(), borne);
-                FrailtyChange::Bears(borne)
-            }
+    pub fn record(
+        &mut self,
+        upstream: &Incarnation,
+        service: &Name,
+        frailty: Frailty,
+        now_ms: u64,
+    ) -> FrailtyChange {
+        let borne = match frailty {
+            Frailty::Unreadable => return FrailtyChange::Same,
+            Frailty::None if self.words.is_empty() => return FrailtyChange::Same,
+            Frailty::None => None,
+            Frailty::Bears(borne) => Some(borne),
+        };
+        let word = Word {
+            service: service.clone(),
+            borne,
+            heard_ms: now_ms,
+            is_own: true,
+        };
+        let before = self.words.insert(upstream.clone(), word);
+        match (before.and_then(|word| word.borne), borne) {
+            (before, Some(borne)) if before != Some(borne) => FrailtyChange::Bears(borne),
+            (Some(_), None) => FrailtyChange::Ended,
             _ => FrailtyChange::Same,
         }
     }
 
-    /// Rejections in a second that `upstream` bears, if it is brittle.
-    pub fn borne(&self, upstream: &Incarnation) -> Option<u32> {
-        self.borne.get(upstream).copied()
+    /// Records what `upstream` said to another router. What it said to this one counts more.
+    pub fn report(&mut self, upstream: &Incarnation, service: &Name, borne: u32, now_ms: u64) {
+        if self.words.get(upstream).is_some_and(|word| word.is_own) {
+            return;
+        }
+        let word = Word {
+            service: service.clone(),
+            borne: Some(borne).filter(|borne| *borne != BEARS_ANY),
+            heard_ms: now_ms,
+            is_own: false,
+        };
+        self.words.insert(upstream.clone(), word);
     }
 
-    /// The upstreams that are brittle.
-    pub fn all(&self) -> impl Iterator<Item = &Incarnation> {
-        self.borne.keys()
+    /// Rejections in a second that `upstream` of `service` bears, if it is brittle. One that nothing was heard
+    /// of bears the least of its service: a brittle one that starts again would otherwise get a request from
+    /// each router before the first answer.
+    pub fn borne(&self, upstream: &Incarnation, service: &Name) -> Option<u32> {
+        if let Some(word) = self.words.get(upstream) {
+            return word.borne;
+        }
+        let of_service = self.words.values().filter(|word| word.service == *service);
+        of_service.filter_map(|word| word.borne).min()
+    }
+
+    /// What upstreams said to this router, as it reports it.
+    pub fn own(&self) -> impl Iterator<Item = (&Incarnation, u32)> {
+        let own = self.words.iter().filter(|(_, word)| word.is_own);
+        own.map(|(upstream, word)| (upstream, word.borne.unwrap_or(BEARS_ANY)))
     }
 
-    /// Drops the upstreams that are gone.
-    pub fn retain(&mut self, is_listed: impl Fn(&Incarnation) -> bool) {
-        self.borne.retain(|upstream, _| is_listed(upstream));
+    /// What upstreams said to any router.
+    pub fn all(&self) -> impl Iterator<Item = (&Incarnation, u32)> {
+        let all = self.words.iter();
+        all.map(|(upstream, word)| (upstream, word.borne.unwrap_or(BEARS_ANY)))
+    }
+
+    /// Drops the upstreams that are gone, and those of which nothing was heard for long; all if none is brittle.
+    pub fn sweep(&mut self, is_listed: impl Fn(&Incarnation) -> bool, now_ms: u64) {
+        self.words.retain(|upstream, word| {
+            is_listed(upstream) && now_ms.saturating_sub(word.heard_ms) < WORD_TTL_MS
+        });
+        if self.words.values().all(|word| word.borne.is_none()) {
+            self.words.clear();
+        }
     }
 }
 
@@ -139,6 +205,15 @@
         self.share = (borne / HOMES).max(1) as usize;
     }
 
+    /// Whether a request may be sent now.
+    pub fn is_open(&mut self, now_ms: u64) -> bool {
+        self.settle(now_ms);
+        if self.in_flight >= self.slots || self.rejected_ms.len() >= self.share {
+            return false;
+        }
+        self.in_flight < self.level || self.doubts.len() + self.rejected_ms.len() < self.share
+    }
+
     /// Whether a request may be sent now; if so, it counts as sent.
     ///
     /// ```
@@ -150,15 +225,11 @@
     /// assert!(gate.send(DOUBT_MS));
     /// ```
     pub fn send(&mut self, now_ms: u64) -> bool {
-        self.settle(now_ms);
-        if self.in_flight >= self.slots || self.rejected_ms.len() >= self.share {
+        if !self.is_open(now_ms) {
             return false;
         }
         let in_flight = self.in_flight + 1;
         if in_flight > self.level {
-            if self.doubts.len() + self.rejected_ms.len() >= self.share {
-                return false;
-            }
             self.doubts.push_back(Doubt {
                 sent_ms: now_ms,
                 in_flight,
--- a/src/decide/brittle_tests.rs
+++ b/src/decide/brittle_tests.rs
@@ -113,6 +113,7 @@
         id: "up-1".into(),
         started_ms,
     };
+    let service = "s".into();
     let mut brittle = BrittleUpstreams::default();
     for (frailty, borne, change) in [
         (Frailty::None, None, FrailtyChange::Same),
@@ -124,10 +125,54 @@
         (Frailty::None, None, FrailtyChange::Ended),
         (Frailty::Bears(0), Some(0), FrailtyChange::Bears(0)),
     ] {
-        assert_eq!(brittle.record(&upstream(1), frailty), change);
-        assert_eq!(brittle.borne(&upstream(1)), borne);
+        assert_eq!(brittle.record(&upstream(1), &service, frailty, 0), change);
+        assert_eq!(brittle.borne(&upstream(1), &service), borne);
     }
-    assert_eq!(brittle.borne(&upstream(2)), None);
-    brittle.retain(|listed| listed.started_ms == 2);
+    brittle.sweep(|listed| listed.started_ms == 2, 0);
     assert!(brittle.is_empty());
 }
+
+/// Only an upstream's home gets its answers. The others must know of it, must not repeat each other's word for
+/// ever, and what it says to the home itself must count more.
+#[test]
+fn word_of_other_routers_counts_until_an_own_answer_or_long_after() {
+    let upstream = Incarnation {
+        id: "up-1".into(),
+        started_ms: 1,
+    };
+    let service = "s".into();
+    let mut brittle = BrittleUpstreams::default();
+    brittle.report(&upstream, &service, 3, 0);
+    assert_eq!(brittle.borne(&upstream, &service), Some(3));
+    assert_eq!(brittle.own().count(), 0, "it isn't passed on");
+    brittle.sweep(|_| true, 59_999);
+    assert_eq!(brittle.borne(&upstream, &service), Some(3));
+    brittle.sweep(|_| true, 60_000);
+    assert!(brittle.is_empty());
+    brittle.report(&upstream, &service, 3, 60_000);
+    let change = brittle.record(&upstream, &service, Frailty::None, 60_001);
+    assert_eq!(change, FrailtyChange::Ended);
+    brittle.report(&upstream, &service, 3, 60_002);
+    assert_eq!(brittle.borne(&upstream, &service), None);
+    let reported: Vec<u32> = brittle.own().map(|(_, borne)| borne).collect();
+    assert_eq!(reported, [u32::MAX]);
+}
+
+/// A brittle upstream falls and starts again. Until its first answer it must not get a request from each router.
+#[test]
+fn upstream_that_nothing_was_heard_of_bears_the_least_of_its_service() {
+    let upstream = |id: &str| Incarnation {
+        id: id.into(),
+        started_ms: 1,
+    };
+    let (service, other) = ("s".into(), "other".into());
+    let mut brittle = BrittleUpstreams::default();
+    brittle.record(&upstream("up-1"), &service, Frailty::Bears(9), 0);
+    brittle.report(&upstream("up-2"), &service, 4, 0);
+    brittle.report(&upstream("up-3"), &service, u32::MAX, 0);
+    assert_eq!(brittle.borne(&upstream("up-4"), &service), Some(4));
+    assert_eq!(brittle.borne(&upstream("up-4"), &other), None);
+    assert_eq!(brittle.borne(&upstream("up-3"), &service), None);
+    brittle.record(&upstream("up-4"), &service, Frailty::None, 0);
+    assert_eq!(brittle.borne(&upstream("up-4"), &service), None);
+}
--- a/src/fleet/in_flight.rs
+++ b/src/fleet/in_flight.rs
@@ -75,6 +75,7 @@
     running: HashMap<u32, u32>,
     demands: Vec<ServiceDemand>,
     unreached: Vec<u32>,
+    borne: Vec<(u32, u32)>,
 }
 
 /// Counts of the other routers for one upstream.
@@ -97,6 +98,9 @@
     /// Routers whose counts have not expired, and the digests of the services of which each reaches no
     /// upstream.
     pub unreached: HashMap<Name, Vec<u32>>,
+    /// Rejections in a second that brittle upstreams bear, as they told other routers, by the digest of the
+    /// upstream's name.
+    pub borne: HashMap<u32, u32>,
     /// Number of routers whose counts have not expired.
     pub reporting: usize,
     /// Share of the reachable routers that these are.
@@ -143,6 +147,9 @@
             let outcomes = self.outcomes.entry(count.upstream_digest).or_default();
             outcomes.add(count.ended, count.failed, now_ms);
         }
+        let borne = received.flights.iter();
+        let borne = borne.filter_map(|f| Some((f.upstream_digest, f.borne?)));
+        let borne = borne.collect();
         let running = received.flights.into_iter().filter(|f| f.running > 0);
         let row = Row {
             incarnation: received.from_incarnation,
@@ -151,6 +158,7 @@
             running: running.map(|f| (f.upstream_digest, f.running)).collect(),
             demands: received.wishes,
             unreached: received.unreached,
+            borne,
         };
         self.rows.insert(received.from_host.into(), row);
     }
@@ -186,12 +194,22 @@
             upstreams,
             demands,
             unreached: unreached.collect(),
+            borne: self.least_borne(),
             reporting,
             share: 1.0 / scale,
             age_ms: self.mean_age_ms(now_ms) + REPORT_INTERVAL_MS as f64 / 2.0,
         }
     }
 
+    fn least_borne(&self) -> HashMap<u32, u32> {
+        let mut least = HashMap::new();
+        for (digest, borne) in self.rows.values().flat_map(|row| &row.borne) {
+            let known = least.entry(*digest).or_insert(*borne);
+            *known = u32::min(*known, *borne);
+        }
+        least
+    }
+
     fn mean_age_ms(&self, now_ms: u64) -> f64 {
         let ages = self
             .rows
--- a/src/fleet/in_flight_tests.rs
+++ b/src/fleet/in_flight_tests.rs
@@ -61,6 +61,7 @@
             running: 0,
             ended: 4,
             failed,
+            borne: None,
         }],
         ..counts(host, 1, 0)
     };
@@ -72,6 +73,26 @@
     assert_eq!(sums[&9].running, 0.0);
 }
 
+/// Only an upstream's home gets its answers. The others must know how little it bears, also if what they hear
+/// differs, and forget it with the routers that said so.
+#[test]
+fn least_that_an_upstream_bears_is_known_to_all() {
+    let mut table = InFlightTable::default();
+    let report = |host: &str, borne| InFlightReport {
+        flights: vec![InFlightCount {
+            upstream_digest: 9,
+            borne,
+            ..InFlightCount::default()
+        }],
+        ..counts(host, 1, 0)
+    };
+    table.record(report("a", Some(7)), 0);
+    table.record(report("b", Some(2)), 0);
+    table.record(report("c", None), 0);
+    assert_eq!(table.fleet_counts(4, 0).borne, [(9, 2)].into());
+    assert!(table.fleet_counts(4, COUNTS_TTL_MS).borne.is_empty());
+}
+
 /// Two routers have more requests than they may run, and a third computes its share from their
 /// demand. A dead router has no demand.
 #[test]
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -342,6 +342,9 @@
     pub ended: u32,
     #[prost(uint32, tag = "4")]
     pub failed: u32,
+    /// Set if the upstream told the sender how many rejections in a second it bears; the largest number: any.
+    #[prost(uint32, optional, tag = "5")]
+    pub borne: ::core::option::Option<u32>,
 }
 /// Requests that a router runs at each upstream, sent several times a second: the sum over all
 /// routers is an upstream's load, and newer than the upstream's own report.
@@ -522,6 +525,9 @@
     /// Versions of all services.
     #[prost(message, optional, tag = "3")]
     pub versions: ::core::option::Option<VersionReport>,
+    /// Upstreams of which the sender knows how many rejections they bear.
+    #[prost(message, repeated, tag = "4")]
+    pub brittle: ::prost::alloc::vec::Vec<InFlightCount>,
 }
 /// A version of a service's software, and the time since some upstream of it was last listed.
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -717,6 +723,9 @@
     /// Where the stream began that the request goes on with.
     #[prost(message, optional, tag = "13")]
     pub origin: ::core::option::Option<StreamOrigin>,
+    /// Brittle upstream that the sender chose, whose home the receiver is; empty: any upstream.
+    #[prost(string, tag = "14")]
+    pub upstream: ::prost::alloc::string::String,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -80,6 +80,12 @@
     is_retry_reserved: bool,
     /// Where the stream began that the answer is or goes on with; all further attempts keep to it.
     origin: Option<Origin>,
+    /// Brittle upstreams whose homes did not send the request.
+    closed: Vec<Name>,
+    /// Whether a brittle upstream rejected the request.
+    was_rejected_by_brittle: bool,
+    /// Whether some brittle upstream could not be chosen.
+    is_held_back: Cell<bool>,
     /// Held while the request runs as a suspect.
     trial: Option<Trial>,
     /// Released at the end of the answer.
@@ -108,6 +114,9 @@
             is_sent: Cell::default(),
             kept: None,
             is_retry_reserved: false,
+            closed: Vec::new(),
+            was_rejected_by_brittle: false,
+            is_held_back: Cell::default(),
             trial: None,
             _permit: permit,
         }
@@ -240,6 +249,14 @@
                 };
                 return Err(self.refuse(cause, detail));
             }
+            if let Some(home) = &choice.home {
+                let id = &choice.upstream.id;
+                if let Some(reply) = self.delegate_to_home(home, id, resume_after).await? {
+                    return Ok(reply);
+                }
+                self.is_retry_reserved = is_retry;
+                continue;
+            }
             if self.is_first_try() {
                 let routers = self.context.path.routers();
                 self.context
@@ -272,7 +289,10 @@
                 }
                 FailureKind::Lost => self.record_lost_answer(&upstream),
                 FailureKind::Replaced => state.record_replaced(&upstream, now_ms),
-                FailureKind::Rejected | FailureKind::Withheld => {}
+                FailureKind::Rejected => {
+                    self.was_rejected_by_brittle |= state.borne(&upstream, now_ms).is_some();
+                }
+                FailureKind::Withheld => {}
             }
             let kind: &'static str = failed.kind.into();
             let reason = format!("{kind}: {}", failed.reason);
--- a/src/path/attempts/choice.rs
+++ b/src/path/attempts/choice.rs
@@ -4,20 +4,37 @@
 use std::rc::Rc;
 
 use crate::decide::connections::ConnectionQuota;
-use crate::decide::spread::{self, Bound, Counts, Selection};
-use crate::path::attempts::Attempts;
+use crate::decide::spread::{self, Bound, Candidate, Counts, Selection};
+use crate::fleet::member::Member;
+use crate::path::Home;
+use crate::path::attempts::{Attempts, RequestContext};
 use crate::path::dialect::{Dialect, Records};
 use crate::path::regions::AllowedRegions;
 use crate::path::router_state::{Bounds, Tried};
-use crate::path::upstreams::Upstream;
+use crate::path::upstreams::{Pool, Upstream};
 use crate::schema::settings::Decisions;
 use crate::util::Name;
 
+/// Homes of brittle upstreams that are asked to send a request. With more, full ones would be asked for long.
+const MAX_HOMES_ASKED: usize = 3;
+
 /// Destination of the next attempt.
 pub(super) struct Choice {
     pub(super) upstream: Rc<Upstream>,
     /// Upstream from which the chosen one fetches the cached shared part of the prompt.
     pub(super) fetch_from: Option<SocketAddr>,
+    /// The router that sends to it, if it is brittle and that isn't this one.
+    pub(super) home: Option<Member>,
+}
+
+/// Which router may send to a chosen upstream.
+enum Sender {
+    /// This one.
+    Own,
+    /// The home of a brittle one.
+    Home(Member),
+    /// None now.
+    None,
 }
 
 impl<D: Dialect + Records> Attempts<D> {
@@ -35,29 +52,88 @@
         let state = &context.path.state;
         let regions = self.allowed_regions();
         let bounds = self.bounds(&regions);
-        let (pool, candidates) = state.pool(&context.service, &tried, bounds, max_open, now_ms);
+        let (pool, mut candidates) = state.pool(&context.service, &tried, bounds, max_open, now_ms);
+        self.close_brittle(&pool, &mut candidates, now_ms);
+        loop {
+            let selection = self.select(&candidates)?;
+            let upstream = &pool.upstreams()[selection.at];
+            let home = match self.sender(upstream, now_ms) {
+                Sender::Own => None,
+                Sender::Home(home) => Some(home),
+                Sender::None => {
+                    self.is_held_back.set(true);
+                    candidates[selection.at].excluded = true;
+                    candidates[selection.at].withheld = true;
+                    continue;
+                }
+            };
+            let source = selection.source.map(|at| &pool.upstreams()[at]);
+            let source = source
+                .filter(|source| state.decisions().fetch && source.software == upstream.software);
+            return Some(Choice {
+                fetch_from: source.map(|source| source.addr),
+                upstream: upstream.clone(),
+                home,
+            });
+        }
+    }
+
+    fn select(&self, candidates: &[Candidate]) -> Option<Selection> {
+        let context = &self.context;
+        let state = &context.path.state;
         let decisions = state.decisions();
-        let selection = match shared_part(&context.head.prompt_parts) {
+        match shared_part(&context.head.prompt_parts) {
             Some(part) if context.route.cached_prompts && decisions.part_order => {
-                spread::by_part(part, &candidates, bound(decisions))?
+                spread::by_part(part, candidates, bound(decisions))
             }
             _ => {
                 let typical_ms = context.path.queues.typical_ms(&context.service);
                 let counts = Counts::of_age(state.load_report_age_ms(), typical_ms);
-                Selection {
-                    at: spread::by_load(&candidates, counts, &mut rand::rng())?,
-                    source: None,
-                }
+                let at = spread::by_load(candidates, counts, &mut rand::rng())?;
+                Some(Selection { at, source: None })
             }
+        }
+    }
+
+    /// Excludes the upstreams that this request may not be sent to because they, or others, are brittle.
+    ///
+    /// Failure guarded against: a full service of brittle upstreams rejects a request, and each further
+    /// attempt brings another of them nearer to its end.
+    fn close_brittle(&self, pool: &Pool, candidates: &mut [Candidate], now_ms: u64) {
+        let delegated = self.context.delegated.as_ref();
+        let only = delegated.and_then(|d| d.upstream.as_ref());
+        let state = &self.context.path.state;
+        if only.is_none() && !state.has_brittle() {
+            return;
+        }
+        for (candidate, upstream) in candidates.iter_mut().zip(pool.upstreams()) {
+            let is_rejecting =
+                self.was_rejected_by_brittle && state.borne(upstream, now_ms).is_some();
+            let is_closed = self.closed.contains(&upstream.id);
+            if is_rejecting || is_closed || only.is_some_and(|id| *id != upstream.id) {
+                candidate.excluded = true;
+            }
+        }
+    }
+
+    fn sender(&self, upstream: &Upstream, now_ms: u64) -> Sender {
+        let RequestContext {
+            path, delegated, ..
+        } = &self.context;
+        let Some(borne) = path.state.borne(upstream, now_ms) else {
+            return Sender::Own;
         };
-        let upstream = pool.upstreams()[selection.at].clone();
-        let source = selection.source.map(|at| &pool.upstreams()[at]);
-        let source =
-            source.filter(|source| decisions.fetch && source.software == upstream.software);
-        Some(Choice {
-            fetch_from: source.map(|source| source.addr),
-            upstream,
-        })
+        match path.home(upstream) {
+            Home::Own if path.state.is_gate_open(upstream, borne, now_ms) => Sender::Own,
+            Home::Other(home) => {
+                path.state.hand_over(upstream);
+                if delegated.is_some() || self.closed.len() >= MAX_HOMES_ASKED {
+                    return Sender::None;
+                }
+                Sender::Home(home)
+            }
+            Home::Own | Home::Unknown => Sender::None,
+        }
     }
 
     /// Limits that the upstreams of all attempts must be within.
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -14,6 +14,7 @@
 use crate::path::trials::Trial;
 use crate::peers::DelegateError;
 use crate::schema::peer::DelegatedRequest;
+use crate::util::Name;
 
 /// Number of routers that are asked in turn to run a suspected request. The first one may have stopped a
 /// moment ago.
@@ -51,7 +52,7 @@
                 return Ok(None);
             }
             let reason = "runs of this suspected request take place there";
-            match self.delegate(router, resume_after, reason).await {
+            match self.delegate(router, resume_after, None, reason).await {
                 Delegation::Answered(reply) => return Ok(Some(reply)),
                 Delegation::Refused(refused) => return Err(refused.after(self.runs)),
                 Delegation::NotSent => {}
@@ -74,7 +75,7 @@
         let mut refusal = None;
         for router in path.delegates(&self.context.service) {
             let reason = "no upstream can be reached from here";
-            match self.delegate(&router, resume_after, reason).await {
+            match self.delegate(&router, resume_after, None, reason).await {
                 Delegation::Answered(reply) => return Ok(Some(reply)),
                 Delegation::Refused(refused) if refused.is_of_router() => refusal = Some(refused),
                 Delegation::Refused(refused) => return Err(refused.after(self.runs)),
@@ -84,12 +85,34 @@
         refusal.map_or(Ok(None), |refused| Err(refused.after(self.runs)))
     }
 
+    /// Delegates this request to the home of the brittle upstream that was chosen. Returns `None` if it
+    /// can't be sent there; another upstream may take it.
+    pub(super) async fn delegate_to_home(
+        &mut self,
+        router: &Member,
+        upstream: &Name,
+        resume_after: Option<u64>,
+    ) -> Result<Option<Reply>, Refused> {
+        let reason = format!("the home of brittle upstream {upstream}");
+        let delegation = self
+            .delegate(router, resume_after, Some(upstream), &reason)
+            .await;
+        self.closed.push(upstream.clone());
+        match delegation {
+            Delegation::Answered(reply) => Ok(Some(reply)),
+            Delegation::NotSent => Ok(None),
+            Delegation::Refused(refused) if refused.may_go_elsewhere() => Ok(None),
+            Delegation::Refused(refused) => Err(refused.after(self.runs)),
+        }
+    }
+
     /// Delegates this request to `router`. An answer through another router is final, as this one
     /// doesn't know how many upstreams ran the request.
     async fn delegate(
         &mut self,
         router: &Member,
         resume_after: Option<u64>,
+        upstream: Option<&Name>,
         reason: &str,
     ) -> Delegation {
         let host = &router.host;
@@ -98,7 +121,7 @@
             "",
             &format!("delegated to {host}: {reason}"),
         );
-        let request = self.delegated_request(resume_after);
+        let request = self.delegated_request(resume_after, upstream);
         self.calling = Some(host.clone());
         self.is_sent.set(true);
         self.context.tracker.set_stage(Stage::Sent);
@@ -143,7 +166,11 @@
         self.runs = self.context.route.max_attempts.max(self.runs + 1);
     }
 
-    fn delegated_request(&self, resume_after: Option<u64>) -> DelegatedRequest {
+    fn delegated_request(
+        &self,
+        resume_after: Option<u64>,
+        upstream: Option<&Name>,
+    ) -> DelegatedRequest {
         let context = &self.context;
         let parts = &context.parts;
         let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
@@ -162,6 +189,7 @@
             resume_after,
             suspicion: context.path.state.suspicion(context.fingerprint, now_ms),
             origin: self.origin.as_ref().map(Into::into),
+            upstream: upstream.map(ToString::to_string).unwrap_or_default(),
         }
     }
 
--- a/src/path/attempts/refusal.rs
+++ b/src/path/attempts/refusal.rs
@@ -19,6 +19,14 @@
             let detail = format!("all upstreams want no requests for {left_ms} ms");
             return self.refuse(Cause::Full, detail);
         }
+        if self.was_rejected_by_brittle {
+            let detail = "rejected by a brittle upstream, and no other may take it";
+            return self.refuse(Cause::Full, detail.to_owned());
+        }
+        if self.is_held_back.get() || !self.closed.is_empty() {
+            let detail = "brittle upstreams take no more now";
+            return self.refuse(Cause::OverBound, detail.to_owned());
+        }
         let (state, quota) = (&self.context.path.state, self.connection_quota());
         let is_full = state.has_full_upstream(&self.context.service, quota.open);
         let cause = if is_full {
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -131,7 +131,7 @@
     ) -> Result<Reply, CallError> {
         let running = self.state.start_request(&upstream, self.clock.now_ms());
         let started = Instant::now();
-        let sent = self.send(&upstream, &call).await;
+        let sent = self.send(&upstream, &call, &running).await;
         let now_ms = self.clock.now_ms();
         let (parts, body, connection) = match sent {
             Ok(answer) => answer,
@@ -162,6 +162,9 @@
             }
             Ok(()) => self.state.record_error_answer(&upstream, now_ms),
             Err(failed) => {
+                if failed.kind == FailureKind::Rejected {
+                    self.state.record_rejected(&running, now_ms);
+                }
                 if matches!(failed.kind, FailureKind::Rejected | FailureKind::Replaced) {
                     call.is_sent.set(false);
                     self.drain_rejection(&upstream, body, connection, &parts)
@@ -196,6 +199,7 @@
         &self,
         upstream: &Upstream,
         call: &Call<'_>,
+        running: &RunningGuard,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
         let timeout = compio::time::timeout(call.timeout, async {
             let idle = if call.new_connection {
@@ -204,13 +208,13 @@
                 self.connections.take_idle(upstream)
             };
             let Some(connection) = idle else {
-                return self.send_on_new(upstream, call).await;
+                return self.send_on_new(upstream, call, running).await;
             };
-            match self.send_on(connection, upstream, call).await {
+            match self.send_on(connection, upstream, call, running).await {
                 // The upstream closed the idle connection; no byte was sent.
                 Err(failed) if failed.kind == FailureKind::NotSent => {
                     call.is_sent.set(false);
-                    self.send_on_new(upstream, call).await
+                    self.send_on_new(upstream, call, running).await
                 }
                 answered => answered,
             }
@@ -230,6 +234,7 @@
         &self,
         upstream: &Upstream,
         call: &Call<'_>,
+        running: &RunningGuard,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
         let in_use = self.state.running(&upstream.id);
         self.connections
@@ -237,7 +242,7 @@
         let opened = connection::open(upstream.addr, CONNECT_TIMEOUT.min(call.timeout)).await;
         let connection = opened.map_err(|e| not_sent(e.to_string()))?;
         self.state.record_connected(upstream);
-        self.send_on(connection, upstream, call).await
+        self.send_on(connection, upstream, call, running).await
     }
 
     async fn send_on(
@@ -245,9 +250,12 @@
         mut connection: Connection,
         upstream: &Upstream,
         call: &Call<'_>,
+        running: &RunningGuard,
     ) -> Result<(Parts, Incoming, Connection), CallError> {
+        let now_ms = self.clock.now_ms();
         if !self.upstreams_fresh.may_decide()
-            || !self.state.still_takes_work(upstream, self.clock.now_ms())
+            || !self.state.still_takes_work(upstream, now_ms)
+            || !self.state.enter_gate(upstream, running, now_ms)
         {
             return Err(withheld());
         }
--- a/src/path/catch_up.rs
+++ b/src/path/catch_up.rs
@@ -135,6 +135,7 @@
         if replies.iter().flatten().any(|reply| reply.has_caught_up) {
             for reply in replies.into_iter().flatten() {
                 apply(&path, reply.suspicions);
+                path.state.take_frailty(reply.brittle);
                 let versions = reply.versions.unwrap_or_default();
                 path.versions.merge(versions, path.clock.now_ms());
             }
@@ -209,6 +210,7 @@
     SuspicionsReply {
         has_caught_up: path.catch_up.is_done(),
         suspicions: path.state.isolated_suspicions(path.clock.now_ms()),
+        brittle: path.state.known_frailty(),
         versions: Some(versions::report(path)),
     }
 }
--- a/src/path/delegate.rs
+++ b/src/path/delegate.rs
@@ -34,6 +34,8 @@
     pub(crate) runs: u32,
     /// Where the stream began that the request goes on with, if it does.
     pub(crate) origin: Option<Origin>,
+    /// Brittle upstream to which alone the request may be sent; `None`: any.
+    pub(crate) upstream: Option<Name>,
 }
 
 /// Answer of the router to which a request was delegated.
@@ -105,6 +107,9 @@
             delivered_to: message.delivered_to.into_iter().map(Name::from).collect(),
             runs: message.runs,
             origin: message.origin.map(Into::into),
+            upstream: Some(message.upstream)
+                .filter(|u| !u.is_empty())
+                .map(Name::from),
         },
     })
 }
--- a/src/path/delegate_tests.rs
+++ b/src/path/delegate_tests.rs
@@ -29,6 +29,20 @@
     assert_eq!(received.head.resume_after, Some(7));
 }
 
+/// A router that is the home of one brittle upstream must not send the request to another one.
+#[test_case("", None)]
+#[test_case("i-7", Some("i-7"))]
+fn chosen_upstream_reaches_its_home(upstream: &str, chosen: Option<&str>) {
+    let request = DelegatedRequest {
+        method: "GET".to_owned(),
+        target: "/x/1".to_owned(),
+        upstream: upstream.to_owned(),
+        ..DelegatedRequest::default()
+    };
+    let received = decode::<Headers>(&frames::to_vec(&request).unwrap()).unwrap();
+    assert_eq!(received.delegated.upstream.as_deref(), chosen);
+}
+
 /// An upstream may have run the request before it was delegated, and the other router refuses it.
 /// The caller must not be told that it didn't run.
 #[test]
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -125,6 +125,7 @@
 use crate::path::router_state::RouterState;
 use crate::path::stream_origins::StreamOrigins;
 use crate::path::trials::Trials;
+use crate::path::upstreams::Upstream;
 use crate::path::versions::ServiceVersions;
 use crate::peers::PeerClient;
 use crate::stats;
@@ -149,6 +150,16 @@
     pub(crate) region: Option<&'a str>,
 }
 
+/// The home of an upstream.
+pub(crate) enum Home {
+    /// This router.
+    Own,
+    /// Another router.
+    Other(Member),
+    /// None that can be told.
+    Unknown,
+}
+
 /// Members as of one view, counted once for all that ask.
 #[derive(Clone, Copy)]
 struct FleetSummary {
@@ -227,6 +238,17 @@
         routers.into_iter().cloned().collect()
     }
 
+    /// Returns the home of `upstream`, the one router that sends to it while it is brittle.
+    pub(crate) fn home(&self, upstream: &Upstream) -> Home {
+        let fleet = self.fleet.borrow();
+        match homes::home(&fleet, &upstream.id, &upstream.data_center) {
+            Some(home) if home.host != self.host => Home::Other(home.clone()),
+            // Others may not know yet that this router is back, and what they sent still runs.
+            Some(_) if self.clock.now_ms() >= SETTLE_MS || self.routers() == 1 => Home::Own,
+            _ => Home::Unknown,
+        }
+    }
+
     /// Returns routers to which requests for `service` are delegated, in the order in which they are asked:
     /// some that reach its upstreams, if this router reaches none.
     pub(crate) fn delegates(&self, service: &str) -> Vec<Member> {
@@ -306,6 +328,7 @@
         path.replica.flush_change_log();
         path.state.merge_suspicions(path.clock.now_ms());
         path.state.exchange_leaving(&path.fleet.borrow().leaving);
+        path.state.merge_frailty(path.clock.now_ms());
         path.state.eject_failing(path.clock.now_ms());
         path.assign_cold();
         versions::refresh_and_store(&path);
--- a/src/path/refusal.rs
+++ b/src/path/refusal.rs
@@ -65,6 +65,12 @@
         concerns_router && self.run == RunState::NotRun
     }
 
+    /// Whether the request did not run for a reason that another upstream may not have.
+    pub(crate) fn may_go_elsewhere(&self) -> bool {
+        let concerns_upstream = self.cause == Cause::OverBound && self.run == RunState::NotRun;
+        concerns_upstream || self.is_of_router()
+    }
+
     /// Returns the status code. 503 guarantees that the request did not run and never will; 502 and
     /// 504 guarantee nothing.
     fn status(&self) -> StatusCode {
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -1,5 +1,6 @@
 //! State of one router: configuration, upstreams, and what it observed of them.
 
+mod gates;
 mod notices;
 mod outcomes;
 mod pool;
@@ -12,7 +13,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::config::ALL_ON;
-use crate::decide::brittle::BrittleUpstreams;
+use crate::decide::brittle::{BrittleUpstreams, Gate};
 use crate::decide::cold_start::ColdStarts;
 use crate::decide::connections::{self, ConnectionQuota};
 use crate::decide::pushback::Pushbacks;
@@ -58,6 +59,9 @@
     reaches: RefCell<HashMap<Name, Reach>>,
     pushbacks: RefCell<Pushbacks>,
     brittle: RefCell<BrittleUpstreams>,
+    gates: RefCell<HashMap<Incarnation, Gate>>,
+    /// What others reported of upstreams that weren't listed yet.
+    told_frailty: RefCell<Vec<InFlightCount>>,
     /// Digests of the leaving upstreams that were last published to the other routers.
     published_leaving: RefCell<HashSet<u32>>,
     budgets: RefCell<HashMap<Name, RetryBudget>>,
@@ -108,16 +112,19 @@
 /// Counts one request at one upstream while it exists.
 pub(crate) struct RunningGuard {
     state: Rc<RouterState>,
-    upstream: Name,
+    upstream: Rc<Upstream>,
+    /// Whether the request is counted at the upstream's gate.
+    is_at_gate: Cell<bool>,
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
+        self.state.leave_gate(self, Gate::ended);
         let mut running = self.state.running.borrow_mut();
-        if let Some(count) = running.get_mut(&self.upstream) {
+        if let Some(count) = running.get_mut(&self.upstream.id) {
             *count -= 1;
             if *count == 0 {
-                running.remove(&self.upstream);
+                running.remove(&self.upstream.id);
             }
         }
     }
@@ -148,6 +155,8 @@
             reaches: RefCell::default(),
             pushbacks: RefCell::default(),
             brittle: RefCell::default(),
+            gates: RefCell::default(),
+            told_frailty: RefCell::default(),
             published_leaving: RefCell::default(),
             budgets: RefCell::default(),
             running: RefCell::default(),
@@ -306,18 +315,19 @@
     }
 
     /// Counts a request that starts at `upstream`.
-    pub(crate) fn start_request(self: &Rc<Self>, upstream: &Upstream, now_ms: u64) -> RunningGuard {
+    pub(crate) fn start_request(
+        self: &Rc<Self>,
+        upstream: &Rc<Upstream>,
+        now_ms: u64,
+    ) -> RunningGuard {
         self.health.borrow_mut().start_call(upstream, now_ms);
         self.cold_starts.borrow_mut().sent(&upstream.id, now_ms);
-        let upstream = &upstream.id;
-        *self
-            .running
-            .borrow_mut()
-            .entry(upstream.clone())
-            .or_insert(0) += 1;
+        let mut running = self.running.borrow_mut();
+        *running.entry(upstream.id.clone()).or_insert(0) += 1;
         RunningGuard {
             state: self.clone(),
             upstream: upstream.clone(),
+            is_at_gate: Cell::default(),
         }
     }
 
@@ -333,6 +343,9 @@
             count.ended = ended.ended;
             count.failed = ended.failed;
         }
+        for (id, borne) in self.own_frailty() {
+            counts.entry(id).or_default().borne = Some(borne);
+        }
         let counts = counts.into_iter().map(|(id, count)| InFlightCount {
             upstream_digest: digest(&id),
             ..count
--- a/src/path/router_state/notices.rs
+++ b/src/path/router_state/notices.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use crate::decide::Incarnation;
 use crate::decide::brittle::{Frailty, FrailtyChange};
 use crate::fleet::gossip::Publish;
 use crate::path::dialect::AnswerHead;
@@ -18,10 +19,10 @@
         if let Some(pushback_ms) = head.pushback_ms {
             self.record_pushback(upstream, pushback_ms, now_ms);
         }
-        self.record_frailty(upstream, head.frailty);
+        self.record_frailty(upstream, head.frailty, now_ms);
     }
 
-    fn record_frailty(&self, upstream: &Upstream, frailty: Frailty) {
+    fn record_frailty(&self, upstream: &Upstream, frailty: Frailty, now_ms: u64) {
         if let Frailty::Bears(_) = frailty {
             stats::brittle_notice();
         }
@@ -29,7 +30,7 @@
         if frailty == Frailty::None && brittle.is_empty() {
             return;
         }
-        match brittle.record(&upstream.incarnation(), frailty) {
+        match brittle.record(&upstream.incarnation(), &upstream.service, frailty, now_ms) {
             FrailtyChange::Same => {}
             FrailtyChange::Bears(borne) => {
                 log::info!(upstream = &*upstream.id, borne; "upstream ends when it rejects more requests in a second");
@@ -87,7 +88,8 @@
         let left_ms = pushbacks.left_ms(&upstream.incarnation(), now_ms);
         let leaving = leaving_ms.map(|ms| format!(", announced its shutdown {ms} ms ago"));
         let pushback = left_ms.map(|ms| format!(", wants no requests for {ms} ms"));
-        let brittle = self.brittle.borrow().borne(&upstream.incarnation());
+        let brittle = self.brittle.borrow();
+        let brittle = brittle.borne(&upstream.incarnation(), &upstream.service);
         let brittle = brittle.map(|borne| format!(", bears {borne} rejections in a second"));
         leaving.unwrap_or_default() + &pushback.unwrap_or_default() + &brittle.unwrap_or_default()
     }
@@ -96,10 +98,14 @@
         self.upstreams.borrow_mut().sweep(now_ms);
         self.pushbacks.borrow_mut().sweep(now_ms);
         let upstreams = self.upstreams.borrow();
-        self.brittle.borrow_mut().retain(|upstream| {
+        let is_listed = |upstream: &Incarnation| {
             let listed = upstreams.get(&upstream.id);
             listed.is_some_and(|u| u.started_ms == upstream.started_ms)
-        });
+        };
+        self.brittle.borrow_mut().sweep(is_listed, now_ms);
+        self.gates
+            .borrow_mut()
+            .retain(|upstream, gate| is_listed(upstream) || !gate.is_idle(now_ms));
     }
 
     /// Whether a request that was meant for `upstream` may still be sent to it.
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -5,6 +5,7 @@
 use super::regions::{AllowedRegions, Regions};
 use super::router_state::{Bounds, RetryLimit, RouterState, RunningGuard, Tried};
 use super::upstreams::Upstream;
+use crate::decide::brittle::Frailty;
 use crate::decide::ejection::{EJECTION_MS, FAILURES};
 use crate::decide::spread::{Candidate, Counts, by_load};
 use crate::fleet::gossip::Gossip;
@@ -50,7 +51,7 @@
 fn run(state: &Rc<RouterState>, each: u32) -> Vec<RunningGuard> {
     let everywhere = (0..6).flat_map(|i| (0..each).map(move |_| i));
     everywhere
-        .map(|i| state.start_request(&upstream(i), 0))
+        .map(|i| state.start_request(&upstream(i).into(), 0))
         .collect()
 }
 
@@ -443,7 +444,9 @@
         state.record_failure(&of(9), "connection reset", 1);
     }
     state.change_evacuations(|e| e.set(StreamPosition::new(1, 1), "south", true));
-    let _running: Vec<_> = (0..3).map(|_| state.start_request(&of(10), 1)).collect();
+    let _running: Vec<_> = (0..3)
+        .map(|_| state.start_request(&of(10).into(), 1))
+        .collect();
     let tried = Tried {
         upstreams: &[id(11)],
         may_repeat: false,
@@ -569,3 +572,47 @@
     assert_eq!(pushback_ms(None), None);
     assert_eq!(pushback_ms(Some(&origin)), Some(1_900));
 }
+
+/// The home of a brittle upstream knows what it sent there. Without the gate's count it would send on while the
+/// upstream rejects.
+#[test]
+fn gate_follows_what_the_home_sends() {
+    let (state, upstream) = (state(), Rc::new(upstream(0)));
+    let head = AnswerHead {
+        frailty: Frailty::Bears(2),
+        ..AnswerHead::default()
+    };
+    state.record_notices(&upstream, &head, 0);
+    assert_eq!(state.borne(&upstream, 0), Some(2));
+    let first = state.start_request(&upstream, 0);
+    assert!(state.enter_gate(&upstream, &first, 0));
+    assert!(state.enter_gate(&upstream, &first, 0), "counted once");
+    let second = state.start_request(&upstream, 0);
+    assert!(!state.enter_gate(&upstream, &second, 0), "one in doubt");
+    assert!(!state.is_gate_open(&upstream, 2, 0));
+    assert!(state.is_gate_open(&upstream, 2, 100));
+    state.record_rejected(&first, 100);
+    assert!(!state.is_gate_open(&upstream, 2, 1_099));
+    assert!(state.is_gate_open(&upstream, 2, 1_100));
+}
+
+/// A router that has started is told of brittle upstreams before it has read the list of upstreams.
+#[test]
+fn brittle_upstreams_are_known_before_the_list() {
+    let (known, started) = (state(), state());
+    let head = AnswerHead {
+        frailty: Frailty::Bears(5),
+        ..AnswerHead::default()
+    };
+    known.record_notices(&upstream(1), &head, 0);
+    known.record_notices(&upstream(2), &AnswerHead::default(), 0);
+    started.change_upstreams(|upstreams| upstreams.remove(&upstream(3).id));
+    started.take_frailty(known.known_frailty());
+    assert_eq!(started.borne(&upstream(1), 0), Some(5));
+    assert_eq!(started.borne(&upstream(2), 0), None);
+    assert_eq!(
+        started.borne(&upstream(4), 0),
+        Some(5),
+        "nothing heard of it"
+    );
+}
--- a/tests/routed_brittle.rs
+++ b/tests/routed_brittle.rs
@@ -3,13 +3,14 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use serde_json::{Value, json};
 use standins::backend::BRITTLE_NOTICE;
 use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
 use support::{Caller, Received, get, set_knobs, sleep_ms, wait_until};
+use test_case::test_case;
 
 const SLOTS: u32 = 2;
 
@@ -144,3 +145,126 @@
     assert!(metrics.contains(r#"cassiagrade_invalid_notices_total{field="brittle"} 1"#));
     assert!(metrics.contains("cassiagrade_brittle_notices_total 3"));
 }
+
+/// Requests that an upstream turned away for want of room in its worst second.
+fn most_turned_away(routed: &RoutedFleet, upstream: u8) -> usize {
+    let arrivals = routed.arrivals(upstream);
+    let turned_away: Vec<u64> = arrivals
+        .iter()
+        .filter(|a| a.found_no_room)
+        .map(|a| a.at_ms)
+        .collect();
+    let within = |from: u64| {
+        let second = from..from + 1_000;
+        turned_away.iter().filter(|at| second.contains(at)).count()
+    };
+    turned_away.iter().map(|at| within(*at)).max().unwrap_or(0)
+}
+
+/// Routers before brittle upstreams that have few slots and have announced themselves.
+struct BrittleFleet {
+    routed: RoutedFleet,
+    path: &'static str,
+}
+
+const ROUTERS: u8 = 3;
+const UPSTREAMS: u8 = 3;
+const BORNE: usize = 4;
+
+impl BrittleFleet {
+    async fn start(path: &'static str) -> Self {
+        let size = FleetSize {
+            routers: 0,
+            upstreams: 0,
+            ..FleetSize::default()
+        };
+        let mut routed = RoutedFleet::start(size).await;
+        let knobs = json!({ "delay_ms": 100, "places": 2, "brittle": BORNE.to_string() });
+        for i in 0..UPSTREAMS {
+            routed.spawn_upstream_with_knobs(i, SLOTS, &knobs);
+        }
+        for i in 0..ROUTERS {
+            routed.spawn_router(i);
+        }
+        for i in 0..ROUTERS {
+            routed.wait_ready(i).await;
+        }
+        let fleet = Self { routed, path };
+        // One at a time, until the upstreams have few places.
+        let begun = Instant::now();
+        while begun.elapsed() < BRITTLE_NOTICE + Duration::from_secs(1) {
+            for i in 0..ROUTERS {
+                fleet.routed.call(i, path, "1").await;
+            }
+        }
+        fleet
+    }
+
+    /// Sends from 30 callers to `routers` and returns the answers.
+    async fn load(&self, seconds: u64, routers: &[u8]) -> Vec<Received> {
+        let callers = (0..30).map(|caller| async move {
+            let begun = Instant::now();
+            let mut answers = Vec::new();
+            while begun.elapsed() < Duration::from_secs(seconds) {
+                let router = routers[caller % routers.len()];
+                let (_, received) = self.routed.call(router, self.path, "1").await;
+                if received.as_ref().is_none_or(|r| r.status != 200) {
+                    sleep_ms(100).await;
+                }
+                answers.extend(received);
+            }
+            answers
+        });
+        join_all(callers).await.into_iter().flatten().collect()
+    }
+
+    fn assert_up(&self) {
+        for i in 0..UPSTREAMS {
+            let falls = self
+                .routed
+                .falls_of(&self.routed.upstream_names[usize::from(i)]);
+            assert!(falls.is_empty(), "{falls:?}");
+            let most = most_turned_away(&self.routed, i);
+            println!("upstream {i}: {most} turned away in its worst second");
+            assert!(most <= BORNE, "{most} in a second at upstream {i}");
+        }
+    }
+}
+
+/// Far more callers than places, at all routers: each router learns by rejections that an upstream is full,
+/// and together they turn a brittle upstream over.
+#[test_case("/get/1"; "may be repeated")]
+#[test_case("/ticket/1"; "runs once")]
+#[compio::test]
+async fn routers_together_keep_brittle_upstreams_up(path: &'static str) {
+    let fleet = BrittleFleet::start(path).await;
+    let answers = fleet.load(6, &[0, 1, 2]).await;
+    fleet.assert_up();
+    let served = answers.iter().filter(|a| a.status == 200).count();
+    println!("{served} of {} served", answers.len());
+    assert!(served > 0);
+    for refused in answers.iter().filter(|a| a.status != 200) {
+        assert!(refused.status == 503 && refused.not_run(), "{refused:?}");
+        assert!(!refused.header("retry-after").is_empty());
+    }
+}
+
+/// A router is killed while it sends to the upstreams that it is home to, and comes back: the one that stands
+/// in for it doesn't know what still runs there, and the one that is back not what is sent in its place.
+#[compio::test]
+async fn brittle_upstreams_stay_up_while_homes_change() {
+    let mut fleet = BrittleFleet::start("/get/1").await;
+    for router in 0..ROUTERS {
+        let others: Vec<u8> = (0..ROUTERS).filter(|other| *other != router).collect();
+        fleet.load(1, &[0, 1, 2]).await;
+        let killed = fleet.routed.routers[usize::from(router)].handle();
+        let kill = async {
+            sleep_ms(500).await;
+            killed.kill();
+        };
+        futures_util::join!(fleet.load(4, &others), kill);
+        fleet.routed.spawn_router(router);
+        fleet.load(4, &[0, 1, 2]).await;
+        fleet.assert_up();
+    }
+}
