--- a/examples/soak/main.rs
+++ b/examples/soak/main.rs
@@ -159,6 +159,7 @@
         upstreams: args.upstreams,
         store_relays: true,
         slots: args.slots,
+        retry_burst: args.maintenance.then_some(*maintenance::RETRY_BURSTS.end()),
         ..FleetSize::default()
     };
     let mut routed = RoutedFleet::start(size).await;
@@ -167,7 +168,12 @@
     let suspender = Suspender::new(&routed, outages.clone());
     let scene = Scene::new(operator, suspender, outages, routed.upstreams.len());
     let callers = Callers::spawn(&routed, args.callers, args.lasting, args.seed);
-    let probes = Probes::spawn(&routed, args.probes, args.seed ^ PROBE_SEED);
+    let probes = Probes::spawn(
+        &routed,
+        args.probes,
+        args.maintenance,
+        args.seed ^ PROBE_SEED,
+    );
     let harmful = HarmfulCallers::spawn(&routed, args.harmful, args.seed ^ HARMFUL_SEED);
     let until = Instant::now() + Duration::from_secs(args.seconds);
     let others = spawn_others(&routed, &scene, args, until);
--- a/examples/soak/maintenance.rs
+++ b/examples/soak/maintenance.rs
@@ -9,8 +9,8 @@
 use crate::faults::Scene;
 use crate::support::routed::RoutedFleet;
 
-/// Bursts of retries between which a reload changes.
-const RETRY_BURSTS: std::ops::RangeInclusive<u32> = 40..=50;
+/// Bursts of retries that a reload sets. They are low, so that giving up answers that need no retry shows.
+pub(crate) const RETRY_BURSTS: std::ops::RangeInclusive<u32> = 5..=20;
 
 /// What one step did.
 pub(crate) struct Step {
--- a/examples/soak/operator.rs
+++ b/examples/soak/operator.rs
@@ -259,12 +259,25 @@
         }
         config(
             version.version,
-            &json!({ "routes": all, "tenants": accounts }),
+            &json!({ "routes": all, "tenants": accounts, "limits": limits(version.version) }),
         )
         .to_string()
     }
 }
 
+/// The limits of callers in a version, which change from one to the next.
+fn limits(version: u64) -> Value {
+    let (header_timeout_ms, idle_timeout_ms) = match version % 3 {
+        0 => (3_000, 15_000),
+        1 => (1_000, 5_000),
+        _ => (2_000, 2_000),
+    };
+    json!({
+        "max_header_bytes": 16_384, "max_body_bytes": 100_000,
+        "header_timeout_ms": header_timeout_ms, "idle_timeout_ms": idle_timeout_ms,
+    })
+}
+
 /// Deletes the history of streams until `until`.
 pub(crate) async fn truncate_until(store: SocketAddr, seed: u64, until: Instant) {
     let mut rng = SmallRng::seed_from_u64(seed);
--- a/examples/soak/probes.rs
+++ b/examples/soak/probes.rs
@@ -16,6 +16,8 @@
 pub(crate) const DEADLINE: Duration = Duration::from_secs(4);
 /// Maximum pause between two requests of one task.
 const MAX_PAUSE_MS: u64 = 60;
+/// Duration of requests that are still in flight when versions drop their route or key.
+const SLOW_MS: u64 = 400;
 /// Probability that a request uses a route, or a key, that every version holds.
 const LASTING_SHARE: f64 = 0.25;
 
@@ -49,8 +51,9 @@
 }
 
 impl Probes {
-    /// Starts `per_router` tasks for each router.
-    pub(crate) fn spawn(routed: &RoutedFleet, per_router: u32, seed: u64) -> Self {
+    /// Starts `per_router` tasks for each router; every third sends requests that take a while if
+    /// `has_slow`.
+    pub(crate) fn spawn(routed: &RoutedFleet, per_router: u32, has_slow: bool, seed: u64) -> Self {
         let probes = Self {
             stop: Rc::default(),
             records: Rc::default(),
@@ -67,6 +70,7 @@
                     rng: SmallRng::seed_from_u64(seed),
                     router,
                     addr,
+                    is_slow: has_slow && n % 3 == 2,
                     lasting: lasting.clone(),
                     changing: changing.clone(),
                 };
@@ -100,6 +104,7 @@
     rng: SmallRng,
     router: usize,
     addr: SocketAddr,
+    is_slow: bool,
     lasting: Caller,
     changing: Vec<Caller>,
 }
@@ -116,7 +121,10 @@
     async fn send_request(&mut self) -> ProbeRecord {
         let route = self.draw(ROUTES);
         let key = self.draw(KEYS);
-        let path = route.map_or_else(|| "/get/1".to_owned(), |r| format!("/r{r}/1"));
+        let mut path = route.map_or_else(|| "/get/1".to_owned(), |r| format!("/r{r}/1"));
+        if self.is_slow {
+            path.push_str(&format!("?delay_ms={SLOW_MS}"));
+        }
         let caller = key.map_or(&self.lasting, |k| &self.changing[k]);
         let id = new_request_id();
         let deadline_ms = DEADLINE.as_millis().to_string();
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -61,6 +61,8 @@
 /// silences of upstreams and stalls of the whole machine.
 #[test_case(9004, 8, "--stalls 0.15"; "with many short requests")]
 #[test_case(9013, 8, "--stalls 0.15"; "with streams that outlast the grace time")]
+#[test_case(9401, 8, "--stalls 0.3 --routers 3 --lasting 24"; "streams were given up in a stall, and the retry budget cut them")]
+#[test_case(9402, 8, "--stalls 0.3 --routers 3 --lasting 24"; "the same, beside stops")]
 #[test_case(9102, 8, "--stalls 0.15 --slots 5 --lasting 10 --probes 1"; "with requests that wait for their turn")]
 fn maintenance_loses_no_answer(seed: u32, seconds: u32, more: &str) {
     let _shared = FLEETS.read();
