--- a/examples/soak/outages.rs
+++ b/examples/soak/outages.rs
@@ -147,7 +147,7 @@
     }
 
     /// What an operator doesn't announce, wherever it was. A machine that stands still as a whole does not
-    /// count, nor do upstreams that fall silent.
+    /// count, nor do upstreams that fall silent and a store that is away.
     pub(crate) fn disruptions(&self) -> Vec<Span> {
         let stalls = self.of(Outage::Stall);
         let is_of_stall = |span: &Span| {
@@ -162,8 +162,9 @@
             | Outage::Relay(_)
             | Outage::UpstreamFrozen(_)
             | Outage::UpstreamFault(_) => true,
-            Outage::RouterSuspended(_) | Outage::Store => !is_of_stall(span),
+            Outage::RouterSuspended(_) => !is_of_stall(span),
             Outage::RouterDown(_)
+            | Outage::Store
             | Outage::Stall
             | Outage::UpstreamSilent(_)
             | Outage::UpstreamLeaving(_) => false,
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -127,6 +127,7 @@
 use crate::path::connection::ConnectionPool;
 use crate::path::dialect::Records;
 use crate::path::log_replica::LogReplica;
+use crate::path::regions::AllowedRegions;
 use crate::path::router_state::RouterState;
 use crate::path::stream_origins::StreamOrigins;
 use crate::path::trials::Trials;
@@ -230,11 +231,18 @@
         in_flight::reachable(self.gossip.in_flight().reporting, self.routers())
     }
 
-    /// Whether a router other than this one takes work.
-    pub(crate) fn has_others(&self) -> bool {
+    /// Whether another router takes requests whose regions are `allowed`.
+    pub(crate) fn has_others(&self, allowed: &AllowedRegions) -> bool {
         let fleet = self.fleet.borrow();
-        let mut others = fleet.members.iter().filter(|m| m.host != self.host);
-        others.any(Member::takes_work)
+        let regions = self.state.regions();
+        let own = fleet
+            .get(&self.host)
+            .and_then(|m| regions.of(&m.data_center));
+        let own = own.map(|region| &**region);
+        fleet.members.iter().any(|m| {
+            let may_start = regions.may_start(own, &[allowed], &m.data_center);
+            m.host != self.host && m.state == MemberState::Alive && may_start
+        })
     }
 
     /// Returns the address at which other routers connect to `host`.
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -367,7 +367,7 @@
         limit_ms: util::millis(deadline.saturating_duration_since(Instant::now())),
     };
     let (longest_ms, left_ms) = (expected.longest_ms(), util::millis(left));
-    if longest_ms <= left_ms || !path.has_others() {
+    if longest_ms <= left_ms || !path.has_others(&route.allowed_regions) {
         return Ok(());
     }
     stats::refused_for_stop();
