--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -26,8 +26,8 @@
 use crate::path::delegate::Delegated;
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::refusal::{Refused, STALE_STATE};
-use crate::path::request;
 use crate::path::routes::{Account, Repeat, Route};
+use crate::path::stop_admission::stopping;
 use crate::path::stream_origins;
 use crate::path::trials::Trial;
 use crate::path::upstreams::Upstream;
@@ -349,7 +349,7 @@
         if is_answering || self.context.path.drain.phase() < Phase::Closing {
             return Ok(());
         }
-        let refused = request::stopping();
+        let refused = stopping();
         if self.runs > 0 {
             return Err(self.refuse(Cause::UpstreamFailed, refused.detail));
         }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -39,6 +39,7 @@
 pub mod routes;
 mod state_requests;
 pub(crate) mod stop;
+pub(crate) mod stop_admission;
 pub(crate) mod stream;
 pub(crate) mod stream_origins;
 pub(crate) mod suspects;
@@ -92,12 +93,12 @@
 #[cfg(test)]
 mod regions_tests;
 #[cfg(test)]
-mod request_tests;
-#[cfg(test)]
 mod router_state_tests;
 #[cfg(test)]
 mod state_requests_tests;
 #[cfg(test)]
+mod stop_admission_tests;
+#[cfg(test)]
 mod suspects_tests;
 #[cfg(test)]
 mod suspend_tests;
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -5,22 +5,17 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures_util::future::{Either, select};
-use futures_util::pin_mut;
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
 use hyper::body::{Body, Incoming};
 
 use crate::decide::refusal::{Cause, STARTING_MS, jittered_ms};
-use crate::decide::stop::Expected;
 use crate::decide::{ChatKey, Cost, Job, Origin};
 use crate::decide::{admission, quarantine};
 use crate::event::{Events, Kind};
-use crate::front::Drain;
 use crate::front::body::Answer;
 use crate::front::check::{self, RequestError};
-use crate::front::drain::Phase;
 use crate::front::in_flight::{Stage, Tracker};
 use crate::path::admission_queue::Permit;
 use crate::path::attempts::{Attempts, RequestContext};
@@ -29,16 +24,16 @@
 use crate::path::log_replica::LogReplica;
 use crate::path::refusal::{QUARANTINED, RETRY_AFTER_MS, Refused, STALE_STATE, no_version_left};
 use crate::path::routes::{Account, CallerLimits, Deployment, Repeat, Route};
+use crate::path::stop_admission::{
+    STOPPING_RETRY_MS, check_end, check_stopping, discard, until_closing,
+};
 use crate::path::stream_origins::{self, Found};
 use crate::path::{RequestPath, answer};
 use crate::schema::peer::Suspicion;
 use crate::stats::{self, NotResumed, Tally};
 use crate::time_limit::within;
-use crate::util::{self, Name};
+use crate::util::Name;
 
-/// `Retry-After` of a router that is stopping or was suspended: the caller can retry at another
-/// router at once.
-const STOPPING_RETRY_MS: u64 = 50;
 /// Time limit for reading the body, which callers send at once.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after start during which a router holds requests until its first load. A router that takes
@@ -106,50 +101,12 @@
             let may_read = !refused.ends_connection() && !waits_to_continue;
             let max_bytes = path.state.deployment().limits.max_body_bytes;
             let is_read = body.is_end_stream()
-                || may_read && discard(&path.drain, &mut body, max_bytes).await;
+                || may_read && discard(&path.drain, &mut body, max_bytes, BODY_TIMEOUT).await;
             refused.response::<D>(request_id.as_deref(), is_read)
         }
     }
 }
 
-/// Waits for the answer to a request until shortly before this process exits. Then a request that no upstream
-/// has is refused as not run, and one that waits for another attempt as unknown.
-pub(super) async fn until_closing<A>(
-    drain: &Drain,
-    tracker: &Tracker,
-    answered: impl Future<Output = Result<A, Refused>>,
-) -> Result<A, Refused> {
-    let closing = drain.closing();
-    pin_mut!(answered, closing);
-    let answered = match select(answered, closing).await {
-        Either::Left((answered, _)) => return answered,
-        Either::Right(((), answered)) => answered,
-    };
-    match tracker.stage() {
-        Stage::Reading | Stage::Waiting => Err(stopping()),
-        Stage::Retrying => Err(Refused {
-            cause: Cause::UpstreamFailed,
-            ..stopping().after(1)
-        }),
-        Stage::Sent | Stage::Answering => answered.await,
-    }
-}
-
-/// Reads the rest of a refused request's body, until shortly before this process exits at the latest. Returns
-/// whether it was complete.
-///
-/// Failure guarded against: a router that stops refuses a request whose body doesn't end, waits for the body, and
-/// exits without having sent the refusal.
-async fn discard(drain: &Drain, body: &mut Incoming, max_bytes: usize) -> bool {
-    let closing = drain.closing();
-    let read = check::discard(body, max_bytes, BODY_TIMEOUT);
-    pin_mut!(read, closing);
-    match select(read, closing).await {
-        Either::Left((is_read, _)) => is_read,
-        Either::Right(_) => false,
-    }
-}
-
 /// Handles a request that another router delegates to this one.
 ///
 /// # Errors
@@ -337,47 +294,6 @@
     Ok(path.state.deployment())
 }
 
-/// Refuses a request if this router is past the announcement of its stop.
-///
-/// Failure guarded against: a request waits for state that doesn't matter any more, and the process
-/// exits meanwhile, without an answer.
-fn check_stopping<D>(path: &RequestPath<D>) -> Result<(), Refused> {
-    if path.drain.phase() >= Phase::Refusing {
-        return Err(stopping());
-    }
-    Ok(())
-}
-
-/// The refusal by a router that is stopping.
-pub(crate) fn stopping() -> Refused {
-    let detail = "this router is stopping";
-    Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail)
-}
-
-/// Refuses a request that most likely can't end before this router does, if another router can take it.
-///
-/// Failure guarded against: a router that is leaving takes a long stream, and its exit cuts it.
-fn check_end<D>(path: &RequestPath<D>, route: &Route, deadline: Instant) -> Result<(), Refused> {
-    let Some(left) = path.drain.time_left() else {
-        return Ok(());
-    };
-    let expected = Expected {
-        lately_ms: path.answer_times.borrow().long_ms(&route.name),
-        objective_ms: (!route.repeat.is_stream()).then_some(route.objective_ms),
-        limit_ms: util::millis(deadline.saturating_duration_since(Instant::now())),
-    };
-    let (longest_ms, left_ms) = (expected.longest_ms(), util::millis(left));
-    if longest_ms <= left_ms || !path.has_others(&route.allowed_regions) {
-        return Ok(());
-    }
-    stats::refused_for_stop();
-    let detail = format!(
-        "this router is stopping in {left_ms} ms, and a request of route {} may take {longest_ms} ms",
-        route.name
-    );
-    Err(Refused::not_run(Cause::Draining, STOPPING_RETRY_MS, detail))
-}
-
 fn resolve<D: Records>(
     path: &RequestPath<D>,
     deployment: &Deployment,
--- a/src/path/request_tests.rs
+++ b/src/path/stop_admission_tests.rs
@@ -9,7 +9,7 @@
 use crate::front::drain::Schedule;
 use crate::front::in_flight::{ConnectionEnd, Stage};
 use crate::path::refusal::Refused;
-use crate::path::request::until_closing;
+use crate::path::stop_admission::until_closing;
 
 /// Ends the wait for an answer that isn't to be waited for.
 const LIMIT: Duration = Duration::from_millis(200);
