A start logs when each part of the state arrived, from whom, and since when the router serves

After a return of all hosts no line said what a router waited for: the first failed read had one line, later ones none, and neither the wait for a turn to load nor the load itself had any. No decision changes.

Test: report_names_each_part_and_since_when_the_router_serves.

--- a/src/path/catch_up.rs
+++ b/src/path/catch_up.rs
@@ -17,6 +17,7 @@
 use crate::fleet::member::MemberState;
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
+use crate::path::start_report::Part;
 use crate::path::versions::{self, StoredVersions};
 use crate::peers::{PeerClient, SUSPICIONS};
 use crate::schema::peer::{Suspicion, SuspicionsReply, SuspicionsRequest};
@@ -157,6 +158,13 @@
     };
     join(suspicions, apply_stored_versions(&path, &*stored.versions)).await;
     path.catch_up.end(end, asked.len());
+    let source = match end {
+        End::Answered => "other routers",
+        End::AllHaveJustStarted => "stored records, as all have just started",
+        End::TimedOut => "stored records, as no router answered",
+    };
+    let start = path.replica.start_report();
+    start.record_arrival(Part::CatchUp, source);
 }
 
 /// Addresses of routers to ask next: members, those that are stopping included, and then seed hosts.
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -22,6 +22,7 @@
 use crate::path::freshness::{Evidence, StreamFreshness};
 use crate::path::position::StreamPosition;
 use crate::path::router_state::RouterState;
+use crate::path::start_report::{Part, StartReport};
 use crate::path::suspend::SuspendGuard;
 use crate::peers::compression;
 use crate::schema::peer::UpstreamChange;
@@ -75,6 +76,7 @@
     suspend: Rc<SuspendGuard>,
     refresh_wanted: Rc<Notify>,
     load_settled: Rc<Notify>,
+    start: Rc<StartReport>,
     /// Era of the log, 0 before it is known.
     era: watch::Sender<u64>,
     records: PhantomData<D>,
@@ -109,6 +111,7 @@
             suspend,
             refresh_wanted,
             load_settled: Rc::default(),
+            start: Rc::new(StartReport::new(clock)),
             era: watch::Sender::new(0),
             records: PhantomData,
         }
@@ -170,6 +173,7 @@
                 if self.state.configure(deployment) {
                     self.compress_config(&record);
                     log::info!("configuration {version} in force, from {source}");
+                    self.start.record_arrival(Part::Configuration, source);
                     self.notify_loaded();
                 }
             }
@@ -236,6 +240,21 @@
         self.notify_loaded();
     }
 
+    /// What this router waits for, or waited for, at its start.
+    pub(crate) fn start_report(&self) -> &Rc<StartReport> {
+        &self.start
+    }
+
+    /// Logs the progress of the start.
+    pub(crate) fn log_start(&self) {
+        if self.state.upstream_count() > 0 {
+            // They have registered one by one since the start.
+            self.start
+                .record_arrival(Part::Upstreams, "records of the log");
+        }
+        self.start.log_progress();
+    }
+
     fn notify_loaded(&self) {
         if self.is_loaded() {
             self.load_settled.notify_waiters();
@@ -516,6 +535,9 @@
         let missing = self.missing.borrow().len();
         let position = self.upstreams_at.get();
         log::info!(upstreams = known, missing, position:%, source; "all upstreams replaced");
+        if known > 0 {
+            self.start.record_arrival(Part::Upstreams, source);
+        }
         self.notify_loaded();
     }
 
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -37,6 +37,7 @@
 pub(crate) mod request;
 pub(crate) mod router_state;
 pub mod routes;
+pub(crate) mod start_report;
 mod state_requests;
 pub(crate) mod stop;
 pub(crate) mod stop_admission;
@@ -95,6 +96,8 @@
 #[cfg(test)]
 mod router_state_tests;
 #[cfg(test)]
+mod start_report_tests;
+#[cfg(test)]
 mod state_requests_tests;
 #[cfg(test)]
 mod stop_admission_tests;
@@ -348,6 +351,7 @@
         path.replica.remove_missing();
         path.replica.release_holds();
         path.replica.flush_change_log();
+        path.replica.log_start();
         path.state.merge_suspicions(path.clock.now_ms());
         path.state.exchange_leaving(&path.fleet.borrow().leaving);
         path.state.merge_frailty(path.clock.now_ms());
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -18,6 +18,7 @@
 use crate::path::catch_up;
 use crate::path::delegate;
 use crate::path::dialect::{Dialect, Records};
+use crate::path::start_report::Part;
 use crate::path::state_requests::StateRequests;
 use crate::path::stream_origins;
 use crate::peers::server::{self, PeerHandler};
@@ -161,7 +162,11 @@
 /// Failure guarded against: a fleet starts at once, and routers read the list of routers before
 /// others are registered. If the list can't be read again soon, the fleet consists of groups that
 /// don't know each other, though the settings of all name hosts of the fleet.
-async fn request_members_of_seed<D>(path: &RequestPath<D>, client: &PeerClient, seeds: &[Name]) {
+async fn request_members_of_seed<D: Records>(
+    path: &RequestPath<D>,
+    client: &PeerClient,
+    seeds: &[Name],
+) {
     if live_peers(path).len() >= START_PEERS {
         return;
     }
@@ -218,12 +223,18 @@
     path.replica.awaits_log() && !path.replica.awaits_peers()
 }
 
-async fn request_members<D>(path: &RequestPath<D>, client: &PeerClient, addr: &Name) -> bool {
+async fn request_members<D: Records>(
+    path: &RequestPath<D>,
+    client: &PeerClient,
+    addr: &Name,
+) -> bool {
     match client
         .query::<_, MembersReply>(addr, MEMBERS, &MembersRequest {})
         .await
     {
         Ok(MembersReply { members }) => {
+            let start = path.replica.start_report();
+            start.record_arrival(Part::Routers, addr);
             let members = members.into_iter().map(Member::from).collect();
             path.gossip.send(GossipCommand::MembersReceived(members));
             true
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -114,6 +114,7 @@
             path.fleet.clone(),
             path.replica.era(),
             path.catch_up.clone(),
+            path.replica.start_report().clone(),
         );
         let key: Name = policy.key.as_str().into();
         let bound = peers::bind(peer_addr, key, path.clone()).await;
