Shared retries of reads begin at once, not after half of the time that all take

Cause: a router that isn't a reader retries a failed read after 0.5 to 1.5 times 50 ms for each router of the fleet, so that all together make 20 tries a second. At 985 routers nobody but the three readers tries for 24.6 s, though the log may be back after one. What callers saw, by arithmetic: a fleet whose first reads fail and whose readers don't succeed serves nobody for that long.

The delay is now between 0 and twice that time: the same mean rate, from the first moment on.

Test: some_routers_read_again_soon_after_all_failed. With the old range no router of 195, 985 or 2,000 is due 2 s after the failure (least pauses 4.9, 24.6 and 50 s); with the new one a few are. The limits on all retries hold as before (retries_to_an_unavailable_log_are_shared).

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -254,6 +254,10 @@
 }
 
 /// Retry timer of a router whose reads of the log fail.
+///
+/// Failure guarded against: the reads of a thousand routers fail at once. If each waited at least half of
+/// the time that the retries of all take, none but the readers would try for half a minute, though the
+/// log is back.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backoff {
     failed_ms: Option<u64>,
@@ -266,7 +270,7 @@
     pub fn failed<R: Rng>(&mut self, now_ms: u64, rng: &mut R) {
         self.failed_ms = Some(now_ms);
         self.failures = self.failures.saturating_add(1);
-        self.jitter = rng.random_range(0.5..1.5);
+        self.jitter = rng.random_range(0.0..2.0);
     }
 
     /// Records that a read was answered.
--- a/src/fleet/log_reads_tests.rs
+++ b/src/fleet/log_reads_tests.rs
@@ -203,6 +203,21 @@
     assert!(fleet.oldest_ms() < 2_000 + bound_ms as u64 / 2);
 }
 
+/// Guards against a fleet whose reads fail all at once and of which nobody tries again for half a minute.
+/// Few routers may try within the next seconds, but some must.
+#[test_case(195)]
+#[test_case(985)]
+#[test_case(2_000)]
+fn some_routers_read_again_soon_after_all_failed(routers: usize) {
+    let mut rng = SmallRng::seed_from_u64(routers as u64);
+    let mut failed = vec![Backoff::default(); routers];
+    failed.iter_mut().for_each(|b| b.failed(10_000, &mut rng));
+    let due = failed.iter().filter(|b| b.is_due(12_000, false, routers));
+    let due = due.count();
+    // The shared rate is 20 in a second.
+    assert!((1..=60).contains(&due), "{due} of {routers}");
+}
+
 /// All readers die at once. The others must be up to date within the bound all the same, without
 /// reading each for itself.
 #[test_case(9, 2_000.0; "a small fleet")]
