--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -19,6 +19,7 @@
 
 use rand::Rng;
 
+use crate::fleet::first_load::delay_share;
 use crate::fleet::member::View;
 use crate::util;
 
@@ -49,8 +50,6 @@
 /// Mean interval between two retries of all stale routers of a fleet together: it limits the rate
 /// of calls to each stream, whatever the fleet's size.
 const RETRY_SPACING_MS: f64 = 50.0;
-/// Time that the log takes to send thousands of records to one router, one router at a time.
-const LOAD_MS: f64 = 4.0;
 /// First backoff after a failed read; it doubles with each further failure.
 const FIRST_RETRY_MS: u64 = 300;
 /// Longest backoff of a reader that receives no updates from others. Once the log is back, all
@@ -231,28 +230,6 @@
     }
 }
 
-/// Share of the longest delay for the uniform random number `jitter`, from 0 to 1.
-fn delay_share(jitter: f64, routers: usize) -> f64 {
-    let routers = routers.max(2) as f64;
-    (1.0 + jitter.ln() / routers.ln()).max(0.0)
-}
-
-/// Returns how long one of `routers` waits for a peer's copy of a stream with many records before it
-/// loads all of them from the log. `jitter` is a uniform random number from 0 to 1.
-///
-/// Failure guarded against: a whole fleet restarts, and each router loads thousands of records. The
-/// log needs a multiple of the time within which the fleet must serve again. By exponential delays a
-/// few routers load, whatever the size of the fleet, and the others receive it from peers meanwhile.
-///
-/// ```
-/// use cassiagrade::fleet::log_reads::load_delay_ms;
-/// assert_eq!(load_delay_ms(1.0, 1_000), 4_000);
-/// assert_eq!(load_delay_ms(0.001, 1_000), 0);
-/// ```
-pub fn load_delay_ms(jitter: f64, routers: usize) -> u64 {
-    (delay_share(jitter, routers) * routers as f64 * LOAD_MS) as u64
-}
-
 /// Retry timer of a router whose reads of the log fail.
 ///
 /// Failure guarded against: the reads of a thousand routers fail at once. If each waited at least half of
--- a/src/fleet/log_reads_tests.rs
+++ b/src/fleet/log_reads_tests.rs
@@ -6,10 +6,9 @@
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
 
+use super::first_load::{LoadCost, load_delay_ms};
 use super::in_flight::{REPORT_INTERVAL_MS, receivers};
-use super::log_reads::{
-    Backoff, Freshness, READERS, ReadSchedule, Role, is_reader, load_delay_ms, read_due,
-};
+use super::log_reads::{Backoff, Freshness, READERS, ReadSchedule, Role, is_reader, read_due};
 use super::member::{Member, MemberState, View};
 
 const READ_CHECK_MS: u64 = 100;
@@ -379,7 +378,9 @@
 fn restarted_fleet_has_a_long_list_in_time(routers: usize) {
     const BOUND_MS: u64 = 8_000;
     let nine_in_ten = routers * 9 / 10;
-    let times_ms = list_times_ms(routers, |jitter| load_delay_ms(jitter, routers));
+    let times_ms = list_times_ms(routers, |jitter| {
+        load_delay_ms(jitter, routers, LoadCost::Upstreams)
+    });
     assert_eq!(times_ms.len(), routers);
     assert!(
         times_ms[nine_in_ten] < BOUND_MS,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Membership is only a hint: nothing that must be agreed on or kept depends on it.
 
+pub mod first_load;
 pub mod gossip;
 pub mod homes;
 pub mod host_list;
@@ -11,6 +12,7 @@
 pub mod loads;
 pub mod log_reads;
 pub mod member;
+pub mod summary;
 pub mod suspects;
 pub mod swim;
 pub mod transit;
@@ -26,6 +28,8 @@
 #[cfg(test)]
 mod log_reads_tests;
 #[cfg(test)]
+mod summary_tests;
+#[cfg(test)]
 mod suspects_tests;
 #[cfg(test)]
 mod transit_tests;
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -506,6 +506,17 @@
     #[prost(message, repeated, tag = "1")]
     pub members: ::prost::alloc::vec::Vec<Member>,
 }
+/// What a router that starts needs to know of a large fleet; kept on the platform.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct FleetSummary {
+    #[prost(uint32, tag = "1")]
+    pub routers: u32,
+    /// Some of them, at random.
+    #[prost(message, repeated, tag = "2")]
+    pub sample: ::prost::alloc::vec::Vec<Member>,
+}
 /// Requests what a router knows against requests, and which versions services had; sent by a router
 /// that starts.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/path/catch_up.rs
+++ b/src/path/catch_up.rs
@@ -30,6 +30,8 @@
 /// Time after start from which a router that knows no other one asks the seed hosts. All routers of a fleet
 /// that starts know the same few seeds.
 const SEEDS_AFTER_MS: u64 = 300;
+/// Longest wait for the platform's list of routers. The store answers two thousand routers within it.
+const LIST_LIMIT_MS: u64 = 500;
 /// Time in which the membership task applies the platform's list of routers.
 const LIST_APPLIED_MS: u64 = 100;
 /// Time limit of a request; peers answer within milliseconds.
@@ -54,8 +56,23 @@
     clock: Clock,
     is_done: Cell<bool>,
     done: Notify,
-    /// Time at which the list of routers was first read from the platform.
-    listed_ms: Cell<Option<u64>>,
+    listing: Cell<Listing>,
+    loads_first: Cell<bool>,
+}
+
+/// The platform's list of routers.
+#[derive(Clone, Copy, Debug, Default)]
+enum Listing {
+    /// It was not answered yet.
+    #[default]
+    Pending,
+    /// It was not answered, and will be requested again.
+    Failed,
+    Read {
+        /// When it was first read.
+        at_ms: u64,
+        routers: usize,
+    },
 }
 
 /// Why a router no longer asks the others.
@@ -72,7 +89,8 @@
             clock,
             is_done: Cell::default(),
             done: Notify::default(),
-            listed_ms: Cell::default(),
+            listing: Cell::default(),
+            loads_first: Cell::default(),
         }
     }
 
@@ -81,16 +99,63 @@
         self.is_done.get()
     }
 
-    /// Records that the list of routers was read from the platform.
-    pub(crate) fn record_list_read(&self) {
-        let first_ms = self.listed_ms.get().unwrap_or(self.clock.now_ms());
-        self.listed_ms.set(Some(first_ms));
+    /// Records that the list of routers was read from the platform, and how many it names.
+    pub(crate) fn record_list_read(&self, routers: usize) {
+        let at_ms = match self.listing.get() {
+            Listing::Read { at_ms, .. } => at_ms,
+            Listing::Pending | Listing::Failed => self.clock.now_ms(),
+        };
+        self.listing.set(Listing::Read { at_ms, routers });
+    }
+
+    /// Records what a summary of the fleet says: how many routers there are, and whether this one is to
+    /// load at once what all need.
+    pub(crate) fn record_summary(&self, routers: usize, loads_first: bool) {
+        self.record_list_read(routers);
+        self.loads_first.set(loads_first);
+    }
+
+    /// Whether this router is to load at once what all need.
+    pub(crate) fn loads_first(&self) -> bool {
+        self.loads_first.get()
+    }
+
+    /// Records that the list of routers could not be read.
+    pub(crate) fn record_list_failed(&self) {
+        if self.is_list_pending() {
+            self.listing.set(Listing::Failed);
+        }
+    }
+
+    /// Whether the platform's list of routers, which tells how many others start too, may still arrive
+    /// soon.
+    pub(crate) fn awaits_list(&self) -> bool {
+        self.is_list_pending() && self.clock.now_ms() < LIST_LIMIT_MS
+    }
+
+    /// Whether the platform has named the routers.
+    pub(crate) fn has_list(&self) -> bool {
+        matches!(self.listing.get(), Listing::Read { .. })
+    }
+
+    fn is_list_pending(&self) -> bool {
+        matches!(self.listing.get(), Listing::Pending)
+    }
+
+    /// Number of routers that the platform lists; 0 before the list was read.
+    pub(crate) fn listed_routers(&self) -> usize {
+        match self.listing.get() {
+            Listing::Read { routers, .. } => routers,
+            Listing::Pending | Listing::Failed => 0,
+        }
     }
 
     /// Whether this router knows the routers that the platform lists.
-    fn knows_fleet(&self) -> bool {
-        let listed_ms = self.listed_ms.get();
-        listed_ms.is_some_and(|at_ms| self.clock.now_ms() >= at_ms + LIST_APPLIED_MS)
+    pub(crate) fn knows_fleet(&self) -> bool {
+        match self.listing.get() {
+            Listing::Read { at_ms, .. } => self.clock.now_ms() >= at_ms + LIST_APPLIED_MS,
+            Listing::Pending | Listing::Failed => false,
+        }
     }
 
     /// Waits until requests may be sent to upstreams.
--- a/src/path/log_replica.rs
+++ b/src/path/log_replica.rs
@@ -22,6 +22,7 @@
 use crate::path::freshness::{Evidence, StreamFreshness};
 use crate::path::position::StreamPosition;
 use crate::path::router_state::RouterState;
+use crate::path::send_budget::SendBudget;
 use crate::path::start_report::{Part, StartReport};
 use crate::path::suspend::SuspendGuard;
 use crate::peers::compression;
@@ -43,11 +44,29 @@
     pub(crate) upstreams: ReadSchedule,
 }
 
-/// Compressed records, and the position that they reflect.
-#[derive(Default)]
-struct Compressed {
+/// All upstreams as of a position of the log, compressed.
+#[derive(Clone, Default)]
+struct Snapshot {
     bytes: Bytes,
     at: StreamPosition,
+    /// When it was last known to be complete.
+    confirmed_ms: u64,
+}
+
+/// While it exists, this router waits for peers to send a stream.
+pub(crate) struct AwaitedOfPeers(Rc<Cell<u32>>);
+
+impl AwaitedOfPeers {
+    fn new(count: Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for AwaitedOfPeers {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 /// Configuration and upstreams, with the data that is sent to other routers.
@@ -56,7 +75,8 @@
     clock: Clock,
     /// Configuration in force, compressed for other routers.
     compressed_config: RefCell<Bytes>,
-    compressed_upstreams: RefCell<Compressed>,
+    snapshot: RefCell<Snapshot>,
+    snapshot_sends: SendBudget,
     config_fresh: StreamFreshness,
     upstreams: RefCell<HashMap<Name, Bytes>>,
     upstreams_at: Cell<StreamPosition>,
@@ -72,7 +92,8 @@
     is_bulk: Cell<bool>,
     change_log: ChangeLog,
     log_fails: Cell<bool>,
-    awaits_peers: Cell<bool>,
+    /// Number of streams that peers are to send.
+    awaited_of_peers: Rc<Cell<u32>>,
     suspend: Rc<SuspendGuard>,
     refresh_wanted: Rc<Notify>,
     load_settled: Rc<Notify>,
@@ -94,7 +115,8 @@
             state,
             clock,
             compressed_config: RefCell::default(),
-            compressed_upstreams: RefCell::default(),
+            snapshot: RefCell::default(),
+            snapshot_sends: SendBudget::default(),
             config_fresh: fresh("configuration", schedules.config),
             upstreams: RefCell::default(),
             upstreams_at: Cell::default(),
@@ -107,7 +129,7 @@
             is_bulk: Cell::default(),
             change_log: ChangeLog::default(),
             log_fails: Cell::default(),
-            awaits_peers: Cell::default(),
+            awaited_of_peers: Rc::default(),
             suspend,
             refresh_wanted,
             load_settled: Rc::default(),
@@ -211,11 +233,17 @@
     /// Whether both configuration and upstreams were loaded since this router started, or confirmed
     /// to be empty.
     pub(crate) fn is_loaded(&self) -> bool {
-        let has_config =
-            self.state.deployment().version > 0 || self.config_fresh.get().confirmed_ms() > 0;
-        let has_upstreams =
-            self.state.upstream_count() > 0 || self.upstreams_fresh.get().confirmed_ms() > 0;
-        has_config && has_upstreams
+        self.has_config() && self.has_upstreams()
+    }
+
+    /// Whether the configuration was loaded, or confirmed to be missing.
+    pub(crate) fn has_config(&self) -> bool {
+        self.state.deployment().version > 0 || self.config_fresh.get().confirmed_ms() > 0
+    }
+
+    /// Whether the upstreams were loaded, or confirmed to be none.
+    pub(crate) fn has_upstreams(&self) -> bool {
+        self.state.upstream_count() > 0 || self.upstreams_fresh.get().confirmed_ms() > 0
     }
 
     /// Notified once both are loaded, and when a read of the log fails.
@@ -301,11 +329,12 @@
 
     /// Whether this router waits for peers to send what it would load from the log otherwise.
     pub(crate) fn awaits_peers(&self) -> bool {
-        self.awaits_peers.get()
+        self.awaited_of_peers.get() > 0
     }
 
-    pub(crate) fn set_awaits_peers(&self, awaits: bool) {
-        self.awaits_peers.set(awaits);
+    /// Marks this router as waiting for peers until the returned guard is dropped.
+    pub(crate) fn await_peers(&self) -> AwaitedOfPeers {
+        AwaitedOfPeers::new(self.awaited_of_peers.clone())
     }
 
     /// Whether the last read of the log failed.
--- a/src/path/log_replica/sync.rs
+++ b/src/path/log_replica/sync.rs
@@ -8,12 +8,16 @@
 use crate::mutation::{Mutation, mutated};
 use crate::path::dialect::Records;
 use crate::path::freshness::{Evidence, StreamFreshness};
-use crate::path::log_replica::LogReplica;
+use crate::path::log_replica::{LogReplica, Snapshot};
 use crate::path::position::StreamPosition;
 use crate::peers::{compression, frames};
 use crate::schema::peer::{LogPosition, LogSyncReply, LogSyncRequest, UpstreamChange};
+use crate::stats;
 use crate::util::Name;
 
+/// Age up to which a snapshot is sent though there have been changes since: well below that at which
+/// requests wait for newer state.
+const MAX_SNAPSHOT_AGE_MS: u64 = 600;
 /// Age sent for the upstreams if the sender has newer ones that it does not send.
 const NOT_SENT_MS: u32 = u32::MAX;
 /// Age of state that the sender does not have: older than any clock, so that it confirms nothing.
@@ -92,11 +96,7 @@
             ..LogSyncReply::default()
         };
         let Some(changes) = missed else {
-            reply.all_upstreams = self.compressed_upstreams();
-            if reply.all_upstreams.is_empty() {
-                return self.reply_config_only(request, has_newer);
-            }
-            return reply;
+            return self.reply_with_snapshot(request, reply);
         };
         if !changes.is_empty() {
             reply.changes = compress(&changes);
@@ -107,6 +107,41 @@
         reply
     }
 
+    /// Adds all upstreams to `reply`, unless too many others are being sent them.
+    fn reply_with_snapshot(&self, request: &LogSyncRequest, reply: LogSyncReply) -> LogSyncReply {
+        if !self.upstreams_at.get().is_known() {
+            return reply;
+        }
+        let snapshot = self.snapshot();
+        if snapshot.bytes.is_empty() {
+            return self.reply_config_only(request, !reply.config.is_empty());
+        }
+        let now_ms = self.clock.now_ms();
+        let bytes = snapshot.bytes.len();
+        if self.snapshot_sends.reserve(bytes, now_ms).is_none() {
+            stats::snapshot_refused();
+            let position = LogPosition {
+                upstreams_at: request.upstreams_at,
+                upstreams_age_ms: UNKNOWN_MS,
+                ..self.position()
+            };
+            return LogSyncReply {
+                mark: Some(position),
+                ..reply
+            };
+        }
+        let position = LogPosition {
+            upstreams_at: Some(snapshot.at),
+            upstreams_age_ms: age_of(snapshot.confirmed_ms, now_ms),
+            ..self.position()
+        };
+        LogSyncReply {
+            all_upstreams: snapshot.bytes.to_vec(),
+            mark: Some(position),
+            ..reply
+        }
+    }
+
     /// Returns the answer for a requester that must read the upstreams from the log. It reports no
     /// newer upstreams.
     ///
@@ -144,19 +179,27 @@
         evacuations.names().map(ToString::to_string).collect()
     }
 
-    /// All upstreams, compressed once for all requests at the same offset.
+    /// All upstreams, compressed. A copy that is somewhat older than the state is sent too: the
+    /// requester then asks for the few changes since.
     ///
     /// Failure guarded against: thousands of records take hundreds of kilobytes. A fleet that
     /// starts at once sends them from router to router over slow links, and delays the requests of
-    /// callers on those links.
-    fn compressed_upstreams(&self) -> Vec<u8> {
-        let at = self.upstreams_at.get();
-        let mut compressed = self.compressed_upstreams.borrow_mut();
-        if compressed.at != at {
-            compressed.bytes = self.compress_upstreams().into();
-            compressed.at = at;
+    /// callers on those links. While upstreams write records, each request would find another position,
+    /// and compressing anew for each takes a slow host longer than sending.
+    fn snapshot(&self) -> Snapshot {
+        let now_ms = self.clock.now_ms();
+        let current = self.upstreams_at.get();
+        let mut kept = self.snapshot.borrow_mut();
+        let is_recent = now_ms < kept.confirmed_ms + MAX_SNAPSHOT_AGE_MS;
+        let is_continued = kept.at.is_known() && self.changes.borrow().since(kept.at).is_some();
+        if kept.at != current && !(is_recent && is_continued) {
+            kept.bytes = self.compress_upstreams().into();
+            kept.at = current;
+        }
+        if kept.at == current {
+            kept.confirmed_ms = self.upstreams_fresh.get().confirmed_ms();
         }
-        compressed.bytes.to_vec()
+        kept.clone()
     }
 
     fn compress_upstreams(&self) -> Vec<u8> {
@@ -189,10 +232,13 @@
         }
         if is_newer(position.upstreams(), self.upstreams_at.get()) {
             if self.is_overtaken(request, &reply)
-                || !self.apply_upstreams(reply, position.upstreams(), source)
+                || !self.apply_upstreams(&reply, position.upstreams(), source)
             {
                 return;
             }
+            if !reply.all_upstreams.is_empty() {
+                self.keep_snapshot(reply.all_upstreams, &position, asked_ms);
+            }
         } else if position.upstreams_age_ms == NOT_SENT_MS {
             self.request_read();
         }
@@ -211,7 +257,7 @@
     }
 
     /// Applies the upstreams of an answer, and returns whether they could be decoded.
-    fn apply_upstreams(&self, reply: LogSyncReply, at: StreamPosition, source: &str) -> bool {
+    fn apply_upstreams(&self, reply: &LogSyncReply, at: StreamPosition, source: &str) -> bool {
         let is_all = !reply.all_upstreams.is_empty();
         let compressed = if is_all {
             &reply.all_upstreams
@@ -237,6 +283,15 @@
         true
     }
 
+    /// Keeps all upstreams as received, for other routers.
+    fn keep_snapshot(&self, all_upstreams: Vec<u8>, position: &LogPosition, asked_ms: u64) {
+        self.snapshot.replace(Snapshot {
+            bytes: all_upstreams.into(),
+            at: position.upstreams(),
+            confirmed_ms: asked_ms.saturating_sub(position.upstreams_age_ms.into()),
+        });
+    }
+
     fn apply_all(&self, all: Vec<UpstreamChange>, at: StreamPosition, source: &str) {
         self.is_bulk.set(true);
         self.enter_era_at(at, at, source);
@@ -269,10 +324,16 @@
 }
 
 fn age_ms(fresh: Freshness, now_ms: u64) -> u32 {
-    if fresh.confirmed_ms() == 0 {
+    age_of(fresh.confirmed_ms(), now_ms)
+}
+
+/// Age of state that was confirmed at `confirmed_ms`, 0 if it never was.
+fn age_of(confirmed_ms: u64, now_ms: u64) -> u32 {
+    if confirmed_ms == 0 {
         return UNKNOWN_MS;
     }
-    u32::try_from(fresh.age_ms(now_ms)).map_or(UNKNOWN_MS, |ms| ms.min(UNKNOWN_MS))
+    let age_ms = now_ms.saturating_sub(confirmed_ms);
+    u32::try_from(age_ms).map_or(UNKNOWN_MS, |ms| ms.min(UNKNOWN_MS))
 }
 
 /// Compresses upstreams for another router. A failure is logged, and the result is empty.
--- a/src/path/log_replica_restore_cost_tests.rs
+++ b/src/path/log_replica_restore_cost_tests.rs
@@ -9,7 +9,8 @@
 use super::log_replica_fake_tests::{FakeStore, UpstreamWrite};
 use super::log_replica_fleet_tests::{Fleet, READERS};
 use super::log_replica_reader_tests::{Read, Reader};
-use crate::fleet::log_reads::{ReadSchedule, load_delay_ms};
+use crate::fleet::first_load::{LoadCost, load_delay_ms};
+use crate::fleet::log_reads::ReadSchedule;
 
 /// Time for an answer of the log.
 const ANSWER_MS: u64 = 40;
@@ -151,7 +152,11 @@
         if at < READERS {
             return 0;
         }
-        load_delay_ms(self.fleet.rng.random(), self.clients.len())
+        load_delay_ms(
+            self.fleet.rng.random(),
+            self.clients.len(),
+            LoadCost::Upstreams,
+        )
     }
 
     fn tick(&mut self) {
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -24,6 +24,7 @@
 pub mod dialect;
 pub mod evacuations;
 pub mod events;
+pub(crate) mod first_load;
 pub(crate) mod freshness;
 pub(crate) mod health;
 mod informational;
@@ -37,6 +38,7 @@
 pub(crate) mod request;
 pub(crate) mod router_state;
 pub mod routes;
+mod send_budget;
 pub(crate) mod start_report;
 mod state_requests;
 pub(crate) mod stop;
@@ -66,6 +68,8 @@
 #[cfg(test)]
 mod events_tests;
 #[cfg(test)]
+mod first_load_tests;
+#[cfg(test)]
 mod freshness_tests;
 #[cfg(test)]
 mod health_tests;
@@ -88,6 +92,8 @@
 #[cfg(test)]
 mod log_replica_restore_tests;
 #[cfg(test)]
+mod log_replica_snapshot_tests;
+#[cfg(test)]
 mod log_replica_tests;
 #[cfg(test)]
 mod log_replica_world_tests;
@@ -96,6 +102,8 @@
 #[cfg(test)]
 mod router_state_tests;
 #[cfg(test)]
+mod send_budget_tests;
+#[cfg(test)]
 mod start_report_tests;
 #[cfg(test)]
 mod state_requests_tests;
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -31,6 +31,8 @@
 
 /// Number of peers from which a router without state requests it.
 const START_PEERS: usize = 3;
+/// Time after start of the first request to a peer: by then the store has named the routers.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between two requests to peers while nothing is known.
 const START_PAUSE: Duration = Duration::from_millis(400);
 /// Time for which a router that starts relies on the log alone, unless the log fails. Reading a
@@ -130,13 +132,23 @@
     seeds: Vec<Name>,
 ) {
     let mut has_members = false;
+    let mut pause = FIRST_PAUSE;
     while path.unready_reason().is_some() && !path.drain.is_stopping() {
-        compio::time::sleep(START_PAUSE).await;
+        compio::time::sleep(std::mem::replace(&mut pause, START_PAUSE)).await;
         if path.unready_reason().is_none() || waits_for_log(&path) {
             continue;
         }
         let known = live_peers(&path);
-        let Some(addr) = known.iter().chain(&seeds).choose(&mut rand::rng()) else {
+        if known.is_empty() && path.catch_up.awaits_list() {
+            // All routers of a fleet know the same few seeds.
+            continue;
+        }
+        let seeds = seeds.iter().take(if known.len() < START_PEERS {
+            seeds.len()
+        } else {
+            0
+        });
+        let Some(addr) = known.iter().chain(seeds).choose(&mut rand::rng()) else {
             continue;
         };
         request_state(&path, &client, addr).await;
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -46,6 +46,7 @@
 const STALE_DECISIONS: &str = "cassiagrade_stale_decisions_total";
 const HELD_FOR_REFRESH: &str = "cassiagrade_requests_held_for_refresh_total";
 const LOOP_LAG_MS: &str = "cassiagrade_loop_lag_ms";
+const SNAPSHOTS_REFUSED: &str = "cassiagrade_snapshots_refused_total";
 const HISTORY_RELOADS: &str = "cassiagrade_history_reloads_total";
 const LOG_RESTORES: &str = "cassiagrade_log_restores_total";
 const READS_BEYOND_END: &str = "cassiagrade_log_reads_beyond_end_total";
@@ -210,6 +211,10 @@
         HISTORY_RELOADS,
         "Reads of a stream whose next records were deleted, so that all of it is loaded"
     );
+    describe_counter!(
+        SNAPSHOTS_REFUSED,
+        "Starting routers that were not sent all upstreams, as too many others were being sent them"
+    );
     describe_histogram!(
         LOOP_LAG_MS,
         "How late the event loop runs a periodic task, in milliseconds"
@@ -250,6 +255,11 @@
     counter!(HISTORY_RELOADS, "stream" => stream).increment(1);
 }
 
+/// Counts a router that was not sent all upstreams, as too many others were being sent them.
+pub(crate) fn snapshot_refused() {
+    counter!(SNAPSHOTS_REFUSED).increment(1);
+}
+
 /// Records the era of the log, as read from `stream`.
 pub(crate) fn log_era(stream: &'static str, era: u64) {
     gauge!(LOG_ERA, "stream" => stream).set(era as f64);
