A router that joined by the summary counts the whole fleet, and decides nothing shared before it has met it

One that joined by the summary of 985 routers knows 100 of them for a second or three; by these it would take ten times its share of common limits, and disagree with the others on the home of a brittle upstream and on where a suspected request runs. It counts as many routers as the summary until it knows nine tenths of them or 10 s have passed, names no home and runs no suspected request meanwhile, and asks for all members at once instead of after 0.7 s.

The other way round: if next to none of the routers that the platform lists are there, it doesn't wait for copies of all, and reads the registrations.

Test: routers_join_though_the_summary_names_hosts_that_are_gone (processes; a summary of 985 routers that are gone; without the check the routers wait by the turns of 985).

--- a/src/path/catch_up.rs
+++ b/src/path/catch_up.rs
@@ -32,6 +32,8 @@
 const SEEDS_AFTER_MS: u64 = 300;
 /// Longest wait for the platform's list of routers. The store answers two thousand routers within it.
 const LIST_LIMIT_MS: u64 = 500;
+/// Time in which a router meets some of those that are listed, if they are there.
+const MEETING_MS: u64 = 1_500;
 /// Time in which the membership task applies the platform's list of routers.
 const LIST_APPLIED_MS: u64 = 100;
 /// Time limit of a request; peers answer within milliseconds.
@@ -57,6 +59,8 @@
     is_done: Cell<bool>,
     done: Notify,
     listing: Cell<Listing>,
+    /// Number of routers by the summary of the fleet; 0 if it was not read.
+    summarized_routers: Cell<usize>,
     loads_first: Cell<bool>,
 }
 
@@ -90,6 +94,7 @@
             is_done: Cell::default(),
             done: Notify::default(),
             listing: Cell::default(),
+            summarized_routers: Cell::default(),
             loads_first: Cell::default(),
         }
     }
@@ -112,9 +117,15 @@
     /// load at once what all need.
     pub(crate) fn record_summary(&self, routers: usize, loads_first: bool) {
         self.record_list_read(routers);
+        self.summarized_routers.set(routers);
         self.loads_first.set(loads_first);
     }
 
+    /// Number of routers by the summary of the fleet; 0 if this router did not join by it.
+    pub(crate) fn summarized_routers(&self) -> usize {
+        self.summarized_routers.get()
+    }
+
     /// Whether this router is to load at once what all need.
     pub(crate) fn loads_first(&self) -> bool {
         self.loads_first.get()
@@ -138,6 +149,14 @@
         matches!(self.listing.get(), Listing::Read { .. })
     }
 
+    /// Whether the listed routers have had the time to answer this one.
+    pub(crate) fn has_had_time_to_meet(&self) -> bool {
+        match self.listing.get() {
+            Listing::Read { at_ms, .. } => self.clock.now_ms() >= at_ms + MEETING_MS,
+            Listing::Pending | Listing::Failed => false,
+        }
+    }
+
     fn is_list_pending(&self) -> bool {
         matches!(self.listing.get(), Listing::Pending)
     }
--- a/src/path/first_load.rs
+++ b/src/path/first_load.rs
@@ -10,6 +10,8 @@
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
 
+/// Number of routers below which a fleet counts as gone but for these.
+const FEW: usize = 8;
 /// Time after start from which a router loads a long stream though the platform has not named the others.
 const UNKNOWN_FLEET_LIMIT_MS: u64 = 4_000;
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -96,6 +98,15 @@
     }
 }
 
+/// Number of routers that may load with this one: those that the platform lists, unless next to none of
+/// them are there.
+///
+/// Failure guarded against: few of a large fleet's hosts return, and each waits for copies of the others as
+/// if all had.
 fn known_routers<D>(path: &RequestPath<D>) -> usize {
+    let met = path.met_routers();
+    if met < FEW && path.catch_up.has_had_time_to_meet() {
+        return met;
+    }
     path.routers().max(path.catch_up.listed_routers())
 }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -151,6 +151,10 @@
 
 /// Time after start during which a router may not yet know the other members.
 pub(crate) const SETTLE_MS: u64 = 3_000;
+/// Time after start from which a router takes those that it knows for the fleet.
+const MEETING_LIMIT_MS: u64 = 10_000;
+/// Share of the routers that the summary counts which a router has to know. Some of them may be gone.
+const MET_SHARE: f64 = 0.9;
 /// Number of routers that are asked in turn to send a request. The first one may have been cut off a moment
 /// ago.
 const MAX_DELEGATES: usize = 2;
@@ -182,7 +186,9 @@
 #[derive(Clone, Copy)]
 struct FleetSummary {
     version: u64,
+    members: usize,
     live: usize,
+    met: usize,
     is_reader: bool,
 }
 
@@ -212,9 +218,32 @@
 pub(crate) struct SummaryCache(Cell<Option<FleetSummary>>);
 
 impl<D> RequestPath<D> {
-    /// Number of live routers, which share the limits of the fleet.
+    /// Number of live routers, which share the limits of the fleet. One that joined a large fleet by its
+    /// summary takes all for live until it has met them.
     pub(crate) fn routers(&self) -> usize {
-        self.fleet_summary().live.max(1)
+        let live = self.fleet_summary().live.max(1);
+        if self.has_met_fleet() {
+            live
+        } else {
+            live.max(self.catch_up.summarized_routers())
+        }
+    }
+
+    /// Whether this router knows nearly all others of a fleet that it joined by the summary.
+    ///
+    /// Failure guarded against: a large fleet returns as a whole, and each router knows another tenth of
+    /// it. Each takes a greater share of common limits than is its own, and they disagree on which of
+    /// them sends to a brittle upstream or runs a suspected request.
+    pub(crate) fn has_met_fleet(&self) -> bool {
+        let met = self.fleet_summary().members as f64;
+        let all = self.catch_up.summarized_routers() as f64;
+        met >= all * MET_SHARE || self.clock.now_ms() >= MEETING_LIMIT_MS
+    }
+
+    /// Number of routers that this one, which is one of them, has heard of since its start, other than from
+    /// the platform.
+    pub(crate) fn met_routers(&self) -> usize {
+        self.fleet_summary().met
     }
 
     /// Whether this router reads the platform's log for the others.
@@ -229,9 +258,12 @@
             return summary;
         }
         let live = fleet.members.iter();
+        let live = live.filter(|m| m.state != MemberState::Dead);
         let summary = FleetSummary {
             version: fleet.version,
-            live: live.filter(|m| m.state != MemberState::Dead).count(),
+            members: fleet.members.len(),
+            live: live.clone().count(),
+            met: live.filter(|m| m.incarnation > 0).count(),
             is_reader: log_reads::is_reader(&fleet, &self.host),
         };
         self.summary.0.set(Some(summary));
@@ -264,8 +296,11 @@
     }
 
     /// Returns the routers at which runs of a suspected request take place: the first one that can be
-    /// reached.
+    /// reached. Without knowing the fleet, this router can't tell.
     pub(crate) fn trial_routers(&self, fingerprint: u64) -> Vec<Member> {
+        if !self.has_met_fleet() {
+            return Vec::new();
+        }
         let fleet = self.fleet.borrow();
         let routers = homes::order(&fleet, &fingerprint.to_string(), "");
         routers.into_iter().cloned().collect()
@@ -273,6 +308,9 @@
 
     /// Returns the home of `upstream`, the one router that sends to it while it is brittle.
     pub(crate) fn home(&self, upstream: &Upstream) -> Home {
+        if !self.has_met_fleet() {
+            return Home::Unknown;
+        }
         let fleet = self.fleet.borrow();
         match homes::home(&fleet, &upstream.id, &upstream.data_center) {
             Some(home) if home.host != self.host => Home::Other(home.clone()),
@@ -299,7 +337,7 @@
     /// knows too few of the members for the assignment and skips it.
     fn assign_cold(&self) {
         let now_ms = self.clock.now_ms();
-        if now_ms < SETTLE_MS || !self.state.has_cold() {
+        if now_ms < SETTLE_MS || !self.has_met_fleet() || !self.state.has_cold() {
             return;
         }
         let fleet = self.fleet.borrow();
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -156,6 +156,12 @@
             has_members = request_members(&path, &client, addr).await;
         }
     }
+    while !path.has_met_fleet() {
+        if let Some(addr) = live_peers(&path).first() {
+            request_members(&path, &client, addr).await;
+        }
+        compio::time::sleep(START_PAUSE).await;
+    }
     for pause in MEMBER_REQUEST_DELAYS {
         compio::time::sleep(pause).await;
         if let Some(addr) = live_peers(&path).first() {
--- a/tests/routed_restart.rs
+++ b/tests/routed_restart.rs
@@ -2,9 +2,10 @@
 
 mod support;
 
+use cassiagrade::schema::peer::{FleetSummary, Member};
 use serde_json::json;
 use support::routed::{FleetSize, RoutedFleet, round_path};
-use support::{set_knobs, sleep_ms, wall_ms};
+use support::{set_knobs, sleep_ms, wait_until, wall_ms};
 
 /// Time within which a change that the store acknowledged must be in force.
 const BOUND_MS: u64 = 2_000;
@@ -109,3 +110,48 @@
     assert_in_force(&routed, 4, acked_ms.max(drained_ms)).await;
     assert_unused(&routed).await;
 }
+
+/// Summary of a fleet of which no host is there any more.
+fn summary_of_a_fleet_that_is_gone() -> FleetSummary {
+    let member = |n: u32| Member {
+        host: format!("gone-{n}"),
+        data_center: "north".to_owned(),
+        state: "alive".to_owned(),
+        peer_addr: format!("127.0.0.1:{}", 2 + n),
+        caller_addr: format!("127.0.0.1:{}", 2 + n),
+        ..Member::default()
+    };
+    FleetSummary {
+        routers: 985,
+        sample: (0..100).map(member).collect(),
+    }
+}
+
+/// Guards against a fleet that has replaced a larger one, and whose routers wait for hosts that are gone or
+/// don't find one another.
+#[compio::test]
+async fn routers_join_though_the_summary_names_hosts_that_are_gone() {
+    let mut routed = RoutedFleet::start(SIZE).await;
+    let summary = summary_of_a_fleet_that_is_gone();
+    let summary = bincode::serde::encode_to_vec(summary, bincode::config::standard()).unwrap();
+    routed
+        .write_kept_record("keyed.fleet", "summary", &summary)
+        .await;
+    restart_all(&mut routed).await;
+    wait_until("routers that know one another", || async {
+        let known = (0..ROUTERS).map(|i| routed.entry_addresses(i));
+        let known = futures_util::future::join_all(known).await;
+        known
+            .iter()
+            .all(|addrs| addrs.len() >= usize::from(ROUTERS))
+    })
+    .await;
+    let log = routed.log_until_now(0).await;
+    assert!(
+        log.contains("no router of the fleet's summary is there"),
+        "{log}"
+    );
+    routed.write_version(1).await;
+    let acked_ms = routed.write_version(2).await;
+    assert_in_force(&routed, 2, acked_ms).await;
+}
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -115,8 +115,12 @@
 /// Writes an operator's record to the store; an empty value deletes the key. Returns whether the
 /// store acknowledged it.
 pub(crate) async fn write_operator_record(store: SocketAddr, key: &str, value: &str) -> bool {
-    let body = record(key, value);
-    let url = format!("http://{store}/log-append?stream_name=keyed.op&part=0");
+    append(store, "keyed.op", record(key, value)).await
+}
+
+/// Appends records to a stream of the store. Returns whether the store acknowledged them.
+async fn append(store: SocketAddr, stream: &str, body: Vec<u8>) -> bool {
+    let url = format!("http://{store}/log-append?stream_name={stream}&part=0");
     let client = cyper::Client::new().unwrap();
     let sent = client.post(url).unwrap().body(body).send();
     let sent = compio::time::timeout(Duration::from_secs(1), sent).await;
@@ -435,6 +439,16 @@
             .await;
     }
 
+    /// Writes what routers keep on the platform.
+    pub(crate) async fn write_kept_record(&self, stream: &str, key: &str, value: &[u8]) {
+        let bytes = u32::try_from(1 + key.len() + value.len()).unwrap();
+        let mut body = bytes.to_be_bytes().to_vec();
+        body.push(u8::try_from(key.len()).unwrap());
+        body.extend_from_slice(key.as_bytes());
+        body.extend_from_slice(value);
+        assert!(append(self.store.addr, stream, body).await);
+    }
+
     /// Writes an operator's record under `key`; an empty value deletes the key.
     async fn write_operator_record(&self, key: &str, value: &str) {
         // A dropped or delayed reply is part of the tests.
