Readers chosen from a part of the fleet don't count as those that load first

The check for that compared the number of routers with the summary's, which made equal. It asks now whether the fleet has been met.

--- a/src/path/first_load.rs
+++ b/src/path/first_load.rs
@@ -89,8 +89,7 @@
         if path.catch_up.loads_first() {
             return true;
         }
-        let knows_most = path.routers() * 2 >= path.catch_up.listed_routers();
-        if path.catch_up.knows_fleet() && knows_most && path.is_reader() {
+        if path.catch_up.knows_fleet() && path.has_met_fleet() && path.is_reader() {
             return true;
         }
         let delay_ms = load_delay_ms(self.jitter.get(), known_routers(path), self.cost);
