Review case 6: a cut-off machine hands requests to machines outside their home

Cause: the choice of the router to which a request is delegated doesn't look at the allowed regions of its route and account.

--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -159,12 +159,20 @@
         at(self.prefix, 1 + i as u8, 7001)
     }
 
-    /// Starts router `i`, to which the store is at `store`, with the values of a small site.
+    /// Starts router `i`, to which the store is at `store`, with the values of a small site. All data centres are in
+    /// one region.
     pub fn spawn_router(&mut self, i: usize, store: SocketAddr) {
+        self.spawn_router_in(i, store, ["r"; 3]);
+    }
+
+    /// Like [`Self::spawn_router`], with the region of each data centre.
+    pub fn spawn_router_in(&mut self, i: usize, store: SocketAddr, regions: [&str; 3]) {
+        let region = regions[i];
+        let [r0, r1, r2] = regions;
         let own = |port| at(self.prefix, 1 + i as u8, port);
         let seeds: Vec<String> = (0..3).map(|i| at(self.prefix, 1 + i, 7004).to_string()).collect();
         let settings = format!(
-            r#"{{ "host": {{ "name": "router-{i}", "data_center": "dc-{i}", "region": "r", "data_center_regions": "dc-0=r,dc-1=r,dc-2=r" }},
+            r#"{{ "host": {{ "name": "router-{i}", "data_center": "dc-{i}", "region": "{region}", "data_center_regions": "dc-0={r0},dc-1={r1},dc-2={r2}" }},
   "listen": {{ "caller_addr": "{}", "ready_addr": "{}", "entry_addr": "{}", "peer_addr": "{}", "admin_addr": "{}" }},
   "platform": {{ "addr": "{store}", "protocol": "keyed_log" }},
   "fleet": {{ "key": "cassiagrade-edge-fleet", "seed_addrs": "{}", "entry_ttl_ms": 1000, "grace_s": 8,
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod cut_off;
 mod fleet;
+mod homes;
 mod limits;
 mod net;
 mod proxy;
@@ -14,6 +15,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let held = match case.as_str() {
         "cut-off" => cut_off::run(&out, trouble),
+        "homes" => homes::run(&out, trouble),
         "limits" => limits::run(&out, trouble),
         _ => fleet::unusable("no such case"),
     };
--- a/review/harness-2/src/proxy.rs
+++ b/review/harness-2/src/proxy.rs
@@ -30,6 +30,8 @@
     is_cut: AtomicBool,
     open: Mutex<Vec<TcpStream>>,
     pub accepted: AtomicU32,
+    /// Bytes from the machine to the runner.
+    pub sent: Mutex<Vec<u8>>,
 }
 
 impl Relay {
@@ -40,6 +42,7 @@
             is_cut: AtomicBool::new(false),
             open: Mutex::default(),
             accepted: AtomicU32::new(0),
+            sent: Mutex::default(),
         });
         let served = this.clone();
         spawn(move || served.run());
@@ -72,11 +75,15 @@
         self.accepted.fetch_add(1, Ordering::SeqCst);
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
         self.open.lock().unwrap().push(near.try_clone().unwrap());
-        for (from, to) in [(&near, &far), (&far, &near)] {
+        for (from, to, is_request) in [(&near, &far, true), (&far, &near, false)] {
             let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+            let this = self.clone();
             spawn(move || {
                 let mut bytes = [0; 8192];
                 while let Ok(n) = from.read(&mut bytes) {
+                    if is_request && n > 0 {
+                        this.sent.lock().unwrap().extend_from_slice(&bytes[..n]);
+                    }
                     if n == 0 || to.write_all(&bytes[..n]).is_err() {
                         break;
                     }
@@ -96,6 +103,14 @@
         }
     }
 
+    /// Ids of the requests that were passed on.
+    pub fn ids(&self) -> Vec<String> {
+        let sent = self.sent.lock().unwrap();
+        let text = String::from_utf8_lossy(&sent).to_ascii_lowercase();
+        let ids = text.split("attempt-id:").skip(1);
+        ids.map(|rest| rest.split('\r').next().unwrap_or("").trim().to_owned()).collect()
+    }
+
     pub fn heal(&self) {
         self.is_cut.store(false, Ordering::SeqCst);
     }
