A take-up of a stream logs what it resumes, which places were searched and what each said

Callers' streams were taken up again at another version, or refused, and no line told why: a refusal names no place that was searched, and a take-up that goes on left no line at all. One line for each take-up now names the request, the one that brought the first event, the last event, the age of the list of upstreams, and of each place (own table, keepers, other routers, what is stored, the only version) the answer, its version and its age.

The search moves to a file of its own; its logic is as it was.

--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -27,7 +27,7 @@
 use crate::path::stop_admission::{
     STOPPING_RETRY_MS, check_end, check_stopping, discard, until_closing,
 };
-use crate::path::stream_origins::{self, Found};
+use crate::path::stream_origins::{self, Found, TakeUp};
 use crate::path::{RequestPath, answer};
 use crate::schema::peer::Suspicion;
 use crate::stats::{self, NotResumed, Tally};
@@ -232,7 +232,12 @@
     if !takes_up_stream(head, route) {
         return Ok(None);
     }
-    let origin = match stream_origins::find(path, head.resumes.as_deref(), route).await {
+    let take_up = TakeUp {
+        request_id: head.request_id.as_deref(),
+        began_as: head.resumes.as_deref(),
+        last_event: head.resume_after,
+    };
+    let origin = match stream_origins::find(path, take_up, route).await {
         Found::Origin(origin) | Found::Only(origin) => Some(origin),
         Found::Unknown => None,
     };
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -24,6 +24,7 @@
 //! each, a keeper is told of 123 a second and keeps 15,000.
 
 mod moves;
+mod search;
 mod stored;
 mod table;
 
@@ -37,9 +38,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
 
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::mpsc;
 
 use crate::decide::Origin;
@@ -47,40 +46,24 @@
 use crate::fleet::member::{Member, View};
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
-use crate::path::routes::Route;
 use crate::path::stream_origins::moves::Moves;
+use crate::path::stream_origins::search::query;
 use crate::path::stream_origins::stored::Stored;
 use crate::path::stream_origins::table::OriginTable;
 use crate::path::versions;
-use crate::peers::ORIGIN;
 use crate::schema::peer::{OriginReply, OriginRequest, StreamOrigin};
-use crate::time_limit::within;
 use crate::util::{self, Name};
 
+pub(crate) use crate::path::stream_origins::search::{Found, TakeUp, find};
 pub(crate) use crate::path::stream_origins::stored::{StoreCall, StreamsByOrigin};
 
 /// Number of routers besides its own that are told where a stream began.
 const KEEPERS: usize = 2;
-/// Number of routers that are asked after the keepers.
-const MORE_ASKED: usize = 14;
 /// Number of groups of streams, each of which has its own keepers. If each stream had its own, every
 /// router of a large fleet would connect to every other one.
 const GROUPS: u64 = 16;
 /// Interval at which the keepers are compared with those of before.
 const KEEPER_CHECK_MS: u64 = 1_000;
-/// Time limit of a round of queries; routers answer within milliseconds.
-const ROUND_LIMIT: Duration = Duration::from_millis(150);
-
-/// Where a stream began.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum Found {
-    /// There, by the record of a router.
-    Origin(Origin),
-    /// There, as its service has had no other version for longer than any stream lasts.
-    Only(Origin),
-    /// It may not go on anywhere.
-    Unknown,
-}
 
 /// The streams whose origins this router knows.
 #[derive(Debug, Default)]
@@ -132,143 +115,28 @@
         self.table.borrow().get(stream, now_ms).cloned()
     }
 
-    fn insert(&self, stream: u64, origin: Origin, is_own: bool, now_ms: u64) {
-        let mut table = self.table.borrow_mut();
-        table.insert(stream, origin, is_own, now_ms);
+    /// Where the stream began, and the time since that was recorded here.
+    fn get_with_age(&self, stream: u64, now_ms: u64) -> Option<(Origin, u64)> {
+        let table = self.table.borrow();
+        let (origin, age_ms) = table.get_with_age(stream, now_ms)?;
+        Some((origin.clone(), age_ms))
     }
-}
-
-/// Result of a round of queries.
-#[derive(Default)]
-struct QueryResult {
-    origin: Option<Origin>,
-    /// Whether a router answered that knows all versions.
-    is_whole: bool,
-}
 
-/// Finds where the stream began of which `request_id` brought the first event. The time limit of all
-/// queries together is 300 ms, and that of a read of what is stored another 500 ms.
-pub(crate) async fn find<D: Records>(
-    path: &Rc<RequestPath<D>>,
-    request_id: Option<&str>,
-    route: &Route,
-) -> Found {
-    versions::refresh(path);
-    let service = only_service(route);
-    let found = match request_id {
-        Some(id) => find_by_id(path, digest(id), service).await,
-        None => only(path, service, false),
-    };
-    log::debug!("stream of request {request_id:?} began at {found:?}");
-    found
-}
-
-async fn find_by_id<D: Records>(
-    path: &Rc<RequestPath<D>>,
-    stream: u64,
-    service: Option<&Name>,
-) -> Found {
-    if let Some(origin) = path.origins.get(stream, path.clock.now_ms()) {
-        keep(path, stream, &origin);
-        return Found::Origin(origin);
+    fn stored(&self) -> &Rc<Stored> {
+        &self.stored
     }
-    let addrs = other_routers(path, group(stream), KEEPERS + MORE_ASKED);
-    let (keepers, more) = addrs.split_at(addrs.len().min(KEEPERS));
-    // A version that was listed a moment ago may not be known here, but its streams' keepers know it.
-    for round in [keepers, more] {
-        let result = ask(path, round, stream, service).await;
-        if let Some(origin) = result.origin {
-            keep(path, stream, &origin);
-            return Found::Origin(origin);
-        }
-        let only = only(path, service, result.is_whole);
-        if only != Found::Unknown {
-            return only;
-        }
-    }
-    find_stored(path, stream).await
-}
 
-/// Looks the stream up among those whose origins are stored: the routers that knew it may have ended.
-async fn find_stored<D: Records>(path: &Rc<RequestPath<D>>, stream: u64) -> Found {
-    let (routers, now_ms) = (path.routers(), path.clock.now_ms());
-    let Some(origin) = path.origins.stored.find(stream, routers, now_ms).await else {
-        return Found::Unknown;
-    };
-    keep(path, stream, &origin);
-    Found::Origin(origin)
-}
-
-/// The only version of `service`. Whether no other one can be missing here is decided by the state of
-/// this router, unless a router that knows all versions has just reported them.
-fn only<D: Records>(path: &RequestPath<D>, service: Option<&Name>, is_confirmed: bool) -> Found {
-    let service = service.filter(|service| !path.origins.moves.borrow().contains(service));
-    let Some(service) = service.filter(|_| is_confirmed || versions::is_current(path)) else {
-        return Found::Unknown;
-    };
-    match path.versions.only(service, path.clock.now_ms()) {
-        Some(software) => Found::Only(Origin {
-            service: service.clone(),
-            software,
-        }),
-        None => Found::Unknown,
+    /// Whether a route of streams was moved to or from `service` lately.
+    fn is_moved(&self, service: &str) -> bool {
+        self.moves.borrow().contains(service)
     }
-}
 
-/// The service of all streams of `route`, if there is just one.
-fn only_service(route: &Route) -> Option<&Name> {
-    match route.targets.as_slice() {
-        [target] => Some(&target.service),
-        _ => None,
+    fn insert(&self, stream: u64, origin: Origin, is_own: bool, now_ms: u64) {
+        let mut table = self.table.borrow_mut();
+        table.insert(stream, origin, is_own, now_ms);
     }
 }
 
-/// Asks these routers at once where the stream began, until one knows, and applies the versions of
-/// `service` that they know.
-async fn ask<D>(
-    path: &RequestPath<D>,
-    addrs: &[Name],
-    stream: u64,
-    service: Option<&Name>,
-) -> QueryResult {
-    let question = OriginRequest {
-        streams: vec![stream],
-        origin: None,
-        service: service.map_or_else(String::new, |service| service.to_string()),
-    };
-    let queries = addrs.iter().map(|addr| query(path, addr, &question));
-    let mut queries: FuturesUnordered<_> = queries.collect();
-    let mut result = QueryResult::default();
-    let round = async {
-        while let Some(reply) = queries.next().await {
-            let Some(reply) = reply else { continue };
-            if let Some(origin) = reply.origin {
-                result.origin = Some(origin.into());
-                return;
-            }
-            let report = reply.versions.unwrap_or_default();
-            result.is_whole |= versions::is_whole(&report);
-            let now_ms = path.clock.now_ms();
-            path.versions
-                .merge_service(&question.service, report, now_ms);
-        }
-    };
-    // What arrived before the time limit counts.
-    let _ = within(ROUND_LIMIT, round).await;
-    result
-}
-
-async fn query<D>(
-    path: &RequestPath<D>,
-    addr: &Name,
-    request: &OriginRequest,
-) -> Option<OriginReply> {
-    let reply = path.peers.query(addr, ORIGIN, request).await;
-    reply
-        .inspect_err(|e| log::debug!("{addr}: query about a stream's origin failed: {e}"))
-        .ok()
-}
-
 /// Records that the stream of which `request_id` brought the first event began at `origin`.
 pub(crate) fn record<D: Records>(path: &Rc<RequestPath<D>>, request_id: &str, origin: &Origin) {
     let now_ms = path.clock.now_ms();
@@ -342,8 +210,7 @@
 }
 
 fn is_split<D>(path: &RequestPath<D>, service: &Name) -> bool {
-    let is_moved = path.origins.moves.borrow().contains(service);
-    is_moved || path.state.deployment().split_streams().contains(service)
+    path.origins.is_moved(service) || path.state.deployment().split_streams().contains(service)
 }
 
 /// Tells the keepers of these streams that they began at `origin`, without waiting.
--- /dev/null
+++ b/src/path/stream_origins/search.rs
@@ -0,0 +1,268 @@
+//! Search for the version at which a stream began, when its caller takes it up again.
+
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+
+use crate::decide::Origin;
+use crate::path::RequestPath;
+use crate::path::dialect::Records;
+use crate::path::routes::Route;
+use crate::path::stream_origins::{KEEPERS, digest, group, keep, other_routers};
+use crate::path::versions;
+use crate::peers::ORIGIN;
+use crate::schema::peer::{OriginReply, OriginRequest};
+use crate::time_limit::within;
+use crate::util::Name;
+
+/// Number of routers that are asked after the keepers.
+const MORE_ASKED: usize = 14;
+/// Time limit of a round of queries; routers answer within milliseconds.
+const ROUND_LIMIT: Duration = Duration::from_millis(150);
+
+/// Where a stream began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Found {
+    /// There, by the record of a router.
+    Origin(Origin),
+    /// There, as its service has had no other version for longer than any stream lasts.
+    Only(Origin),
+    /// It may not go on anywhere.
+    Unknown,
+}
+
+/// A caller's request to take up a stream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TakeUp<'a> {
+    /// Id of this request.
+    pub(crate) request_id: Option<&'a str>,
+    /// Id of the request that brought the first event.
+    pub(crate) began_as: Option<&'a str>,
+    /// Last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// What each place that was searched has said, for the log.
+#[derive(Debug, Default)]
+struct Trace(String);
+
+impl Trace {
+    fn add(&mut self, step: std::fmt::Arguments<'_>) {
+        if !self.0.is_empty() {
+            self.0.push_str("; ");
+        }
+        // Writing to a string can't fail.
+        let _ = self.0.write_fmt(step);
+    }
+}
+
+/// Result of a round of queries.
+#[derive(Default)]
+struct QueryResult {
+    origin: Option<Origin>,
+    /// Number of routers that have answered.
+    answers: usize,
+    /// Whether a router answered that knows all versions.
+    is_whole: bool,
+}
+
+/// Finds where the stream began that the caller takes up. The time limit of all queries together is 300 ms,
+/// and that of a read of what is stored another 500 ms.
+pub(crate) async fn find<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    take_up: TakeUp<'_>,
+    route: &Route,
+) -> Found {
+    let started_ms = path.clock.now_ms();
+    versions::refresh(path);
+    let service = only_service(route);
+    let mut trace = Trace::default();
+    let found = match take_up.began_as {
+        Some(id) => find_by_id(path, digest(id), service, &mut trace).await,
+        None => only(path, service, false, &mut trace),
+    };
+    log_search(path, take_up, &found, &trace, started_ms);
+    found
+}
+
+fn log_search<D: Records>(
+    path: &RequestPath<D>,
+    take_up: TakeUp<'_>,
+    found: &Found,
+    trace: &Trace,
+    started_ms: u64,
+) {
+    let request_id = take_up.request_id.unwrap_or_default();
+    let resumes = take_up.began_as.unwrap_or_default();
+    let last_event = take_up.last_event.unwrap_or_default();
+    let took_ms = path.clock.now_ms().saturating_sub(started_ms);
+    let upstreams_age_ms = path.replica.upstreams_fresh().age_ms();
+    let searched = &*trace.0;
+    log::info!(
+        request_id, resumes, last_event, took_ms, upstreams_age_ms, searched;
+        "stream taken up: {}", describe(found)
+    );
+}
+
+fn describe(found: &Found) -> String {
+    match found {
+        Found::Origin(origin) => format!("it began at {}", name(origin)),
+        Found::Only(origin) => format!("{} is the only version", name(origin)),
+        Found::Unknown => "it is unknown where it began".to_owned(),
+    }
+}
+
+fn name(origin: &Origin) -> String {
+    let software = origin.software.as_deref().unwrap_or("none");
+    format!("{}, version {software}", origin.service)
+}
+
+async fn find_by_id<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    stream: u64,
+    service: Option<&Name>,
+    trace: &mut Trace,
+) -> Found {
+    let now_ms = path.clock.now_ms();
+    if let Some((origin, age_ms)) = path.origins.get_with_age(stream, now_ms) {
+        trace.add(format_args!(
+            "own table: {}, {age_ms} ms ago",
+            name(&origin)
+        ));
+        keep(path, stream, &origin);
+        return Found::Origin(origin);
+    }
+    trace.add(format_args!("own table: unknown"));
+    let addrs = other_routers(path, group(stream), KEEPERS + MORE_ASKED);
+    let (keepers, more) = addrs.split_at(addrs.len().min(KEEPERS));
+    // A version that was listed a moment ago may not be known here, but its streams' keepers know it.
+    for (asked, round) in [("keepers", keepers), ("other routers", more)] {
+        let result = ask(path, round, stream, service).await;
+        let (answers, of) = (result.answers, round.len());
+        if let Some(origin) = result.origin {
+            trace.add(format_args!(
+                "{asked}: {}, {answers} of {of} answered",
+                name(&origin)
+            ));
+            keep(path, stream, &origin);
+            return Found::Origin(origin);
+        }
+        trace.add(format_args!("{asked}: unknown, {answers} of {of} answered"));
+        let only = only(path, service, result.is_whole, trace);
+        if only != Found::Unknown {
+            return only;
+        }
+    }
+    find_stored(path, stream, trace).await
+}
+
+/// Looks the stream up among those whose origins are stored: the routers that knew it may have ended.
+async fn find_stored<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    stream: u64,
+    trace: &mut Trace,
+) -> Found {
+    let (routers, now_ms) = (path.routers(), path.clock.now_ms());
+    let stored = path.origins.stored();
+    let found = stored.find(stream, routers, now_ms).await;
+    let read_age_ms = stored.read_age_ms(path.clock.now_ms());
+    let Some(origin) = found else {
+        trace.add(format_args!("stored: unknown, read {read_age_ms:?} ms ago"));
+        return Found::Unknown;
+    };
+    trace.add(format_args!(
+        "stored: {}, read {read_age_ms:?} ms ago",
+        name(&origin)
+    ));
+    keep(path, stream, &origin);
+    Found::Origin(origin)
+}
+
+/// The only version of `service`. Whether no other one can be missing here is decided by the state of
+/// this router, unless a router that knows all versions has just reported them.
+fn only<D: Records>(
+    path: &RequestPath<D>,
+    service: Option<&Name>,
+    is_confirmed: bool,
+    trace: &mut Trace,
+) -> Found {
+    let service = service.filter(|service| !path.origins.is_moved(service));
+    let Some(service) = service else {
+        trace.add(format_args!(
+            "only version: the route has or had several services"
+        ));
+        return Found::Unknown;
+    };
+    if !is_confirmed && !versions::is_current(path) {
+        trace.add(format_args!("only version: others may be missing here"));
+        return Found::Unknown;
+    }
+    match path.versions.only(service, path.clock.now_ms()) {
+        Some(software) => Found::Only(Origin {
+            service: service.clone(),
+            software,
+        }),
+        None => {
+            let known = path.versions.describe(service, path.clock.now_ms());
+            trace.add(format_args!("only version: none, {known}"));
+            Found::Unknown
+        }
+    }
+}
+
+/// The service of all streams of `route`, if there is just one.
+fn only_service(route: &Route) -> Option<&Name> {
+    match route.targets.as_slice() {
+        [target] => Some(&target.service),
+        _ => None,
+    }
+}
+
+/// Asks these routers at once where the stream began, until one knows, and applies the versions of
+/// `service` that they know.
+async fn ask<D>(
+    path: &RequestPath<D>,
+    addrs: &[Name],
+    stream: u64,
+    service: Option<&Name>,
+) -> QueryResult {
+    let question = OriginRequest {
+        streams: vec![stream],
+        origin: None,
+        service: service.map_or_else(String::new, |service| service.to_string()),
+    };
+    let queries = addrs.iter().map(|addr| query(path, addr, &question));
+    let mut queries: FuturesUnordered<_> = queries.collect();
+    let mut result = QueryResult::default();
+    let round = async {
+        while let Some(reply) = queries.next().await {
+            let Some(reply) = reply else { continue };
+            result.answers += 1;
+            if let Some(origin) = reply.origin {
+                result.origin = Some(origin.into());
+                return;
+            }
+            let report = reply.versions.unwrap_or_default();
+            result.is_whole |= versions::is_whole(&report);
+            let now_ms = path.clock.now_ms();
+            path.versions
+                .merge_service(&question.service, report, now_ms);
+        }
+    };
+    // What arrived before the time limit counts.
+    let _ = within(ROUND_LIMIT, round).await;
+    result
+}
+
+pub(super) async fn query<D>(
+    path: &RequestPath<D>,
+    addr: &Name,
+    request: &OriginRequest,
+) -> Option<OriginReply> {
+    let reply = path.peers.query(addr, ORIGIN, request).await;
+    reply
+        .inspect_err(|e| log::debug!("{addr}: query about a stream's origin failed: {e}"))
+        .ok()
+}
--- a/src/path/stream_origins/stored.rs
+++ b/src/path/stream_origins/stored.rs
@@ -107,6 +107,11 @@
         self.known(stream)
     }
 
+    /// Time since the last read began, if one did that hasn't failed.
+    pub(super) fn read_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.read_ms.get().map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
     fn known(&self, stream: u64) -> Option<Origin> {
         self.known.borrow().get(&stream).cloned()
     }
--- a/src/path/stream_origins/table.rs
+++ b/src/path/stream_origins/table.rs
@@ -41,8 +41,14 @@
     }
 
     pub(crate) fn get(&self, stream: u64, now_ms: u64) -> Option<&Origin> {
+        self.get_with_age(stream, now_ms).map(|(origin, _)| origin)
+    }
+
+    /// Where the stream began, and the time since that was recorded.
+    pub(crate) fn get_with_age(&self, stream: u64, now_ms: u64) -> Option<(&Origin, u64)> {
         let entry = self.entries.get(&stream)?;
-        (now_ms.saturating_sub(entry.at_ms) < WINDOW_MS).then_some(&entry.origin)
+        let age_ms = now_ms.saturating_sub(entry.at_ms);
+        (age_ms < WINDOW_MS).then_some((&entry.origin, age_ms))
     }
 
     /// Returns the wanted streams that began or went on at this router, by their origin.
--- a/src/path/versions.rs
+++ b/src/path/versions.rs
@@ -78,6 +78,17 @@
         self.history.borrow().only(service, now_ms)
     }
 
+    /// Describes the versions that `service` had in the window, for the log.
+    pub(crate) fn describe(&self, service: &str, now_ms: u64) -> String {
+        let report = self.report_of(service, now_ms);
+        let listings = report.listings.iter().map(|listing| {
+            let software = listing.software.as_deref().unwrap_or("none");
+            format!("{software} {} ms ago", listing.age_ms)
+        });
+        let listings: Vec<String> = listings.collect();
+        format!("known for {} ms: {}", report.reach_ms, listings.join(", "))
+    }
+
     /// Applies what another router reports of all services.
     pub(crate) fn merge(&self, report: VersionReport, now_ms: u64) {
         self.history.borrow_mut().merge(&report.into(), now_ms);
