--- a/tests/routed_origins.rs
+++ b/tests/routed_origins.rs
@@ -5,65 +5,18 @@
 
 use std::time::Duration;
 
-use futures_util::future::join_all;
 use serde_json::json;
-use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
-use support::{Caller, Received, get, set_knobs, sleep_ms, wait_until};
+use support::routed::RoutedFleet;
+use support::streams::{
+    Broken, EVENTS, PATH, STREAMS, break_streams, restart_all, resumed, spawn_upstream, start,
+    take_up, versions_of, wait_all_ready,
+};
+use support::{Received, get, set_knobs, sleep_ms, wait_until};
 use test_case::test_case;
 
-const STREAMS: usize = 20;
-const PATH: &str = "/resumed/stream";
-/// Number of events of each stream.
-const EVENTS: u64 = 60;
-const EVENT_INTERVAL_MS: u64 = 100;
 /// Time after which the platform holds where streams began.
 const STORED_MS: u64 = 1_500;
 
-/// A stream that broke off.
-struct Broken {
-    /// Unlike that of the others: identical requests are suspected together when upstreams end.
-    path: String,
-    /// Id of the request that brought the first event.
-    id: String,
-    /// Last event that arrived.
-    last: u64,
-}
-
-/// Three routers, and upstreams of these versions in order, which send their events slowly.
-async fn start(versions: &[&str]) -> RoutedFleet {
-    let size = FleetSize {
-        routers: 0,
-        upstreams: 0,
-        ..FleetSize::default()
-    };
-    let mut routed = RoutedFleet::start(size).await;
-    for version in versions {
-        spawn_upstream(&mut routed, version).await;
-    }
-    for i in 0..3 {
-        routed.spawn_router(i);
-    }
-    wait_all_ready(&routed).await;
-    routed
-}
-
-async fn spawn_upstream(routed: &mut RoutedFleet, version: &str) {
-    let i = u8::try_from(routed.upstreams.len()).unwrap();
-    routed.spawn_upstream_of(i, version);
-    let at = routed.upstreams[usize::from(i)].addr;
-    wait_until("an upstream", || async {
-        get(at, "/healthz").await.is_some()
-    })
-    .await;
-    set_knobs(at, &json!({ "delay_ms": EVENT_INTERVAL_MS })).await;
-}
-
-async fn wait_all_ready(routed: &RoutedFleet) {
-    for i in 0..u8::try_from(routed.routers.len()).unwrap() {
-        routed.wait_ready(i).await;
-    }
-}
-
 /// Ends all upstreams from the third on, and waits until all routers know it.
 async fn end_upstreams(routed: &mut RoutedFleet) {
     for i in 2..routed.upstreams.len() {
@@ -74,63 +27,6 @@
     wait_all_ready(routed).await;
 }
 
-/// Begins streams at router 0, and breaks them off after a second by `cut`.
-async fn break_streams(
-    routed: &mut RoutedFleet,
-    cut: impl AsyncFnOnce(&mut RoutedFleet),
-) -> Vec<Broken> {
-    let at = routed.caller(0);
-    let begun = (0..STREAMS).map(|n| {
-        compio::runtime::spawn(async move {
-            let path = format!("/resumed/{n}/stream");
-            let id = new_request_id();
-            let headers = [
-                ("attempt-id", id.as_str()),
-                ("host", HOST),
-                ("deadline-ms", "8000"),
-            ];
-            let body = EVENTS.to_string();
-            let caller = Caller::new(KEY);
-            let received = caller.call(at, "POST", &path, &headers, &body).await;
-            broken(path, id, received)
-        })
-    });
-    let begun: Vec<_> = begun.collect();
-    sleep_ms(1_000).await;
-    cut(routed).await;
-    let ended = join_all(begun).await.into_iter();
-    let broken: Vec<Broken> = ended.map(Result::unwrap).collect();
-    assert!(broken.iter().all(|b| b.last > 0 && b.last < EVENTS));
-    broken
-}
-
-fn broken(path: String, id: String, received: Option<Received>) -> Broken {
-    let received = received.expect("an answer begins");
-    assert_eq!(received.status, 200);
-    let last = last_event(&received);
-    Broken { path, id, last }
-}
-
-/// Id of the last event that arrived as a whole.
-fn last_event(received: &Received) -> u64 {
-    let (whole, _) = received.body.rsplit_once("\n\n").unwrap_or_default();
-    let mut ids = whole.lines().filter_map(|l| l.strip_prefix("id: "));
-    ids.next_back().map_or(0, |id| id.parse().unwrap())
-}
-
-/// Takes up a stream at router `i`. Returns the id of the request, and the answer.
-async fn take_up(routed: &RoutedFleet, i: u8, broken: &Broken) -> (String, Option<Received>) {
-    let last = broken.last.to_string();
-    let headers = [
-        ("deadline-ms", "8000"),
-        ("last-event-id", last.as_str()),
-        ("resumes", broken.id.as_str()),
-    ];
-    routed
-        .call_with(i, &broken.path, &EVENTS.to_string(), &headers)
-        .await
-}
-
 /// Takes up a stream at router `i` that no router and no record knows.
 async fn take_up_unknown(routed: &RoutedFleet, i: u8) -> (String, Option<Received>) {
     let unknown = Broken {
@@ -141,53 +37,12 @@
     take_up(routed, i, &unknown).await
 }
 
-/// Versions of the upstreams that ran a request.
-fn versions_of(routed: &RoutedFleet, id: &str) -> Vec<String> {
-    let runs = routed.runs().remove(id).unwrap_or_default();
-    runs.into_iter().map(|run| run.software).collect()
-}
-
-/// Takes up all streams at router `i`, and returns how many of them went on to their end. None may go on at
-/// another version.
-async fn resumed(routed: &RoutedFleet, i: u8, streams: &[Broken]) -> usize {
-    let taken_up = join_all(streams.iter().map(|b| take_up(routed, i, b))).await;
-    let mut resumed = 0;
-    for (stream, (id, received)) in streams.iter().zip(taken_up) {
-        let began = versions_of(routed, &stream.id);
-        let went_on = versions_of(routed, &id);
-        assert!(
-            went_on.iter().all(|version| began.contains(version)),
-            "a stream of {began:?} went on at {went_on:?}"
-        );
-        assert_eq!(began.len(), 1);
-        let received = received.expect("an answer");
-        if received.status == 200 {
-            assert_eq!(last_event(&received), EVENTS);
-            resumed += 1;
-        } else {
-            assert_eq!(received.status, 503, "{}", received.body);
-            assert!(went_on.is_empty());
-        }
-    }
-    resumed
-}
-
 /// The records about versions in the store.
 async fn stored_versions(routed: &RoutedFleet) -> String {
     let stored = "/log-newest?stream_name=keyed.versions&part=0";
     get(routed.store.addr, stored).await.unwrap()
 }
 
-async fn restart_all(routed: &mut RoutedFleet) {
-    for router in &mut routed.routers {
-        router.kill();
-    }
-    for i in 0..3 {
-        routed.spawn_router(i);
-    }
-    wait_all_ready(routed).await;
-}
-
 /// The router that began the streams is killed. Those that are left must know where each of them began,
 /// whichever they are.
 #[test_case(1)]
--- /dev/null
+++ b/tests/routed_out_of_step.rs
@@ -0,0 +1,159 @@
+//! Streams that broke off, taken up at routers that lack a version that serves, or that have all just started.
+
+mod support;
+
+use futures_util::future::join;
+use serde_json::json;
+use support::routed::RoutedFleet;
+use support::streams::{
+    Broken, STREAMS, begin, break_streams, kill_all, restart_all, resumed, spawn_upstream, start,
+    start_with_store_relays, try_resume, versions_of, wait_all_ready,
+};
+use support::{sleep_ms, wait_until};
+use test_case::test_case;
+
+/// Share of the streams whose version still serves that must go on.
+const LEAST_SHARE: f64 = 0.95;
+
+/// Waits until streams begin at the newest version at router 0.
+async fn wait_begins_at(routed: &RoutedFleet, version: &str) {
+    let probes = std::cell::Cell::new(0);
+    wait_until("a stream at the version that joined", || async {
+        let n = probes.replace(probes.get() + 1);
+        let (id, _) = routed.call(0, &format!("/resumed/probe-{n}"), "1").await;
+        versions_of(routed, &id) == [version]
+    })
+    .await;
+}
+
+/// Has the rest of all streams sent quickly.
+async fn send_fast(routed: &RoutedFleet) {
+    routed.upstream_knobs(json!({ "delay_ms": 20 })).await;
+}
+
+fn assert_share(went_on: usize, of: usize) {
+    let least = LEAST_SHARE * f64::from(u32::try_from(of).unwrap());
+    let share_kept = f64::from(u32::try_from(went_on).unwrap()) >= least;
+    assert!(share_kept, "{went_on} of {of} streams went on");
+}
+
+/// Two versions serve, and router 1, which stands still, and lacks the store, knows only the older one. It
+/// goes on when the others have ended or hang, and gets all streams.
+async fn resume_out_of_step(older: &str, pause_ms: u64, is_store_away: bool) {
+    let mut routed = start_with_store_relays(&[older, older]).await;
+    routed.store_relays[1].set(json!({ "stall": true })).await;
+    routed.routers[1].freeze();
+    for _ in 0..2 {
+        spawn_upstream(&mut routed, "v2").await;
+    }
+    for i in [0, 2] {
+        routed.wait_ready(i).await;
+    }
+    wait_begins_at(&routed, "v2").await;
+    let cut = async |routed: &mut RoutedFleet| {
+        sleep_ms(pause_ms).await;
+        if is_store_away {
+            routed.store.freeze();
+        }
+        routed.routers[0].kill();
+        routed.routers[2].freeze();
+        routed.routers[1].unfreeze();
+    };
+    let streams = break_streams(&mut routed, cut).await;
+    let at_newer = |stream: &&Broken| versions_of(&routed, &stream.id) == ["v2"];
+    let newer = streams.iter().filter(at_newer).count();
+    assert!(0 < newer && newer < STREAMS, "{newer} streams began at v2");
+    resumed(&routed, 1, &streams).await;
+}
+
+/// The router that takes up the streams hasn't heard of the second version, and takes the one that it knows
+/// for the only one.
+#[test_case("v1", 200; "200 ms")]
+#[test_case("v1", 500; "500 ms")]
+#[test_case("v1", 1_000; "1000 ms")]
+#[test_case("", 500; "no version before")]
+#[compio::test]
+async fn taken_up_streams_are_not_joined_by_a_router_out_of_step(older: &str, pause_ms: u64) {
+    resume_out_of_step(older, pause_ms, false).await;
+}
+
+/// As above, and the store hangs, so nothing can be looked up there.
+#[test_case("v1"; "version before")]
+#[test_case(""; "no version before")]
+#[compio::test]
+async fn taken_up_streams_are_not_joined_out_of_step_without_the_store(older: &str) {
+    resume_out_of_step(older, 500, true).await;
+}
+
+/// Streams that began just before all routers end are known to nobody but the platform, which was told
+/// after their first event.
+#[compio::test]
+async fn taken_up_streams_that_began_just_before_a_restart_of_all_go_on() {
+    const BEGUN: usize = 60;
+    const SPREAD_MS: u64 = 1_500;
+
+    let mut routed = start(&["v1", "v1", "v2", "v2"]).await;
+    wait_begins_at(&routed, "v1").await;
+    wait_begins_at(&routed, "v2").await;
+    sleep_ms(3_000).await;
+    let at = routed.caller(0);
+    let mut begun = Vec::new();
+    for n in 0..BEGUN {
+        begun.push(compio::runtime::spawn(begin(at, n)));
+        sleep_ms(SPREAD_MS / BEGUN as u64).await;
+    }
+    kill_all(&mut routed);
+    let mut streams = Vec::new();
+    for stream in begun {
+        let stream = Broken::from(stream.await.unwrap());
+        if stream.last > 0 {
+            streams.push(stream);
+        }
+    }
+    assert!(streams.len() >= BEGUN * 3 / 4, "{} began", streams.len());
+    restart_all(&mut routed).await;
+    send_fast(&routed).await;
+    let began = streams.len();
+    for i in 0..3 {
+        let went_on = try_resume(&routed, i, &streams).await;
+        let mut went_on = went_on.into_iter();
+        streams.retain(|_| !went_on.next().unwrap());
+    }
+    assert_share(began - streams.len(), began);
+}
+
+/// Streams of the older version are in progress when all routers end, just after a second one joined that
+/// no record may name yet.
+#[test_case(300)]
+#[test_case(700)]
+#[test_case(2_500)]
+#[compio::test]
+async fn streams_go_on_after_a_restart_of_all_just_after_a_version_joined(pause_ms: u64) {
+    let mut routed = start(&["v1", "v1"]).await;
+    let cut = async |routed: &mut RoutedFleet| {
+        spawn_upstream(routed, "v2").await;
+        wait_all_ready(routed).await;
+        sleep_ms(pause_ms).await;
+        restart_all(routed).await;
+    };
+    let streams = break_streams(&mut routed, cut).await;
+    send_fast(&routed).await;
+    assert_share(resumed(&routed, 1, &streams).await, STREAMS);
+}
+
+/// The store hangs on an ordinary day, and the router that began the streams is killed meanwhile. Streams
+/// would be refused though there is one version.
+#[compio::test]
+async fn streams_of_the_only_version_go_on_while_the_store_hangs() {
+    let mut routed = start(&["v1", "v1"]).await;
+    routed.store.freeze();
+    sleep_ms(4_000).await;
+    let streams = break_streams(&mut routed, async |r| r.routers[0].kill()).await;
+    let store = routed.store.handle();
+    let thaw = async {
+        sleep_ms(1_000).await;
+        store.unfreeze();
+    };
+    let (went_on, ()) = join(resumed(&routed, 1, &streams), thaw).await;
+    assert_share(went_on, STREAMS);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod raw;
 mod records;
 pub(crate) mod routed;
+pub(crate) mod streams;
 
 pub(crate) use caller::{
     CallOutcome, Caller, Received, call, chat_body, expected_answer, get, post, put, set_knobs,
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -183,13 +183,7 @@
         }
         for i in 0..size.routers {
             if size.store_relays {
-                let relay = routed.spawn_relay(i, store_addr);
-                let control = relay.control;
-                wait_until("a relay", || async {
-                    get(control, "/knobs").await.is_some()
-                })
-                .await;
-                routed.store_relays.push(relay);
+                routed.add_store_relay(i).await;
             }
             routed.spawn_router(i);
         }
@@ -199,6 +193,18 @@
         routed
     }
 
+    /// Puts a relay between router `i`, the next one to be started, and the store.
+    pub(crate) async fn add_store_relay(&mut self, i: u8) {
+        assert_eq!(usize::from(i), self.store_relays.len());
+        let relay = self.spawn_relay(i, self.store.addr);
+        let control = relay.control;
+        wait_until("a relay", || async {
+            get(control, "/knobs").await.is_some()
+        })
+        .await;
+        self.store_relays.push(relay);
+    }
+
     fn spawn_relay(&self, i: u8, target: SocketAddr) -> Relay {
         let control = addr(self.prefix, 150 + i, CONTROL_PORT);
         let (target, control_arg) = (target.to_string(), control.to_string());
