--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -230,6 +230,12 @@
         self.spawn_upstream_with(i, self.slots, &["--software", software]);
     }
 
+    /// Starts upstream `i` with the given version of its software and initial knobs.
+    pub(crate) fn spawn_upstream_of_with_knobs(&mut self, i: u8, software: &str, knobs: &Value) {
+        let more = ["--software", software, "--knobs", &knobs.to_string()];
+        self.spawn_upstream_with(i, self.slots, &more);
+    }
+
     /// Starts or restarts upstream `i` with a new id, `slots` and the given initial knobs.
     pub(crate) fn spawn_upstream_with_knobs(&mut self, i: u8, slots: u32, knobs: &Value) {
         self.spawn_upstream_with(i, slots, &["--knobs", &knobs.to_string()]);
