--- a/src/decide/versions.rs
+++ b/src/decide/versions.rs
@@ -8,6 +8,10 @@
 //! A version that is not known would be taken for the only one, so a history says nothing unless it
 //! reaches back over the whole [`WINDOW_MS`]. Histories of several routers are merged by ages, which
 //! need no synchronised clocks.
+//!
+//! A version is announced before it is used: streams begin at it no earlier than [`FIRST_USE_MS`] after the
+//! platform has acknowledged its record. Every router that may decide by its list of upstreams, which is at most
+//! [`LIST_AGE_MS`] old, has the version by then, and so has every router that reads the records.
 
 use std::collections::HashMap;
 
@@ -16,6 +20,14 @@
 /// Time after which no stream that was in progress is resumed any more: twice the time limit of callers
 /// that state none.
 pub const WINDOW_MS: u64 = 120_000;
+/// Age up to which a list of upstreams shows all versions at which streams can have begun.
+pub const LIST_AGE_MS: u64 = 2_000;
+/// Time between the acknowledged record of a version and the first stream that begins at it: more than
+/// [`LIST_AGE_MS`] and a look at the list, so that no router with a newer list lacks the version.
+pub const FIRST_USE_MS: u64 = 2_500;
+/// Time after which a version that has just been listed may be in use elsewhere: what is left of
+/// [`FIRST_USE_MS`] after the oldest list and the interval of two looks.
+const UNUSED_MS: u64 = FIRST_USE_MS - LIST_AGE_MS - 200;
 /// Time without a look at the listed versions after which some may have been missed.
 pub const MAX_GAP_MS: u64 = 10_000;
 
@@ -28,6 +40,8 @@
     pub software: Option<Name>,
     /// Time since some upstream of this version was last listed.
     pub age_ms: u64,
+    /// Time since the platform is known to have a record of it; `None` if that isn't known.
+    pub stored_age_ms: Option<u64>,
 }
 
 /// What one router tells another of its history.
@@ -39,11 +53,29 @@
     pub listings: Vec<Listing>,
 }
 
+/// Whether streams may begin at a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Beginning {
+    /// They may.
+    Allowed,
+    /// Not before the platform has acknowledged a record of it.
+    NotStored,
+    /// Not before every router knows it, which is in this time.
+    In {
+        /// Time left, in milliseconds.
+        left_ms: u64,
+    },
+}
+
 /// A version, and the time at which it was last listed. That may be before the start of the clock.
 #[derive(Clone, Debug)]
 struct Version {
     software: Option<Name>,
     listed_ms: i64,
+    /// Time from which on the platform is known to have a record of it.
+    stored_ms: Option<i64>,
+    /// Time until which no stream has begun at it anywhere.
+    unused_until_ms: i64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -90,7 +122,75 @@
 
     /// Records that some upstream of `service` with this version is listed.
     pub fn record_listed(&mut self, service: &Name, software: Option<&Name>, now_ms: u64) {
-        self.record(service, software, before(now_ms, 0));
+        let unused_until_ms = before(now_ms, 0) + UNUSED_MS.cast_signed();
+        self.record(service, software, before(now_ms, 0), unused_until_ms);
+    }
+
+    /// Records that the platform has a record of this version, for `age_ms` by now.
+    pub fn record_stored(
+        &mut self,
+        service: &str,
+        software: Option<&Name>,
+        age_ms: u64,
+        now_ms: u64,
+    ) {
+        let Some(known) = self.services.get_mut(service) else {
+            return;
+        };
+        let mut versions = known.versions.iter_mut();
+        if let Some(version) = versions.find(|v| v.software.as_ref() == software) {
+            let at_ms = before(now_ms, age_ms);
+            version.stored_ms = Some(version.stored_ms.map_or(at_ms, |known| known.min(at_ms)));
+        }
+    }
+
+    /// Whether streams may begin at this version. The first version of a service is used at once: no router can
+    /// take another one for it.
+    pub fn beginning(&self, service: &str, software: Option<&Name>, now_ms: u64) -> Beginning {
+        let known = self.services.get(service);
+        let version = known.and_then(|known| {
+            let mut versions = known.versions.iter();
+            versions.find(|v| v.software.as_ref() == software)
+        });
+        let Some(stored_ms) = version.and_then(|v| v.stored_ms) else {
+            return Beginning::NotStored;
+        };
+        let left_ms = FIRST_USE_MS.saturating_sub(age(stored_ms, now_ms));
+        if left_ms == 0 || self.only(service, now_ms).is_some() {
+            Beginning::Allowed
+        } else {
+            Beginning::In { left_ms }
+        }
+    }
+
+    /// The only version at which a stream of `service` that had begun by `begun_ms` can have begun, if that is
+    /// known. A version that nobody can have used by then doesn't count.
+    pub fn only_used(&self, service: &str, begun_ms: u64, now_ms: u64) -> Option<Option<Name>> {
+        if self.reach_ms(Some(service), now_ms) < WINDOW_MS {
+            return None;
+        }
+        let oldest_ms = before(now_ms, WINDOW_MS);
+        let versions = self.services.get(service)?.versions.iter();
+        let is_used =
+            |v: &&Version| v.listed_ms > oldest_ms && v.unused_until_ms < begun_ms.cast_signed();
+        let mut used = versions.filter(is_used);
+        let Some(first) = used.next() else {
+            return self.only(service, now_ms);
+        };
+        used.next().is_none().then(|| first.software.clone())
+    }
+
+    /// Applies all records of the platform, as of a read that began at `read_ms`. A version without a record
+    /// isn't used before others have had the time to learn of it.
+    pub fn apply_stored(&mut self, stored: &[Listing], read_ms: u64, now_ms: u64) {
+        let unused_until_ms = before(read_ms, 0) + LIST_AGE_MS.cast_signed();
+        for version in self.services.values_mut().flat_map(|s| &mut s.versions) {
+            if version.stored_ms.is_none() {
+                version.unused_until_ms = version.unused_until_ms.max(unused_until_ms);
+            }
+        }
+        self.add(stored, now_ms);
+        self.complete(now_ms);
     }
 
     /// Records that all versions of the whole window are known.
@@ -129,6 +229,7 @@
             service: service.clone(),
             software: version.software.clone(),
             age_ms: age(version.listed_ms, now_ms),
+            stored_age_ms: version.stored_ms.map(|at_ms| age(at_ms, now_ms)),
         });
         listings.filter(|listing| listing.age_ms < WINDOW_MS)
     }
@@ -154,8 +255,13 @@
     /// Adds these versions.
     pub fn add(&mut self, listings: &[Listing], now_ms: u64) {
         for listing in listings.iter().filter(|l| l.age_ms < WINDOW_MS) {
+            let (service, software) = (&listing.service, listing.software.as_ref());
             let listed_ms = before(now_ms, listing.age_ms);
-            self.record(&listing.service, listing.software.as_ref(), listed_ms);
+            let version = self.record(service, software, listed_ms, i64::MIN);
+            if let Some(age_ms) = listing.stored_age_ms {
+                version.unused_until_ms = i64::MIN;
+                self.record_stored(service, software, age_ms, now_ms);
+            }
         }
     }
 
@@ -176,21 +282,30 @@
         }
     }
 
-    fn record(&mut self, service: &Name, software: Option<&Name>, listed_ms: i64) {
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Service::default());
-        }
-        let Some(known) = self.services.get_mut(service) else {
-            return;
-        };
-        let mut versions = known.versions.iter_mut();
-        match versions.find(|v| v.software.as_ref() == software) {
-            Some(version) => version.listed_ms = version.listed_ms.max(listed_ms),
-            None => known.versions.push(Version {
+    /// Records when a version was listed. One that wasn't known is unused until `unused_until_ms`.
+    fn record(
+        &mut self,
+        service: &Name,
+        software: Option<&Name>,
+        listed_ms: i64,
+        unused_until_ms: i64,
+    ) -> &mut Version {
+        let versions = &mut self.services.entry(service.clone()).or_default().versions;
+        let known = versions
+            .iter()
+            .position(|v| v.software.as_ref() == software);
+        let at = known.unwrap_or_else(|| {
+            versions.push(Version {
                 software: software.cloned(),
                 listed_ms,
-            }),
-        }
+                stored_ms: None,
+                unused_until_ms,
+            });
+            versions.len() - 1
+        });
+        let version = &mut versions[at];
+        version.listed_ms = version.listed_ms.max(listed_ms);
+        version
     }
 
     /// Records that all versions from `reach_ms` ago until now are known.
--- a/src/decide/versions_tests.rs
+++ b/src/decide/versions_tests.rs
@@ -1,6 +1,8 @@
 use test_case::test_case;
 
-use super::versions::{Listing, MAX_GAP_MS, Report, VersionHistory, WINDOW_MS};
+use super::versions::{
+    Beginning, FIRST_USE_MS, LIST_AGE_MS, Listing, MAX_GAP_MS, Report, VersionHistory, WINDOW_MS,
+};
 use crate::decide::Name;
 
 const STEP_MS: u64 = 1_000;
@@ -35,9 +37,26 @@
         service: name("s"),
         software: Some(name(software)),
         age_ms,
+        stored_age_ms: None,
     }
 }
 
+fn stored(software: &str, stored_age_ms: u64) -> Listing {
+    Listing {
+        stored_age_ms: Some(stored_age_ms),
+        ..listing(software, 0)
+    }
+}
+
+fn only_used(history: &VersionHistory, begun_ms: u64, now_ms: u64) -> Option<String> {
+    let only = history.only_used("s", begun_ms, now_ms)?;
+    only.map(|software| software.to_string())
+}
+
+fn beginning(history: &VersionHistory, software: &str, now_ms: u64) -> Beginning {
+    history.beginning("s", Some(&name(software)), now_ms)
+}
+
 /// A stream that began at a version which has been removed would go on at the one that replaced it.
 #[test]
 fn replaced_version_counts_until_its_streams_have_ended() {
@@ -197,3 +216,98 @@
     let mixed: Vec<&Name> = history.mixed(2).collect();
     assert_eq!(mixed, [&name("s")]);
 }
+
+/// Streams would begin at a version of which a router with an older list, or one that starts, knows nothing.
+#[test]
+fn stream_begins_at_a_second_version_once_all_know_it() {
+    let mut history = VersionHistory::default();
+    history.apply_stored(&[stored("v1", 60_000)], 1, 1);
+    refresh(&mut history, &["v1", "v2"], 100);
+    assert_eq!(beginning(&history, "v1", 100), Beginning::Allowed);
+    assert_eq!(beginning(&history, "v2", 100), Beginning::NotStored);
+    history.record_stored("s", Some(&name("v2")), 0, 200);
+    let left = Beginning::In {
+        left_ms: FIRST_USE_MS,
+    };
+    assert_eq!(beginning(&history, "v2", 200), left);
+    let last_ms = 200 + FIRST_USE_MS - 1;
+    refresh(&mut history, &["v1", "v2"], last_ms);
+    assert_eq!(
+        beginning(&history, "v2", last_ms),
+        Beginning::In { left_ms: 1 }
+    );
+    refresh(&mut history, &["v1", "v2"], last_ms + 1);
+    assert_eq!(beginning(&history, "v2", last_ms + 1), Beginning::Allowed);
+}
+
+/// A service would be unavailable for seconds after its first upstream was listed.
+#[test]
+fn stream_begins_at_the_first_version_once_it_is_stored() {
+    let mut history = VersionHistory::default();
+    history.apply_stored(&[], 1, 1);
+    refresh(&mut history, &["v1"], 100);
+    assert_eq!(beginning(&history, "v1", 100), Beginning::NotStored);
+    history.record_stored("s", Some(&name("v1")), 0, 200);
+    assert_eq!(beginning(&history, "v1", 200), Beginning::Allowed);
+}
+
+/// A router whose history isn't complete takes a second version for the first one.
+#[test]
+fn first_version_is_unknown_without_a_complete_history() {
+    let mut history = VersionHistory::default();
+    refresh(&mut history, &["v2"], 100);
+    history.record_stored("s", Some(&name("v2")), 0, 100);
+    assert_ne!(beginning(&history, "v2", 100), Beginning::Allowed);
+}
+
+/// A record that another router confirmed counts from the time at which that one knew of it.
+#[test]
+fn record_of_a_peer_counts_by_its_age() {
+    let mut history = VersionHistory::default();
+    history.apply_stored(&[stored("v1", 60_000)], 1, 1);
+    refresh(&mut history, &["v1", "v2"], 5_000);
+    let report = Report {
+        reach_ms: 0,
+        listings: vec![stored("v2", FIRST_USE_MS)],
+    };
+    history.merge_service("s", &report, 5_000);
+    assert_eq!(beginning(&history, "v2", 5_000), Beginning::Allowed);
+}
+
+/// Streams of the only version in use would be refused from the moment at which a second one is listed, though
+/// none can have begun there.
+#[test]
+fn version_that_was_just_listed_is_not_in_use() {
+    let mut history = VersionHistory::default();
+    history.apply_stored(&[stored("v1", 60_000)], 1, 1);
+    refresh(&mut history, &["v1", "v2"], 5_000);
+    assert_eq!(only(&history, 5_000), None);
+    assert_eq!(only_used(&history, 5_000, 5_000).as_deref(), Some("v1"));
+    let in_use_ms = 5_000 + FIRST_USE_MS - LIST_AGE_MS;
+    refresh(&mut history, &["v1", "v2"], in_use_ms);
+    assert_eq!(only_used(&history, in_use_ms, in_use_ms), None);
+    let late_ms = in_use_ms + 10_000;
+    refresh(&mut history, &["v1", "v2"], late_ms);
+    assert_eq!(only_used(&history, 5_000, late_ms).as_deref(), Some("v1"));
+}
+
+/// All routers restart just after a second version was listed, before it was stored.
+#[test]
+fn version_without_a_record_was_not_in_use_before_the_read() {
+    let mut history = VersionHistory::default();
+    refresh(&mut history, &["v1", "v2"], 300);
+    history.apply_stored(&[stored("v1", 60_000)], 280, 320);
+    refresh(&mut history, &["v1", "v2"], 500);
+    let last_ms = 280 + LIST_AGE_MS;
+    assert_eq!(only_used(&history, last_ms, last_ms).as_deref(), Some("v1"));
+    assert_eq!(only_used(&history, last_ms + 1, last_ms + 1), None);
+}
+
+/// All routers restart after streams have begun at a second version, of which there is a record.
+#[test]
+fn stored_version_was_in_use() {
+    let mut history = VersionHistory::default();
+    refresh(&mut history, &["v1"], 300);
+    history.apply_stored(&[stored("v1", 60_000), stored("v2", 0)], 280, 320);
+    assert_eq!(only_used(&history, 320, 320), None);
+}
--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -552,16 +552,22 @@
     pub software: ::core::option::Option<::prost::alloc::string::String>,
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Time since the platform is known to have a record of it; unset if the sender doesn't know of one.
+    #[prost(uint64, optional, tag = "4")]
+    pub stored_age_ms: ::core::option::Option<u64>,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct VersionReport {
-    /// Time over which the sender knows all versions, up to now; 0 if its upstreams are out of date.
+    /// Time over which the sender knows all versions, up to the age of its upstreams.
     #[prost(uint64, tag = "1")]
     pub reach_ms: u64,
     #[prost(message, repeated, tag = "2")]
     pub listings: ::prost::alloc::vec::Vec<VersionListing>,
+    /// Age of the sender's list of upstreams.
+    #[prost(uint64, tag = "3")]
+    pub upstreams_age_ms: u64,
 }
 /// Where a stream began.
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/src/path/attempts/choice.rs
+++ b/src/path/attempts/choice.rs
@@ -11,7 +11,9 @@
 use crate::path::dialect::{Dialect, Records};
 use crate::path::regions::AllowedRegions;
 use crate::path::router_state::{Bounds, Tried};
+use crate::path::routes::Repeat;
 use crate::path::upstreams::{Pool, Upstream};
+use crate::path::versions;
 use crate::schema::settings::Decisions;
 use crate::util::Name;
 
@@ -51,7 +53,8 @@
         let max_open = self.connection_quota().open;
         let state = &context.path.state;
         let regions = self.allowed_regions();
-        let bounds = self.bounds(&regions);
+        let unused = self.unused_versions();
+        let bounds = self.bounds(&regions, &unused);
         let (pool, mut candidates) = state.pool(&context.service, &tried, bounds, max_open, now_ms);
         self.close_brittle(&pool, &mut candidates, now_ms);
         loop {
@@ -137,13 +140,29 @@
     }
 
     /// Limits that the upstreams of all attempts must be within.
-    pub(super) fn bounds<'a>(&'a self, regions: &'a [&'a AllowedRegions]) -> Bounds<'a> {
+    pub(super) fn bounds<'a>(
+        &'a self,
+        regions: &'a [&'a AllowedRegions],
+        unused: &'a [Option<Name>],
+    ) -> Bounds<'a> {
         Bounds {
             regions,
             origin: self.origin.as_ref(),
+            unused,
         }
     }
 
+    /// Software versions at which this request may not begin a stream that may be resumed: a router that
+    /// resumes it might not know them yet.
+    pub(super) fn unused_versions(&self) -> Vec<Option<Name>> {
+        let context = &self.context;
+        let is_resumable = context.route.repeat == Repeat::Stream { resumable: true };
+        if !is_resumable || self.origin.is_some() {
+            return Vec::new();
+        }
+        versions::unused(&context.path, &context.service)
+    }
+
     /// Connections that this router may open to each upstream of the service.
     pub(super) fn connection_quota(&self) -> ConnectionQuota {
         let path = &self.context.path;
--- a/src/path/attempts/refusal.rs
+++ b/src/path/attempts/refusal.rs
@@ -35,10 +35,16 @@
             Cause::NoUpstream
         };
         let attempts = self.tried.len();
-        self.refuse(
-            cause,
-            format!("no eligible upstream left after {attempts} attempts"),
-        )
+        let unused = self.unused_versions();
+        if unused.is_empty() {
+            let detail = format!("no eligible upstream left after {attempts} attempts");
+            return self.refuse(cause, detail);
+        }
+        let detail = format!(
+            "no eligible upstream left after {attempts} attempts, and no stream may begin yet at {} new software versions",
+            unused.len()
+        );
+        self.refuse(cause, detail)
     }
 
     /// Returns the refusal of a request that was quarantined after it arrived.
@@ -75,6 +81,8 @@
         let now_ms = context.path.clock.now_ms();
         let state = &context.path.state;
         let regions = self.allowed_regions();
-        state.pushback_ms(&context.service, self.bounds(&regions), now_ms)
+        let unused = self.unused_versions();
+        let bounds = self.bounds(&regions, &unused);
+        state.pushback_ms(&context.service, bounds, now_ms)
     }
 }
--- a/src/path/catch_up.rs
+++ b/src/path/catch_up.rs
@@ -291,10 +291,12 @@
 }
 
 async fn apply_stored_versions<D, V: StoredVersions>(path: &RequestPath<D>, stored: &V) {
-    if !path.versions.is_complete(path.clock.now_ms())
+    let read_ms = path.clock.now_ms();
+    if !path.versions.is_complete(read_ms)
         && let Some(listings) = stored.read().await
     {
-        path.versions.apply_stored(&listings, path.clock.now_ms());
+        let now_ms = path.clock.now_ms();
+        path.versions.apply_stored(&listings, read_ms, now_ms);
     }
 }
 
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -28,7 +28,7 @@
     STOPPING_RETRY_MS, check_end, check_stopping, discard, until_closing,
 };
 use crate::path::stream_origins::{self, Found, TakeUp};
-use crate::path::{RequestPath, answer};
+use crate::path::{RequestPath, answer, versions};
 use crate::schema::peer::Suspicion;
 use crate::stats::{self, NotResumed, Tally};
 use crate::time_limit::within;
@@ -165,6 +165,9 @@
         Some(origin) => origin.service.clone(),
         None => route.draw_service(&mut rand::rng()).clone(),
     };
+    if origin.is_none() && is_resumable(&route) {
+        versions::wait_for_first(&path, &service).await;
+    }
     let admitted = Admitted {
         parts,
         head,
@@ -252,8 +255,11 @@
 
 /// Whether the caller takes up a stream of which it has received events.
 fn takes_up_stream(head: &CallerHead, route: &Route) -> bool {
-    let is_resumable = route.repeat == Repeat::Stream { resumable: true };
-    is_resumable && head.resume_after.is_some_and(|event| event > 0)
+    is_resumable(route) && head.resume_after.is_some_and(|event| event > 0)
+}
+
+fn is_resumable(route: &Route) -> bool {
+    route.repeat == Repeat::Stream { resumable: true }
 }
 
 /// Checks that the request's stream can go on at its `origin`, if it takes up a stream.
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -107,6 +107,8 @@
     pub(crate) regions: &'a [&'a AllowedRegions],
     /// Where the stream began that the request goes on with, if it does.
     pub(crate) origin: Option<&'a Origin>,
+    /// Software versions at which the request's stream may not begin.
+    pub(crate) unused: &'a [Option<Name>],
 }
 
 /// Counts one request at one upstream while it exists.
--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -104,6 +104,17 @@
         }
     }
 
+    /// Excludes the upstreams of software versions at which no stream may begin.
+    fn leave_out(&mut self, unused: &[Option<Name>]) {
+        for (candidate, upstream) in self.all.iter_mut().zip(self.pool.upstreams()) {
+            if unused.contains(&upstream.software) {
+                candidate.excluded = true;
+                candidate.withheld = false;
+                candidate.has_parts = false;
+            }
+        }
+    }
+
     fn has_open(&self) -> bool {
         self.all.iter().any(|c| !c.excluded)
     }
@@ -210,6 +221,14 @@
         if let Some(origin) = bounds.origin {
             candidates.keep_to(origin);
         }
+        if !bounds.unused.is_empty() {
+            candidates.leave_out(bounds.unused);
+        }
+    }
+
+    /// Upstreams of `service`; empty if none is known.
+    pub(crate) fn shared_pool(&self, service: &str) -> Rc<Pool> {
+        self.upstreams.borrow().shared_pool(service)
     }
 
     /// Whether some upstream that takes work can go on with a stream that began at `origin`.
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -196,7 +196,15 @@
     let state = state();
     let pushback_ms = |regions: &[&AllowedRegions]| {
         let origin = None;
-        state.pushback_ms("s", Bounds { regions, origin }, 100)
+        state.pushback_ms(
+            "s",
+            Bounds {
+                regions,
+                origin,
+                unused: &[],
+            },
+            100,
+        )
     };
     for i in 1..6 {
         let left_ms = 1_000 * u64::from(i);
@@ -403,7 +411,11 @@
     };
     let open = |regions: &[&AllowedRegions]| {
         let origin = None;
-        let bounds = Bounds { regions, origin };
+        let bounds = Bounds {
+            regions,
+            origin,
+            unused: &[],
+        };
         let (_, candidates) = state.pool("s", &tried, bounds, u32::MAX, 1);
         candidates.iter().filter(|c| !c.excluded).count()
     };
@@ -567,7 +579,15 @@
     let origin = one.origin();
     let pushback_ms = |origin| {
         let regions = &[];
-        state.pushback_ms("s", Bounds { regions, origin }, 100)
+        state.pushback_ms(
+            "s",
+            Bounds {
+                regions,
+                origin,
+                unused: &[],
+            },
+            100,
+        )
     };
     assert_eq!(pushback_ms(None), None);
     assert_eq!(pushback_ms(Some(&origin)), Some(1_900));
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -47,14 +47,13 @@
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
 use crate::path::stream_origins::moves::Moves;
-use crate::path::stream_origins::search::query;
 use crate::path::stream_origins::stored::Stored;
 use crate::path::stream_origins::table::OriginTable;
 use crate::path::versions;
 use crate::schema::peer::{OriginReply, OriginRequest, StreamOrigin};
 use crate::util::{self, Name};
 
-pub(crate) use crate::path::stream_origins::search::{Found, TakeUp, find};
+pub(crate) use crate::path::stream_origins::search::{Found, TakeUp, find, query};
 pub(crate) use crate::path::stream_origins::stored::{StoreCall, StreamsByOrigin};
 
 /// Number of routers besides its own that are told where a stream began.
@@ -161,8 +160,7 @@
 /// a service gets a second version or a common route with another service, and when a keeper is new.
 pub(crate) fn share_in_progress<D: Records>(path: &Rc<RequestPath<D>>) {
     let now_ms = path.clock.now_ms();
-    let mixed = path.versions.mixed(now_ms).into_iter();
-    let mut shared: HashSet<Name> = mixed.map(|m| m.service).collect();
+    let mut shared: HashSet<Name> = path.versions.mixed(now_ms).into_iter().collect();
     let deployment = path.state.deployment();
     let mut moves = path.origins.moves.borrow_mut();
     moves.update(&deployment, now_ms);
--- a/src/path/stream_origins/message_tests.rs
+++ b/src/path/stream_origins/message_tests.rs
@@ -31,15 +31,17 @@
         service: "chat-large".to_owned(),
         software: Some("2.14.0".to_owned()),
         age_ms: 200,
+        stored_age_ms: Some(60_000),
     };
     let reply = OriginReply {
         origin: None,
         versions: Some(VersionReport {
             reach_ms: 120_000,
             listings: vec![listing],
+            upstreams_age_ms: 400,
         }),
     };
     let sizes = [size(&record), size(&question), size(&reply)];
-    assert_eq!(sizes, [31, 22, 28]);
+    assert_eq!(sizes, [31, 22, 35]);
     assert_eq!(size(&OriginReply::default()), 2);
 }
--- a/src/path/stream_origins/search.rs
+++ b/src/path/stream_origins/search.rs
@@ -19,6 +19,8 @@
 
 /// Number of routers that are asked after the keepers.
 const MORE_ASKED: usize = 14;
+/// Number of routers, this one included, whose agreement suffices in a large fleet.
+const ENOUGH_ROUTERS: usize = 12;
 /// Time limit of a round of queries; routers answer within milliseconds.
 const ROUND_LIMIT: Duration = Duration::from_millis(150);
 
@@ -64,8 +66,17 @@
     origin: Option<Origin>,
     /// Number of routers that have answered.
     answers: usize,
-    /// Whether a router answered that knows all versions.
-    is_whole: bool,
+    /// Number of those that know all versions up to the age of their list.
+    whole: usize,
+    /// Whether one of these has a current list.
+    is_confirmed: bool,
+}
+
+/// What the routers that were asked know of the versions.
+#[derive(Clone, Copy, Default)]
+struct Others {
+    whole: usize,
+    is_confirmed: bool,
 }
 
 /// Finds where the stream began that the caller takes up. The time limit of all queries together is 300 ms,
@@ -76,13 +87,23 @@
     route: &Route,
 ) -> Found {
     let started_ms = path.clock.now_ms();
+    if !versions::is_current(path, started_ms) {
+        // Whether it is current is decided below.
+        path.replica.upstreams_fresh().wait_until_usable().await;
+    }
     versions::refresh(path);
-    let service = only_service(route);
-    let mut trace = Trace::default();
+    let mut search = Search {
+        path,
+        service: only_service(route),
+        started_ms,
+        others: Others::default(),
+        trace: Trace::default(),
+    };
     let found = match take_up.began_as {
-        Some(id) => find_by_id(path, digest(id), service, &mut trace).await,
-        None => only(path, service, false, &mut trace),
+        Some(id) => search.find_by_id(digest(id)).await,
+        None => search.only().await,
     };
+    let trace = search.trace;
     log_search(path, take_up, &found, &trace, started_ms);
     found
 }
@@ -119,96 +140,114 @@
     format!("{}, version {software}", origin.service)
 }
 
-async fn find_by_id<D: Records>(
-    path: &Rc<RequestPath<D>>,
-    stream: u64,
-    service: Option<&Name>,
-    trace: &mut Trace,
-) -> Found {
-    let now_ms = path.clock.now_ms();
-    if let Some((origin, age_ms)) = path.origins.get_with_age(stream, now_ms) {
-        trace.add(format_args!(
-            "own table: {}, {age_ms} ms ago",
-            name(&origin)
-        ));
-        keep(path, stream, &origin);
-        return Found::Origin(origin);
-    }
-    trace.add(format_args!("own table: unknown"));
-    let addrs = other_routers(path, group(stream), KEEPERS + MORE_ASKED);
-    let (keepers, more) = addrs.split_at(addrs.len().min(KEEPERS));
-    // A version that was listed a moment ago may not be known here, but its streams' keepers know it.
-    for (asked, round) in [("keepers", keepers), ("other routers", more)] {
-        let result = ask(path, round, stream, service).await;
-        let (answers, of) = (result.answers, round.len());
-        if let Some(origin) = result.origin {
-            trace.add(format_args!(
-                "{asked}: {}, {answers} of {of} answered",
-                name(&origin)
-            ));
-            keep(path, stream, &origin);
-            return Found::Origin(origin);
+/// One search, and what it has found so far.
+struct Search<'a, D> {
+    path: &'a Rc<RequestPath<D>>,
+    /// The service of all streams of the route, if there is just one.
+    service: Option<&'a Name>,
+    /// Time by which the stream had begun.
+    started_ms: u64,
+    others: Others,
+    trace: Trace,
+}
+
+impl<D: Records> Search<'_, D> {
+    async fn find_by_id(&mut self, stream: u64) -> Found {
+        let path = self.path;
+        let now_ms = path.clock.now_ms();
+        if let Some((origin, age_ms)) = path.origins.get_with_age(stream, now_ms) {
+            let found = format_args!("own table: {}, {age_ms} ms ago", name(&origin)).to_string();
+            return self.keep(stream, origin, &found);
         }
-        trace.add(format_args!("{asked}: unknown, {answers} of {of} answered"));
-        let only = only(path, service, result.is_whole, trace);
-        if only != Found::Unknown {
-            return only;
+        self.trace.add(format_args!("own table: unknown"));
+        let addrs = other_routers(path, group(stream), KEEPERS + MORE_ASKED);
+        let (keepers, more) = addrs.split_at(addrs.len().min(KEEPERS));
+        // A version that was listed a moment ago may not be known here, but its streams' keepers know it.
+        for (asked, round) in [("keepers", keepers), ("other routers", more)] {
+            let result = ask(path, round, stream, self.service).await;
+            let (answers, of) = (result.answers, round.len());
+            if let Some(origin) = result.origin {
+                let found = format!("{asked}: {}, {answers} of {of} answered", name(&origin));
+                return self.keep(stream, origin, &found);
+            }
+            self.others.whole += result.whole;
+            self.others.is_confirmed |= result.is_confirmed;
+            let whole = result.whole;
+            self.trace.add(format_args!(
+                "{asked}: unknown, {answers} of {of} answered, {whole} know all versions"
+            ));
+            let only = self.only().await;
+            if only != Found::Unknown {
+                return only;
+            }
         }
+        self.find_stored(stream).await
     }
-    find_stored(path, stream, trace).await
-}
 
-/// Looks the stream up among those whose origins are stored: the routers that knew it may have ended.
-async fn find_stored<D: Records>(
-    path: &Rc<RequestPath<D>>,
-    stream: u64,
-    trace: &mut Trace,
-) -> Found {
-    let (routers, now_ms) = (path.routers(), path.clock.now_ms());
-    let stored = path.origins.stored();
-    let found = stored.find(stream, routers, now_ms).await;
-    let read_age_ms = stored.read_age_ms(path.clock.now_ms());
-    let Some(origin) = found else {
-        trace.add(format_args!("stored: unknown, read {read_age_ms:?} ms ago"));
-        return Found::Unknown;
-    };
-    trace.add(format_args!(
-        "stored: {}, read {read_age_ms:?} ms ago",
-        name(&origin)
-    ));
-    keep(path, stream, &origin);
-    Found::Origin(origin)
-}
+    /// Looks the stream up among those whose origins are stored: the routers that knew it may have ended.
+    async fn find_stored(&mut self, stream: u64) -> Found {
+        let path = self.path;
+        let (routers, now_ms) = (path.routers(), path.clock.now_ms());
+        let stored = path.origins.stored();
+        let found = stored.find(stream, routers, now_ms).await;
+        let read_age_ms = stored.read_age_ms(path.clock.now_ms());
+        let Some(origin) = found else {
+            self.trace
+                .add(format_args!("stored: unknown, read {read_age_ms:?} ms ago"));
+            return Found::Unknown;
+        };
+        let found = format!("stored: {}, read {read_age_ms:?} ms ago", name(&origin));
+        self.keep(stream, origin, &found)
+    }
 
-/// The only version of `service`. Whether no other one can be missing here is decided by the state of
-/// this router, unless a router that knows all versions has just reported them.
-fn only<D: Records>(
-    path: &RequestPath<D>,
-    service: Option<&Name>,
-    is_confirmed: bool,
-    trace: &mut Trace,
-) -> Found {
-    let service = service.filter(|service| !path.origins.is_moved(service));
-    let Some(service) = service else {
-        trace.add(format_args!(
-            "only version: the route has or had several services"
-        ));
-        return Found::Unknown;
-    };
-    if !is_confirmed && !versions::is_current(path) {
-        trace.add(format_args!("only version: others may be missing here"));
-        return Found::Unknown;
+    fn keep(&mut self, stream: u64, origin: Origin, found: &str) -> Found {
+        self.trace.add(format_args!("{found}"));
+        keep(self.path, stream, &origin);
+        Found::Origin(origin)
     }
-    match path.versions.only(service, path.clock.now_ms()) {
-        Some(software) => Found::Only(Origin {
-            service: service.clone(),
-            software,
-        }),
-        None => {
-            let known = path.versions.describe(service, path.clock.now_ms());
-            trace.add(format_args!("only version: none, {known}"));
-            Found::Unknown
+
+    /// The only version at which the stream can have begun.
+    async fn only(&mut self) -> Found {
+        let path = self.path;
+        let service = self
+            .service
+            .filter(|service| !path.origins.is_moved(service));
+        let Some(service) = service else {
+            self.trace.add(format_args!(
+                "only version: the route has or had several services"
+            ));
+            return Found::Unknown;
+        };
+        if versions::is_current(path, self.started_ms) {
+            versions::read_if_needed(path, service).await;
+        } else if !self.others.is_confirmed && !self.is_agreed() {
+            self.trace
+                .add(format_args!("only version: others may be missing here"));
+            return Found::Unknown;
         }
+        let now_ms = path.clock.now_ms();
+        match path.versions.only_used(service, self.started_ms, now_ms) {
+            Some(software) => Found::Only(Origin {
+                service: service.clone(),
+                software,
+            }),
+            None => {
+                let known = path.versions.describe(service, now_ms);
+                self.trace.add(format_args!("only version: none, {known}"));
+                Found::Unknown
+            }
+        }
+    }
+
+    /// Whether so many routers know no other versions that none is in use while the log is away. They were asked
+    /// after the stream had begun.
+    ///
+    /// Failure guarded against: a router that was paused counts the others by their last reports, reaches none of
+    /// them, and takes the version that it knows for the only one.
+    fn is_agreed(&self) -> bool {
+        let members = self.path.fleet.borrow().members.len();
+        let majority = members / 2 + 1;
+        self.others.whole + 1 >= majority.min(ENOUGH_ROUTERS)
     }
 }
 
@@ -245,7 +284,10 @@
                 return;
             }
             let report = reply.versions.unwrap_or_default();
-            result.is_whole |= versions::is_whole(&report);
+            if versions::is_whole(&report) {
+                result.whole += 1;
+                result.is_confirmed |= versions::is_report_current(&report);
+            }
             let now_ms = path.clock.now_ms();
             path.versions
                 .merge_service(&question.service, report, now_ms);
@@ -256,7 +298,8 @@
     result
 }
 
-pub(super) async fn query<D>(
+/// Sends a query about a stream's origin to the router at `addr`.
+pub(crate) async fn query<D>(
     path: &RequestPath<D>,
     addr: &Name,
     request: &OriginRequest,
--- a/src/path/versions_tests.rs
+++ b/src/path/versions_tests.rs
@@ -3,15 +3,17 @@
 use super::regions::Regions;
 use super::router_state::{RetryLimit, RouterState};
 use super::upstreams::Upstream;
-use super::versions::{MixedService, ServiceVersions};
+use super::versions::{GONE_AFTER_MS, ServiceVersions, VersionCall};
+use crate::decide::versions::{LIST_AGE_MS, Listing};
 use crate::fleet::gossip::Gossip;
+use crate::schema::peer::{VersionListing, VersionReport};
 
 const ERA: u64 = 1;
 
 struct Fixture {
     state: RouterState,
     versions: ServiceVersions,
-    stored: mpsc::Receiver<MixedService>,
+    stored: mpsc::Receiver<VersionCall>,
     now_ms: u64,
 }
 
@@ -56,53 +58,100 @@
 
     /// Looks at the upstreams a second later, and returns the versions that are stored and whether each of
     /// them is listed.
-    fn refresh(&mut self, era: u64) -> Option<Vec<(String, bool)>> {
+    fn refresh(&mut self, era: u64) -> Vec<(String, bool)> {
         self.now_ms += 1_000;
-        self.versions.refresh(&self.state, self.now_ms);
-        self.versions.store_changed(era, self.now_ms);
-        let stored = self.stored.try_recv().ok()?;
-        let name = |software: Option<crate::util::Name>| {
-            software.map_or_else(|| "none".to_owned(), |s| s.to_string())
-        };
-        let versions = stored.versions.into_iter();
-        let mut versions: Vec<_> = versions.map(|v| (name(v.software), v.is_listed)).collect();
-        versions.sort();
-        Some(versions)
+        let now_ms = self.now_ms;
+        self.versions.refresh(&self.state, now_ms, now_ms);
+        self.versions.store_changed(era, now_ms);
+        self.sent()
+    }
+
+    /// The versions that were sent to be stored, all of which succeeds.
+    fn sent(&mut self) -> Vec<(String, bool)> {
+        let mut sent = Vec::new();
+        while let Ok(VersionCall::Write(record, outcomes)) = self.stored.try_recv() {
+            let software = record.key.software.as_ref();
+            let name = software.map_or_else(|| "none".to_owned(), |s| s.to_string());
+            sent.push((name, record.is_listed));
+            outcomes.borrow_mut().push((record.key, true));
+        }
+        sent.sort();
+        sent
+    }
+
+    /// Looks each second until a version that was removed counts as gone.
+    fn refresh_until_gone(&mut self) -> Vec<(String, bool)> {
+        let looks = GONE_AFTER_MS / 1_000;
+        (0..looks).flat_map(|_| self.refresh(ERA)).collect()
     }
 }
 
-fn versions(of: &[(&str, bool)]) -> Option<Vec<(String, bool)>> {
-    let owned = of
-        .iter()
-        .map(|(name, listed)| ((*name).to_owned(), *listed));
-    Some(owned.collect())
+fn versions(expected: &[(&str, bool)]) -> Vec<(String, bool)> {
+    let owned = expected.iter().map(|(name, is)| ((*name).to_owned(), *is));
+    owned.collect()
 }
 
-/// On an ordinary day each router that reads the log would write a record a second, or none when a version
-/// appears or goes.
+/// A version without a record would be unknown after a restart of all routers. On an ordinary day each router
+/// that reads the log would write a record a second.
 #[test]
-fn versions_are_stored_when_they_change_and_there_are_several() {
+fn versions_are_stored_when_they_appear_and_go() {
     let mut fixture = Fixture::open(8);
     fixture.put("i-1", Some("v1"));
     fixture.put("i-2", Some("v1"));
-    assert_eq!(fixture.refresh(ERA), None);
+    assert_eq!(fixture.refresh(ERA), versions(&[("v1", true)]));
+    assert_eq!(fixture.refresh(ERA), versions(&[]));
     fixture.put("i-3", Some("v2"));
-    assert_eq!(
-        fixture.refresh(ERA),
-        versions(&[("v1", true), ("v2", true)])
-    );
-    assert_eq!(fixture.refresh(ERA), None);
+    assert_eq!(fixture.refresh(ERA), versions(&[("v2", true)]));
+    assert_eq!(fixture.refresh(ERA), versions(&[]));
     fixture.remove("i-1");
-    assert_eq!(fixture.refresh(ERA), None);
+    assert_eq!(fixture.refresh_until_gone(), versions(&[]));
     fixture.remove("i-2");
-    assert_eq!(
-        fixture.refresh(ERA),
-        versions(&[("v1", false), ("v2", true)])
-    );
-    assert_eq!(fixture.refresh(ERA), None);
+    assert_eq!(fixture.refresh_until_gone(), versions(&[("v1", false)]));
+    assert_eq!(fixture.refresh(ERA), versions(&[]));
     fixture.put("i-3", None);
-    let all = [("none", true), ("v1", false), ("v2", false)];
-    assert_eq!(fixture.refresh(ERA), versions(&all));
+    assert_eq!(fixture.refresh(ERA), versions(&[("none", true)]));
+    fixture.put("i-1", Some("v1"));
+    assert_eq!(fixture.refresh(ERA), versions(&[("v1", true)]));
+}
+
+/// A router with an old list would mark a version as gone that another one has just stored.
+#[test]
+fn version_that_another_router_knows_is_not_marked_as_gone() {
+    let mut fixture = Fixture::open(8);
+    fixture.put("i-1", Some("v1"));
+    fixture.refresh(ERA);
+    let listing = VersionListing {
+        service: "s".to_owned(),
+        software: Some("v2".to_owned()),
+        age_ms: 0,
+        stored_age_ms: Some(100),
+    };
+    let report = VersionReport {
+        reach_ms: 0,
+        listings: vec![listing],
+        upstreams_age_ms: 0,
+    };
+    fixture.versions.merge_service("s", report, fixture.now_ms);
+    for _ in 0..2 * GONE_AFTER_MS / 1_000 {
+        assert_eq!(fixture.refresh(ERA), versions(&[]));
+    }
+}
+
+/// All routers restart after a version has left, of which the record says that it is listed. It would count as
+/// listed until then after each restart.
+#[test]
+fn version_that_left_before_a_restart_is_stored_as_gone() {
+    let mut fixture = Fixture::open(8);
+    fixture.put("i-2", Some("v2"));
+    let stored = Listing {
+        service: "s".into(),
+        software: Some("v1".into()),
+        age_ms: 0,
+        stored_age_ms: Some(60_000),
+    };
+    fixture.versions.apply_stored(&[stored], 1, 1);
+    let expected = versions(&[("v2", true), ("v1", false)]);
+    assert_eq!(fixture.refresh_until_gone(), expected);
 }
 
 /// The log is restored from a copy that lacks the record, and then all routers restart.
@@ -114,24 +163,56 @@
     let both = versions(&[("v1", true), ("v2", true)]);
     assert_eq!(fixture.refresh(ERA), both);
     assert_eq!(fixture.refresh(ERA + 1), both);
-    assert_eq!(fixture.refresh(ERA + 1), None);
+    assert_eq!(fixture.refresh(ERA + 1), versions(&[]));
 }
 
-/// More services change than may wait to be written. A change that found no room would be missing after a
+/// More versions change than may wait to be written. One that found no room would be missing after a
 /// restart of all routers.
 #[test]
 fn change_that_found_no_room_is_stored_later() {
     let mut fixture = Fixture::open(1);
     fixture.put("i-1", Some("v1"));
     fixture.put("i-2", Some("v2"));
-    fixture.versions.refresh(&fixture.state, 1);
+    let mut sent = fixture.refresh(ERA);
+    assert_eq!(sent.len(), 1);
+    sent.extend(fixture.refresh(ERA));
+    sent.sort();
+    assert_eq!(sent, versions(&[("v1", true), ("v2", true)]));
+    assert_eq!(fixture.refresh(ERA), versions(&[]));
+}
+
+/// A record that could not be written in an outage of the store would never be.
+#[test]
+fn version_that_was_not_written_is_sent_again() {
+    let mut fixture = Fixture::open(8);
+    fixture.put("i-1", Some("v1"));
+    fixture.versions.refresh(&fixture.state, 1, 1);
     fixture.versions.store_changed(ERA, 1);
-    fixture.remove("i-1");
-    fixture.versions.refresh(&fixture.state, 2);
-    fixture.versions.store_changed(ERA, 2);
-    fixture.stored.try_recv().unwrap();
-    assert_eq!(
-        fixture.refresh(ERA),
-        versions(&[("v1", false), ("v2", true)])
+    let Ok(VersionCall::Write(record, outcomes)) = fixture.stored.try_recv() else {
+        panic!("nothing was sent");
+    };
+    outcomes.borrow_mut().push((record.key, false));
+    assert_eq!(fixture.refresh(ERA), versions(&[("v1", true)]));
+    assert_eq!(fixture.refresh(ERA), versions(&[]));
+}
+
+/// The list wasn't confirmed for a while, in which a version can have come and gone: the records tell.
+#[test]
+fn records_are_read_again_after_a_gap() {
+    let mut fixture = Fixture::open(8);
+    fixture.put("i-1", Some("v1"));
+    fixture.versions.apply_stored(&[], 1, 1);
+    fixture.refresh(ERA);
+    assert!(!fixture.versions.must_read("s", fixture.now_ms));
+    fixture.now_ms += LIST_AGE_MS;
+    fixture.refresh(ERA);
+    let now_ms = fixture.now_ms;
+    assert!(fixture.versions.must_read("s", now_ms));
+    fixture.versions.apply_stored(&[], now_ms - 1, now_ms);
+    assert!(
+        fixture.versions.must_read("s", now_ms),
+        "the read began before"
     );
+    fixture.versions.apply_stored(&[], now_ms, now_ms);
+    assert!(!fixture.versions.must_read("s", now_ms));
 }
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -51,6 +51,7 @@
 const LOG_RESTORES: &str = "cassiagrade_log_restores_total";
 const READS_BEYOND_END: &str = "cassiagrade_log_reads_beyond_end_total";
 const LOG_ERA: &str = "cassiagrade_log_era";
+const VERSIONS_UNUSED: &str = "cassiagrade_versions_unused";
 const UPSTREAMS_KNOWN: &str = "cassiagrade_upstreams_known";
 
 /// Upper bucket bounds of all `_ms` histograms.
@@ -189,6 +190,10 @@
         UPSTREAM_QUEUED,
         "Requests waiting for an upstream that is at home here"
     );
+    describe_gauge!(
+        VERSIONS_UNUSED,
+        "Listed software versions at which no stream may begin yet"
+    );
     describe_gauge!(UPSTREAMS_KNOWN, "Upstreams that the platform lists");
     describe_counter!(
         HELD_FOR_REFRESH,
@@ -231,6 +236,11 @@
 }
 
 /// Sets the number of upstreams known to this router.
+pub(crate) fn versions_unused(versions: usize) {
+    gauge!(VERSIONS_UNUSED).set(versions as f64);
+}
+
+/// Records how many upstreams the platform lists.
 pub(crate) fn upstreams_known(count: usize) {
     gauge!(UPSTREAMS_KNOWN).set(count as f64);
 }
--- a/tests/routed_origins.rs
+++ b/tests/routed_origins.rs
@@ -9,7 +9,7 @@
 use support::routed::RoutedFleet;
 use support::streams::{
     Broken, EVENTS, PATH, STREAMS, break_streams, restart_all, resumed, spawn_upstream, start,
-    take_up, versions_of, wait_all_ready,
+    take_up, versions_of, wait_all_ready, wait_versions_in_use,
 };
 use support::{Received, get, set_knobs, sleep_ms, wait_until};
 use test_case::test_case;
@@ -87,7 +87,8 @@
     assert_eq!(resumed(&routed, 1, &streams).await, STREAMS);
 }
 
-/// On an ordinary day streams would cost messages between routers, and records on the platform.
+/// On an ordinary day streams would cost messages between routers, and records on the platform. There is one of
+/// the version.
 #[compio::test]
 async fn streams_of_the_only_version_cost_no_message() {
     let mut routed = start(&["v1", "v1"]).await;
@@ -100,6 +101,9 @@
     };
     break_streams(&mut routed, cut).await;
     let stored = stored_versions(&routed).await;
+    assert_eq!(stored.matches("\"key\"").count(), 1, "{stored}");
+    let stored = "/log-newest?stream_name=keyed.origins&part=0";
+    let stored = get(routed.store.addr, stored).await.unwrap();
     assert!(!stored.contains("\"key\""), "{stored}");
 }
 
@@ -238,7 +242,7 @@
     assert_eq!(versions_of(&routed, &id), ["v1"]);
     spawn_upstream(&mut routed, "v2").await;
     wait_all_ready(&routed).await;
-    sleep_ms(300).await;
+    wait_versions_in_use(&routed).await;
     let (id, received) = routed.call_with(1, PATH, "40", &headers).await;
     assert_eq!(received.map(|r| r.status), Some(503));
     assert_eq!(routed.runs_of(&id), 0);
--- a/tests/support/streams.rs
+++ b/tests/support/streams.rs
@@ -62,9 +62,22 @@
         routed.spawn_router(i);
     }
     wait_all_ready(&routed).await;
+    wait_versions_in_use(&routed).await;
     routed
 }
 
+/// Waits until streams begin at all listed versions at each router that runs.
+pub(crate) async fn wait_versions_in_use(routed: &RoutedFleet) {
+    for i in 0..u8::try_from(routed.routers.len()).unwrap() {
+        let at = routed.admin(i);
+        wait_until("all versions in use", || async {
+            let page = get(at, "/metrics").await.unwrap_or_default();
+            page.lines().any(|l| l == "cassiagrade_versions_unused 0")
+        })
+        .await;
+    }
+}
+
 pub(crate) async fn spawn_upstream(routed: &mut RoutedFleet, version: &str) {
     let at = spawn_unlisted_upstream(routed, version).await;
     list_upstream(at).await;
