--- a/src/path/catch_up.rs
+++ b/src/path/catch_up.rs
@@ -14,6 +14,7 @@
 use rand::seq::IteratorRandom;
 use tokio::sync::Notify;
 
+use crate::decide::versions::FIRST_USE_MS;
 use crate::fleet::member::MemberState;
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
@@ -240,7 +241,9 @@
             apply(&path, stored.unwrap_or_default());
         }
     };
-    join(suspicions, apply_stored_versions(&path, &*stored.versions)).await;
+    let have_all_started = end == End::AllHaveJustStarted;
+    let versions = apply_stored_versions(&path, &*stored.versions, have_all_started);
+    join(suspicions, versions).await;
     path.catch_up.end(end, asked.len());
     let source = match end {
         End::Answered => "other routers",
@@ -290,11 +293,23 @@
     }
 }
 
-async fn apply_stored_versions<D, V: StoredVersions>(path: &RequestPath<D>, stored: &V) {
+/// If all routers have just started, each reads the records before it takes up a stream, so that none lacks
+/// what they name.
+async fn apply_stored_versions<D, V: StoredVersions>(
+    path: &RequestPath<D>,
+    stored: &V,
+    have_all_started: bool,
+) {
     let read_ms = path.clock.now_ms();
     if !path.versions.is_complete(read_ms)
-        && let Some(listings) = stored.read().await
+        && let Some(mut listings) = stored.read().await
     {
+        if have_all_started {
+            for listing in &mut listings {
+                let age_ms = listing.stored_age_ms.unwrap_or(0);
+                listing.stored_age_ms = Some(age_ms.max(FIRST_USE_MS));
+            }
+        }
         let now_ms = path.clock.now_ms();
         path.versions.apply_stored(&listings, read_ms, now_ms);
     }
