--- a/tests/routed_out_of_step.rs
+++ b/tests/routed_out_of_step.rs
@@ -11,9 +11,9 @@
 use serde_json::json;
 use support::routed::{HOST, KEY, RoutedFleet, new_request_id};
 use support::streams::{
-    Begun, Broken, STREAMS, begin, break_streams, kill_all, list_upstream, restart_all, resumed,
-    spawn_unlisted_upstream, spawn_upstream, start, start_with_store_relays, try_resume,
-    versions_of, wait_all_ready,
+    Begun, Broken, STREAMS, TakenUp, assert_none_joined, begin, break_streams, kill_all,
+    list_upstream, restart_all, resume, resumed, spawn_unlisted_upstream, spawn_upstream, start,
+    start_with_store_relays, try_resume, versions_of, wait_all_ready,
 };
 use support::{Caller, set_knobs, sleep_ms, wait_until};
 use test_case::test_case;
@@ -71,41 +71,75 @@
     assert!(share_kept, "{went_on} of {of} streams went on");
 }
 
-/// Two versions serve, and router 1, which stands still, and lacks the store, knows only the older one. It
-/// goes on when the others have ended or hang, and gets all streams.
-async fn resume_out_of_step(older: &str, pause_ms: u64, is_store_away: bool) {
-    let mut routed = start_with_store_relays(&[older, older]).await;
+/// How router 1 gets out of step.
+struct OutOfStep {
+    older: &'static str,
+    /// Time between the begin of the streams and the end of router 0.
+    pause_ms: u64,
+    /// Whether the store hangs from then on.
+    is_store_away: bool,
+    /// Whether router 2 gets out of step, too, and goes on. Otherwise it hangs when router 1 goes on.
+    is_majority: bool,
+}
+
+const OUT_OF_STEP: OutOfStep = OutOfStep {
+    older: "v1",
+    pause_ms: 500,
+    is_store_away: false,
+    is_majority: false,
+};
+
+/// Two versions serve, and router 1, which stands still and lacks the store, knows only the older one. It
+/// goes on when router 0 has ended, and gets all streams.
+async fn resume_out_of_step(how: OutOfStep) {
+    let mut routed = start_with_store_relays(&[how.older, how.older]).await;
     let mut newer = Vec::new();
     for _ in 0..2 {
         newer.push(spawn_unlisted_upstream(&mut routed, "v2").await);
     }
-    routed.store_relays[1].set(json!({ "stall": true })).await;
-    routed.routers[1].freeze();
+    let out_of_step = if how.is_majority { 1..3 } else { 1..2 };
+    for i in out_of_step.clone() {
+        let relay = &routed.store_relays[i];
+        relay.set(json!({ "stall": true })).await;
+        routed.routers[i].freeze();
+    }
     join_all(newer.into_iter().map(list_upstream)).await;
     wait_begins_at(&routed, "v2").await;
     let at = routed.caller(0);
     let begun = (0..STREAMS).map(|n| compio::runtime::spawn(begin(at, n)));
     let begun: Vec<_> = begun.collect();
-    sleep_ms(pause_ms).await;
-    if is_store_away {
+    sleep_ms(how.pause_ms).await;
+    if how.is_store_away {
         routed.store.freeze();
     }
     routed.routers[0].kill();
     routed.routers[2].freeze();
-    routed.routers[1].unfreeze();
+    for router in &routed.routers[out_of_step] {
+        router.unfreeze();
+    }
     let streams = with_events(begun).await;
     let at_newer = |stream: &&Broken| versions_of(&routed, &stream.id) == ["v2"];
     let newer = streams.iter().filter(at_newer).count();
     assert!(newer > 0, "{} streams began, none at v2", streams.len());
     send_fast(&routed).await;
-    // At first it may refuse all as its list is too old. Callers try again, until it must have noticed that it
-    // reaches neither the store nor another router.
+    let taken_up = join_all(
+        streams
+            .iter()
+            .map(|stream| resume_for_long(&routed, stream)),
+    )
+    .await;
+    assert_none_joined(&taken_up);
+}
+
+/// Takes up a stream at router 1 until it goes on. At first the router may refuse it as its state is too old,
+/// and then decide by that nevertheless as it can't get a newer one.
+async fn resume_for_long(routed: &RoutedFleet, stream: &Broken) -> TakenUp {
     let since = Instant::now();
-    let mut left = streams;
-    while !left.is_empty() && since.elapsed() < RETRIED_FOR {
-        let went_on = try_resume(&routed, 1, &left).await;
-        let mut went_on = went_on.into_iter();
-        left.retain(|_| !went_on.next().unwrap());
+    loop {
+        let end = resume(routed, 1, stream).await;
+        if end != TakenUp::Refused || since.elapsed() >= RETRIED_FOR {
+            return end;
+        }
         sleep_ms(RETRY_MS).await;
     }
 }
@@ -118,16 +152,47 @@
 #[test_case("v1", 3_000; "3000 ms")]
 #[test_case("", 500; "no version before")]
 #[compio::test]
-async fn taken_up_streams_are_not_joined_by_a_router_out_of_step(older: &str, pause_ms: u64) {
-    resume_out_of_step(older, pause_ms, false).await;
+async fn taken_up_streams_are_not_joined_by_a_router_out_of_step(
+    older: &'static str,
+    pause_ms: u64,
+) {
+    resume_out_of_step(OutOfStep {
+        older,
+        pause_ms,
+        ..OUT_OF_STEP
+    })
+    .await;
 }
 
 /// As above, and the store hangs, so nothing can be looked up there.
 #[test_case("v1"; "version before")]
 #[test_case(""; "no version before")]
 #[compio::test]
-async fn taken_up_streams_are_not_joined_out_of_step_without_the_store(older: &str) {
-    resume_out_of_step(older, 500, true).await;
+async fn taken_up_streams_are_not_joined_out_of_step_without_the_store(older: &'static str) {
+    resume_out_of_step(OutOfStep {
+        older,
+        is_store_away: true,
+        ..OUT_OF_STEP
+    })
+    .await;
+}
+
+/// Most routers haven't heard of the second version, and confirm to one another that there is one.
+#[test_case(500, false; "500 ms")]
+#[test_case(3_000, false; "3000 ms")]
+#[test_case(500, true; "store hangs")]
+#[compio::test]
+async fn taken_up_streams_are_not_joined_by_a_majority_out_of_step(
+    pause_ms: u64,
+    is_store_away: bool,
+) {
+    resume_out_of_step(OutOfStep {
+        pause_ms,
+        is_store_away,
+        is_majority: true,
+        ..OUT_OF_STEP
+    })
+    .await;
 }
 
 /// Streams that began just before all routers end are known to nobody but the platform, which was told
--- a/tests/support/streams.rs
+++ b/tests/support/streams.rs
@@ -31,6 +31,16 @@
     received: Option<Received>,
 }
 
+/// What became of a stream that was taken up.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum TakenUp {
+    /// It went on at its version to its end.
+    WentOn,
+    Refused,
+    /// It went on at another version.
+    Joined(String),
+}
+
 /// Three routers, and upstreams of these versions in order, which send their events slowly.
 pub(crate) async fn start(versions: &[&str]) -> RoutedFleet {
     start_with(FleetSize::default(), versions).await
@@ -180,32 +190,36 @@
 /// Takes up all streams at router `i`, and returns which of them went on to their end. None may go on at
 /// another version.
 pub(crate) async fn try_resume(routed: &RoutedFleet, i: u8, streams: &[Broken]) -> Vec<bool> {
-    let taken_up = join_all(streams.iter().map(|b| take_up(routed, i, b))).await;
-    let mut joined = Vec::new();
-    let mut resumed = Vec::new();
-    for (stream, (id, received)) in streams.iter().zip(taken_up) {
-        let began = versions_of(routed, &stream.id);
-        let went_on = versions_of(routed, &id);
-        if went_on.iter().any(|version| !began.contains(version)) {
-            joined.push(format!("a stream of {began:?} went on at {went_on:?}"));
-            continue;
-        }
-        assert_eq!(began.len(), 1);
-        let received = received.expect("an answer");
-        if received.status == 200 {
-            assert_eq!(last_event(&received), EVENTS);
-        } else {
-            assert_eq!(received.status, 503, "{}", received.body);
-            assert!(went_on.is_empty());
-        }
-        resumed.push(received.status == 200);
+    let taken_up = join_all(streams.iter().map(|stream| resume(routed, i, stream))).await;
+    assert_none_joined(&taken_up);
+    let went_on = taken_up.iter().map(|end| *end == TakenUp::WentOn);
+    went_on.collect()
+}
+
+/// Takes up a stream at router `i`.
+pub(crate) async fn resume(routed: &RoutedFleet, i: u8, stream: &Broken) -> TakenUp {
+    let (id, received) = take_up(routed, i, stream).await;
+    let began = versions_of(routed, &stream.id);
+    let went_on = versions_of(routed, &id);
+    if went_on.iter().any(|version| !began.contains(version)) {
+        return TakenUp::Joined(format!("a stream of {began:?} went on at {went_on:?}"));
     }
-    let (joined_count, count) = (joined.len(), streams.len());
-    assert!(
-        joined.is_empty(),
-        "{joined_count} of {count} joined: {joined:?}"
-    );
-    resumed
+    assert_eq!(began.len(), 1);
+    let received = received.expect("an answer");
+    if received.status == 200 {
+        assert_eq!(last_event(&received), EVENTS);
+        return TakenUp::WentOn;
+    }
+    assert_eq!(received.status, 503, "{}", received.body);
+    assert!(went_on.is_empty());
+    TakenUp::Refused
+}
+
+pub(crate) fn assert_none_joined(taken_up: &[TakenUp]) {
+    let is_joined = |end: &&TakenUp| matches!(end, TakenUp::Joined(_));
+    let joined: Vec<&TakenUp> = taken_up.iter().filter(is_joined).collect();
+    let (count, of) = (joined.len(), taken_up.len());
+    assert!(joined.is_empty(), "{count} of {of} joined: {joined:?}");
 }
 
 /// Kills all routers at the same time.
