Requests bound to regions are delegated only inside them

A router that was cut off from all upstreams handed requests, bodies included, to any router that reached them, also outside the regions to which the route or the account is bound, though one inside was idle. The same held for the router that runs a suspected request and for the home of a brittle upstream.

Cause: RequestPath::delegates, trial_routers and the choice of a brittle upstream's home looked at the routers' state only. The regions of route and account bounded the upstreams and the entry addresses, not the routers in between.

Now all three take only routers in a region that route and account both allow. The region of the router that the caller connected to makes no exception: the caller's own region isn't known, and all routers must find the same router for a suspected request. If none is in these regions, only the first one among all runs such a request, and the others refuse it as not run. A brittle upstream whose home may not see the body counts as not available. A cut-off router without an allowed delegate refuses the request as not run. The death check asks whether any router reaches the service, as before.

--- a/src/path/attempts/choice.rs
+++ b/src/path/attempts/choice.rs
@@ -11,6 +11,7 @@
 use crate::path::dialect::{Dialect, Records};
 use crate::path::regions::AllowedRegions;
 use crate::path::router_state::{Bounds, Tried};
+use crate::path::routes;
 use crate::path::upstreams::{Pool, Upstream};
 use crate::schema::settings::Decisions;
 use crate::util::Name;
@@ -127,7 +128,8 @@
             Home::Own if path.state.is_gate_open(upstream, borne, now_ms) => Sender::Own,
             Home::Other(home) => {
                 path.state.hand_over(upstream);
-                if delegated.is_some() || self.closed.len() >= MAX_HOMES_ASKED {
+                let may_go_there = path.may_delegate_to(&home, &self.allowed_regions());
+                if delegated.is_some() || !may_go_there || self.closed.len() >= MAX_HOMES_ASKED {
                     return Sender::None;
                 }
                 Sender::Home(home)
@@ -153,9 +155,8 @@
 
     /// Regions that the request may go to, by its route and by its account.
     pub(super) fn allowed_regions(&self) -> [&AllowedRegions; 2] {
-        let account = self.context.account.as_ref();
-        let account_regions = account.map_or(&None, |a| &a.allowed_regions);
-        [&self.context.route.allowed_regions, account_regions]
+        let RequestContext { route, account, .. } = &self.context;
+        routes::allowed_regions(route, account.as_deref())
     }
 }
 
--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -48,7 +48,7 @@
         if self.context.delegated.is_some() {
             return Ok(None);
         }
-        let routers = path.trial_routers(self.context.fingerprint);
+        let routers = path.trial_routers(self.context.fingerprint, &self.allowed_regions());
         for router in routers.iter().take(MAX_TRIAL_ROUTERS) {
             if router.host == path.host {
                 return Ok(None);
@@ -79,7 +79,7 @@
         }
         let path = self.context.path.clone();
         let mut refusal = None;
-        let mut routers = path.delegates(&self.context.service);
+        let mut routers = path.delegates(&self.context.service, &self.allowed_regions());
         routers.sort_by_key(|router| self.delivered_to.contains(&router.host));
         for router in routers {
             let reason = "no upstream can be reached from here";
--- a/src/path/death_check.rs
+++ b/src/path/death_check.rs
@@ -63,7 +63,7 @@
             path.state.record_unreachable(upstream, now_ms);
             // If others reach the service, this router is cut off, and a refusal shows nothing. They may
             // not have noticed yet that the service is down.
-            if path.delegates(&upstream.service).is_empty() {
+            if path.delegates(&upstream.service, &[]).is_empty() {
                 path.state.record_death(&upstream.incarnation(), now_ms);
                 return;
             }
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -295,15 +295,45 @@
         fleet.get(host).map(|m| m.peer_addr.clone())
     }
 
+    /// Whether a request that is bound to `allowed_regions` may be delegated to `router`.
+    ///
+    /// The region of the caller's own router makes no difference: it needn't be the caller's, and the
+    /// routers agree on who runs a suspected request only if none of them counts differently.
+    pub(crate) fn may_delegate_to(
+        &self,
+        router: &Member,
+        allowed_regions: &[&AllowedRegions],
+    ) -> bool {
+        let regions = self.state.regions();
+        regions.allow(allowed_regions, &router.data_center)
+    }
+
     /// Returns the routers at which runs of a suspected request take place: the first one that can be
     /// reached. Without knowing the fleet, this router can't tell.
-    pub(crate) fn trial_routers(&self, fingerprint: u64) -> Vec<Member> {
+    ///
+    /// If no router is in an allowed region, the request may leave none, and only the one that comes first
+    /// among all runs it.
+    pub(crate) fn trial_routers(
+        &self,
+        fingerprint: u64,
+        allowed_regions: &[&AllowedRegions],
+    ) -> Vec<Member> {
         if !self.has_met_fleet() {
             return Vec::new();
         }
         let fleet = self.fleet.borrow();
         let routers = homes::order(&fleet, &fingerprint.to_string(), "");
-        routers.into_iter().cloned().collect()
+        let is_allowed = |router: &&&Member| self.may_delegate_to(router, allowed_regions);
+        let allowed: Vec<Member> = routers
+            .iter()
+            .filter(is_allowed)
+            .map(|&m| m.clone())
+            .collect();
+        if !allowed.is_empty() {
+            return allowed;
+        }
+        let first = routers.first().filter(|router| router.host == self.host);
+        first.map(|&m| m.clone()).into_iter().collect()
     }
 
     /// Returns the home of `upstream`, the one router that sends to it while it is brittle.
@@ -320,9 +350,13 @@
         }
     }
 
-    /// Returns routers to which requests for `service` are delegated, in the order in which they are asked:
-    /// some that reach its upstreams, if this router reaches none.
-    pub(crate) fn delegates(&self, service: &str) -> Vec<Member> {
+    /// Returns routers to which requests for `service` that are bound to `allowed_regions` are delegated, in
+    /// the order in which they are asked: some that reach its upstreams, if this router reaches none.
+    pub(crate) fn delegates(
+        &self,
+        service: &str,
+        allowed_regions: &[&AllowedRegions],
+    ) -> Vec<Member> {
         if !self.state.is_cut_off(service) {
             return Vec::new();
         }
@@ -330,6 +364,7 @@
         let reaching = self.state.reaching_routers(service).into_iter();
         let members = reaching.filter_map(|host| fleet.get(&host).cloned());
         let available = members.filter(Member::takes_work);
+        let available = available.filter(|m| self.may_delegate_to(m, allowed_regions));
         available.choose_multiple(&mut rand::rng(), MAX_DELEGATES)
     }
 
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -23,7 +23,7 @@
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::log_replica::LogReplica;
 use crate::path::refusal::{QUARANTINED, RETRY_AFTER_MS, Refused, STALE_STATE, no_version_left};
-use crate::path::routes::{Account, CallerLimits, Deployment, Repeat, Route};
+use crate::path::routes::{self, Account, CallerLimits, Deployment, Repeat, Route};
 use crate::path::stop_admission::{
     STOPPING_RETRY_MS, check_end, check_stopping, discard, until_closing,
 };
@@ -338,11 +338,13 @@
     tally.service(&service);
     check_end(&path, &route, deadline)?;
     // The router that sends a delegated request has it wait for its turn.
-    let permit = if delegated.is_none() && !path.delegates(&service).is_empty() {
+    let account_ref = account.as_deref();
+    let allowed_regions = routes::allowed_regions(&route, account_ref);
+    let has_delegates = || !path.delegates(&service, &allowed_regions).is_empty();
+    let permit = if delegated.is_none() && has_delegates() {
         None
     } else {
-        let account = account.as_deref();
-        Some(wait_for_permit(&path, &head, &route, &service, account, deadline).await?)
+        Some(wait_for_permit(&path, &head, &route, &service, account_ref, deadline).await?)
     };
     // It may have waited for long.
     check_end(&path, &route, deadline)?;
--- a/src/path/routes.rs
+++ b/src/path/routes.rs
@@ -35,6 +35,15 @@
     }
 }
 
+/// Regions to which a request of `route` and `account` may be sent: those that both allow.
+pub(crate) fn allowed_regions<'a>(
+    route: &'a Route,
+    account: Option<&'a Account>,
+) -> [&'a AllowedRegions; 2] {
+    let account_regions = account.map_or(&None, |a| &a.allowed_regions);
+    [&route.allowed_regions, account_regions]
+}
+
 /// One of the services to which requests of a route may be sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Target {
--- a/tests/routed_evacuation.rs
+++ b/tests/routed_evacuation.rs
@@ -13,6 +13,7 @@
     max_open_files: 0,
     retry_burst: None,
     slots: 64,
+    data_center_regions: "",
 };
 
 /// Sends twelve requests, four through each router, and returns how many of them upstream 1, in
--- a/tests/routed_restart.rs
+++ b/tests/routed_restart.rs
@@ -19,6 +19,7 @@
     max_open_files: 0,
     retry_burst: None,
     slots: 64,
+    data_center_regions: "",
 };
 
 /// Kills all routers and starts them again, until each serves callers.
--- a/tests/routed_restore.rs
+++ b/tests/routed_restore.rs
@@ -25,6 +25,7 @@
     max_open_files: 0,
     retry_burst: None,
     slots: 64,
+    data_center_regions: "",
 };
 
 /// Starts a fleet whose routers know one another and have chosen their readers.
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -49,6 +49,8 @@
     pub(crate) retry_burst: Option<u32>,
     /// Number of requests that each upstream runs at once.
     pub(crate) slots: u32,
+    /// The region of each data centre in each router's settings; empty: not set.
+    pub(crate) data_center_regions: &'static str,
 }
 
 impl Default for FleetSize {
@@ -60,6 +62,7 @@
             max_open_files: 0,
             retry_burst: None,
             slots: 64,
+            data_center_regions: "",
         }
     }
 }
@@ -78,6 +81,7 @@
     max_open_files: u32,
     retry_burst: Option<u32>,
     slots: u32,
+    data_center_regions: &'static str,
     version: u64,
 }
 
@@ -175,6 +179,7 @@
             max_open_files: size.max_open_files,
             retry_burst: size.retry_burst,
             slots: size.slots,
+            data_center_regions: size.data_center_regions,
             version: 0,
         };
         routed.configure(json!({})).await;
@@ -303,6 +308,9 @@
         if let Some(burst) = self.retry_burst {
             settings["fleet"]["retry_burst"] = json!(burst);
         }
+        if !self.data_center_regions.is_empty() {
+            settings["host"]["data_center_regions"] = json!(self.data_center_regions);
+        }
         settings
     }
 
