--- a/src/gen/peer.rs
+++ b/src/gen/peer.rs
@@ -597,6 +597,9 @@
     pub origin: ::core::option::Option<StreamOrigin>,
     #[prost(message, optional, tag = "2")]
     pub versions: ::core::option::Option<VersionReport>,
+    /// Whether the platform holds where the streams began of which the request told.
+    #[prost(bool, tag = "3")]
+    pub is_stored: bool,
 }
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/src/path/attempts.rs
+++ b/src/path/attempts.rs
@@ -426,8 +426,9 @@
         death_check::spawn(path, upstream.clone(), self.trial.take());
     }
 
-    /// Records that `upstream` brought the first event of a stream, unless the stream began before.
-    pub(crate) fn record_first_event(&mut self, upstream: &Upstream) {
+    /// Records that `upstream` brought the first event of a stream, unless the stream began before. Returns
+    /// once the event may be passed on.
+    pub(crate) async fn record_first_event(&mut self, upstream: &Upstream) {
         if self.origin.is_some() {
             return;
         }
@@ -436,10 +437,10 @@
             path, head, route, ..
         } = &self.context;
         let is_resumable = route.repeat == Repeat::Stream { resumable: true };
+        self.origin = Some(origin.clone());
         if let Some(id) = head.request_id.as_deref().filter(|_| is_resumable) {
-            stream_origins::record(path, id, &origin);
+            stream_origins::record(path, id, &origin).await;
         }
-        self.origin = Some(origin);
     }
 
     /// Whether the request may run again after a run that may have begun.
--- a/src/path/mod.rs
+++ b/src/path/mod.rs
@@ -405,7 +405,6 @@
         path.assign_cold();
         versions::refresh_and_store(&path);
         stream_origins::share_in_progress(&path);
-        stream_origins::store_begun(&path);
         if publishes.is_multiple_of(PUBLISHES_PER_SWEEP) {
             path.connections.sweep(|id| path.state.has_upstream(id));
             path.state.sweep(path.clock.now_ms());
--- a/src/path/peers.rs
+++ b/src/path/peers.rs
@@ -83,7 +83,7 @@
             }
             ORIGIN => {
                 server::reply(ORIGIN, body, async |request| {
-                    stream_origins::reply(self, request)
+                    stream_origins::reply(self, request).await
                 })
                 .await
             }
--- a/src/path/stream.rs
+++ b/src/path/stream.rs
@@ -109,7 +109,7 @@
                         None => continue,
                     },
                     Some(events) => {
-                        self.record_first_event();
+                        self.record_first_event().await;
                         return Ok(Some(events));
                     }
                     None => "an event exceeds the size limit".to_owned(),
@@ -135,10 +135,10 @@
 
     /// Binds the rest of the stream to the software version of the upstream that is read, unless an earlier
     /// event did.
-    fn record_first_event(&mut self) {
+    async fn record_first_event(&mut self) {
         let upstream = self.reply.as_ref().and_then(Reply::upstream).cloned();
         if let Some(upstream) = upstream {
-            self.attempts.record_first_event(&upstream);
+            self.attempts.record_first_event(&upstream).await;
         }
     }
 
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -23,6 +23,7 @@
 //! of streams, so a router connects to at most 32 of them; at 985 routers that begin a stream a second
 //! each, a keeper is told of 123 a second and keeps 15,000.
 
+mod batches;
 mod moves;
 mod search;
 mod stored;
@@ -35,35 +36,47 @@
 #[cfg(test)]
 mod table_tests;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
 use crate::decide::Origin;
 use crate::fleet::homes;
 use crate::fleet::member::{Member, View};
 use crate::path::RequestPath;
 use crate::path::dialect::Records;
+use crate::path::stream_origins::batches::Ticket;
 use crate::path::stream_origins::moves::Moves;
 use crate::path::stream_origins::search::query;
 use crate::path::stream_origins::stored::Stored;
 use crate::path::stream_origins::table::OriginTable;
 use crate::path::versions;
 use crate::schema::peer::{OriginReply, OriginRequest, StreamOrigin};
+use crate::stats::{self, NotStored};
+use crate::time_limit::within;
 use crate::util::{self, Name};
 
+pub(crate) use crate::path::stream_origins::batches::WriteCall;
 pub(crate) use crate::path::stream_origins::search::{Found, TakeUp, find};
-pub(crate) use crate::path::stream_origins::stored::{StoreCall, StreamsByOrigin};
+pub(crate) use crate::path::stream_origins::stored::{OriginLog, ReadCall, StreamsByOrigin};
 
 /// Number of routers besides its own that are told where a stream began.
 const KEEPERS: usize = 2;
-/// Number of groups of streams, each of which has its own keepers. If each stream had its own, every
-/// router of a large fleet would connect to every other one.
-const GROUPS: u64 = 16;
+/// Number of groups of streams, each of which has its own keepers, the first of which writes to the platform.
+/// If each stream had its own, every router of a large fleet would connect to every other one. With 33
+/// writes a second each, four writers take a third of the 400 that the store of a small site takes.
+const GROUPS: usize = 4;
 /// Interval at which the keepers are compared with those of before.
 const KEEPER_CHECK_MS: u64 = 1_000;
+/// Time for which a stream's first event waits for the writer's word that the origin is stored: a message
+/// there and back, and two writes that take 10 ms each.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(50);
+/// Time for which it waits in all. Users count an event as late that reaches its caller 120 ms after it was
+/// made, and the way there takes some of these.
+const STORED_LIMIT: Duration = Duration::from_millis(80);
 
 /// The streams whose origins this router knows.
 #[derive(Debug, Default)]
@@ -74,6 +87,16 @@
     keepers: RefCell<Keepers>,
     moves: RefCell<Moves>,
     stored: Rc<Stored>,
+    /// Groups whose writer didn't confirm the last stream that it was told of.
+    doubted: [Cell<bool>; GROUPS],
+    /// Era of the store in which the streams in progress were stored.
+    era: Cell<u64>,
+}
+
+/// Who is to say that an origin is stored.
+enum Awaited {
+    Writer(Ticket),
+    Own(Ticket),
 }
 
 /// The keepers of each group of streams.
@@ -88,7 +111,7 @@
 
 impl Keepers {
     /// Determines the keepers by `fleet`, and returns the groups of which one is new.
-    fn update(&mut self, fleet: &View, own_host: &str) -> Vec<u64> {
+    fn update(&mut self, fleet: &View, own_host: &str) -> Vec<usize> {
         self.view = fleet.version;
         let keepers = |group| {
             let others = others(fleet, own_host, group).take(KEEPERS);
@@ -96,8 +119,8 @@
         };
         let by_group: Vec<Vec<(Name, u64)>> = (0..GROUPS).map(keepers).collect();
         let before = std::mem::replace(&mut self.by_group, by_group);
-        let is_new = |group: &u64| {
-            let at = *group as usize;
+        let is_new = |group: &usize| {
+            let at = *group;
             let known = before.get(at).map_or(&[][..], Vec::as_slice);
             self.by_group[at].iter().any(|m| !known.contains(m))
         };
@@ -107,8 +130,8 @@
 
 impl StreamOrigins {
     /// Has origins stored that are to outlive the routers that know them.
-    pub(crate) fn set_store(&self, store: mpsc::Sender<StoreCall>) {
-        self.stored.set_store(store);
+    pub(crate) fn set_store(&self, log: OriginLog) {
+        self.stored.set_store(log);
     }
 
     fn get(&self, stream: u64, now_ms: u64) -> Option<Origin> {
@@ -137,24 +160,68 @@
     }
 }
 
-/// Records that the stream of which `request_id` brought the first event began at `origin`.
-pub(crate) fn record<D: Records>(path: &Rc<RequestPath<D>>, request_id: &str, origin: &Origin) {
+/// Records that the stream of which `request_id` brought the first event began at `origin`. If only some
+/// routers would know it, waits until the platform does, but not for long.
+pub(crate) async fn record<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    request_id: &str,
+    origin: &Origin,
+) {
     let now_ms = path.clock.now_ms();
     let software = origin.software.as_ref();
     path.versions
         .record_answer(&origin.service, software, now_ms);
-    keep(path, digest(request_id), origin);
+    let stream = digest(request_id);
+    let Some(awaited) = keep(path, stream, origin) else {
+        return;
+    };
+    let began = Instant::now();
+    let stored = wait_until_stored(path, stream, origin, awaited).await;
+    stats::origin_stored(began.elapsed(), stored);
 }
 
-/// Keeps the origin of a stream that begins or goes on at this router, and tells its keepers unless its
-/// service has no other version.
-fn keep<D: Records>(path: &Rc<RequestPath<D>>, stream: u64, origin: &Origin) {
+/// Waits until the origin of a stream that keepers were told of is stored. If the writer doesn't say so in
+/// time, as it stands still or is cut off, this router writes it too.
+async fn wait_until_stored<D: Records>(
+    path: &RequestPath<D>,
+    stream: u64,
+    origin: &Origin,
+    awaited: Awaited,
+) -> Result<(), NotStored> {
+    let began = Instant::now();
+    let batches = path.origins.stored.batches();
+    let own = match awaited {
+        Awaited::Own(ticket) => ticket,
+        Awaited::Writer(ticket) => {
+            let doubted = &path.origins.doubted[group(stream)];
+            if !doubted.get() {
+                if matches!(within(CONFIRM_LIMIT, ticket).await, Ok(Ok(true))) {
+                    return Ok(());
+                }
+                doubted.set(true);
+            }
+            batches.add(origin, &[stream])
+        }
+    };
+    if batches.is_failing() {
+        return Err(NotStored::Failing);
+    }
+    let left = STORED_LIMIT.saturating_sub(began.elapsed());
+    match within(left, own).await {
+        Ok(Ok(true)) => Ok(()),
+        Ok(_) => Err(NotStored::Failed),
+        Err(_) => Err(NotStored::Late),
+    }
+}
+
+/// Keeps the origin of a stream that begins or goes on at this router. Unless its service has no other
+/// version, tells its keepers, and returns who says that it is stored.
+fn keep<D: Records>(path: &Rc<RequestPath<D>>, stream: u64, origin: &Origin) -> Option<Awaited> {
     let now_ms = path.clock.now_ms();
     path.origins.insert(stream, origin.clone(), true, now_ms);
     let is_only = path.versions.only(&origin.service, now_ms).is_some();
-    if !is_only || is_split(path, &origin.service) {
-        share(path, origin, &[stream]);
-    }
+    let is_shared = !is_only || is_split(path, &origin.service);
+    is_shared.then(|| share_group(path, group(stream), origin, vec![stream]))
 }
 
 /// Tells the keepers of this router's streams in progress where these began, unless it has: when
@@ -175,11 +242,12 @@
     }
     log_shared(&before, &shared);
     let groups = new_keepers(path, now_ms);
-    if groups.is_empty() && shared.is_subset(&before) {
+    let is_restored = is_restored(path);
+    if groups.is_empty() && !is_restored && shared.is_subset(&before) {
         return;
     }
     let is_wanted = |service: &Name, stream| {
-        let is_new = !before.contains(service) || groups.contains(&group(stream));
+        let is_new = is_restored || !before.contains(service) || groups.contains(&group(stream));
         shared.contains(service) && is_new
     };
     let own = path.origins.table.borrow_mut().own(is_wanted, now_ms);
@@ -198,7 +266,7 @@
 }
 
 /// Groups of streams that have a new keeper.
-fn new_keepers<D>(path: &RequestPath<D>, now_ms: u64) -> Vec<u64> {
+fn new_keepers<D>(path: &RequestPath<D>, now_ms: u64) -> Vec<usize> {
     let fleet = path.fleet.borrow();
     let mut keepers = path.origins.keepers.borrow_mut();
     let is_due = now_ms.saturating_sub(keepers.checked_ms) >= KEEPER_CHECK_MS;
@@ -209,66 +277,87 @@
     keepers.update(&fleet, &path.host)
 }
 
+/// Whether the store was restored from an older copy, which lacks the origins that were stored last.
+fn is_restored<D: Records>(path: &RequestPath<D>) -> bool {
+    let era = *path.replica.era().borrow();
+    let known = path.origins.era.replace(era);
+    known != 0 && known != era
+}
+
 fn is_split<D>(path: &RequestPath<D>, service: &Name) -> bool {
     path.origins.is_moved(service) || path.state.deployment().split_streams().contains(service)
 }
 
 /// Tells the keepers of these streams that they began at `origin`, without waiting.
 fn share<D: Records>(path: &Rc<RequestPath<D>>, origin: &Origin, streams: &[u64]) {
-    let mut groups: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+    let mut groups: BTreeMap<usize, Vec<u64>> = BTreeMap::new();
     for stream in streams {
         groups.entry(group(*stream)).or_default().push(*stream);
     }
     for (group, streams) in groups {
-        let request = Rc::new(OriginRequest {
-            streams,
-            origin: Some(origin.into()),
-            service: String::new(),
-        });
-        if is_writer(path, group) {
-            path.origins.stored.add(group, origin, &request.streams);
-        }
-        for addr in other_routers(path, group, KEEPERS) {
-            let (path, request) = (path.clone(), request.clone());
-            compio::runtime::spawn(async move {
-                query(&path, &addr, &request).await;
-            })
-            .detach();
-        }
+        share_group(path, group, origin, streams);
     }
 }
 
-/// Has the origins stored of the streams that began lately.
-pub(crate) fn store_begun<D>(path: &RequestPath<D>) {
-    path.origins.stored.write_due(path.clock.now_ms());
+/// Tells the keepers of these streams of one group that they began at `origin`, and returns who says that
+/// this is stored.
+fn share_group<D: Records>(
+    path: &Rc<RequestPath<D>>,
+    group: usize,
+    origin: &Origin,
+    streams: Vec<u64>,
+) -> Awaited {
+    let is_own = is_writer(path, group);
+    let own = is_own.then(|| path.origins.stored.batches().add(origin, &streams));
+    let request = Rc::new(OriginRequest {
+        streams,
+        origin: Some(origin.into()),
+        service: String::new(),
+    });
+    let (confirmed, ticket) = oneshot::channel();
+    // The first one is the writer, unless that is this router.
+    let mut confirmed = (!is_own).then_some(confirmed);
+    for addr in other_routers(path, group, KEEPERS) {
+        let (path, request, confirmed) = (path.clone(), request.clone(), confirmed.take());
+        compio::runtime::spawn(async move {
+            let reply = query(&path, &addr, &request).await;
+            if let Some(confirmed) = confirmed {
+                let is_stored = reply.is_some_and(|reply| reply.is_stored);
+                path.origins.doubted[group].set(!is_stored);
+                // Without a receiver, the stream waits no longer.
+                let _ = confirmed.send(is_stored);
+            }
+        })
+        .detach();
+    }
+    own.map_or(Awaited::Writer(ticket), Awaited::Own)
 }
 
 /// Whether this router writes the origins of streams of this group for all: it is a keeper of each of them
 /// that another router began. If no router takes work any more, each writes its own.
-fn is_writer<D>(path: &RequestPath<D>, group: u64) -> bool {
+fn is_writer<D>(path: &RequestPath<D>, group: usize) -> bool {
     let fleet = path.fleet.borrow();
     let first = homes::home(&fleet, &format!("origins/{group}"), "");
     first.is_none_or(|m| *m.host == *path.host)
 }
 
-/// Answers another router.
-pub(crate) fn reply<D: Records>(path: &RequestPath<D>, request: OriginRequest) -> OriginReply {
+/// Answers another router. If this one writes the streams that it is told of, it does so once they are
+/// stored or the other one waits no longer.
+pub(crate) async fn reply<D: Records>(
+    path: &RequestPath<D>,
+    request: OriginRequest,
+) -> OriginReply {
     let now_ms = path.clock.now_ms();
     if let Some(origin) = request.origin {
-        let origin = Origin::from(origin);
-        let software = origin.software.as_ref();
-        path.versions
-            .record_answer(&origin.service, software, now_ms);
-        if let Some(stream) = request.streams.first()
-            && is_writer(path, group(*stream))
-        {
-            let group = group(*stream);
-            path.origins.stored.add(group, &origin, &request.streams);
-        }
-        for stream in request.streams {
-            path.origins.insert(stream, origin.clone(), false, now_ms);
-        }
-        return OriginReply::default();
+        let is_stored = apply(path, &origin.into(), &request.streams);
+        let is_stored = match is_stored {
+            Some(ticket) => matches!(within(CONFIRM_LIMIT, ticket).await, Ok(Ok(true))),
+            None => false,
+        };
+        return OriginReply {
+            is_stored,
+            ..OriginReply::default()
+        };
     }
     let mut streams = request.streams.into_iter();
     let known = streams.find_map(|stream| path.origins.get(stream, now_ms));
@@ -276,18 +365,37 @@
     OriginReply {
         origin: known.as_ref().map(Into::into),
         versions: (!is_known).then(|| versions::report_of(path, &request.service)),
+        is_stored: false,
+    }
+}
+
+/// Keeps origins of which another router told. Returns a ticket if they are to be stored, and there is hope.
+fn apply<D: Records>(path: &RequestPath<D>, origin: &Origin, streams: &[u64]) -> Option<Ticket> {
+    let now_ms = path.clock.now_ms();
+    let software = origin.software.as_ref();
+    path.versions
+        .record_answer(&origin.service, software, now_ms);
+    for stream in streams {
+        path.origins.insert(*stream, origin.clone(), false, now_ms);
+    }
+    let group = group(*streams.first()?);
+    if !is_writer(path, group) {
+        return None;
     }
+    let batches = path.origins.stored.batches();
+    let ticket = batches.add(origin, streams);
+    (!batches.is_failing()).then_some(ticket)
 }
 
 /// Addresses of the first `max` other routers that keep the origins of streams of this group.
-fn other_routers<D>(path: &RequestPath<D>, group: u64, max: usize) -> Vec<Name> {
+fn other_routers<D>(path: &RequestPath<D>, group: usize, max: usize) -> Vec<Name> {
     let fleet = path.fleet.borrow();
     let others = others(&fleet, &path.host, group).take(max);
     others.map(|m| m.peer_addr.clone()).collect()
 }
 
 /// The other routers in the order in which they keep the origins of streams of this group.
-fn others<'a>(fleet: &'a View, own_host: &str, group: u64) -> impl Iterator<Item = &'a Member> {
+fn others<'a>(fleet: &'a View, own_host: &str, group: usize) -> impl Iterator<Item = &'a Member> {
     let routers = homes::order(fleet, &format!("origins/{group}"), "").into_iter();
     routers.filter(move |m| *m.host != *own_host)
 }
@@ -296,8 +404,12 @@
     util::hash_bytes(request_id.as_bytes())
 }
 
-fn group(stream: u64) -> u64 {
-    stream % GROUPS
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "less than the number of groups"
+)]
+fn group(stream: u64) -> usize {
+    (stream % GROUPS as u64) as usize
 }
 
 impl From<StreamOrigin> for Origin {
--- a/src/routed.rs
+++ b/src/routed.rs
@@ -127,7 +127,7 @@
         let (stored_versions, versions) = VersionStore::open(open());
         path.versions.set_store(versions);
         path.origins
-            .set_store(OriginStore::spawn(open(), &path.host));
+            .set_store(OriginStore::spawn([open(), open()], &path.host));
         let stored = Stored {
             suspicions: stored_suspicions,
             versions: stored_versions,
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -30,6 +30,8 @@
 const LEAVING_NOTICES: &str = "cassiagrade_leaving_notices_total";
 const PUSHBACKS: &str = "cassiagrade_pushbacks_total";
 const BRITTLE_NOTICES: &str = "cassiagrade_brittle_notices_total";
+const STREAMS_NOT_STORED: &str = "cassiagrade_streams_not_stored_total";
+const ORIGIN_WAIT_MS: &str = "cassiagrade_origin_wait_ms";
 const STREAMS_NOT_RESUMED: &str = "cassiagrade_streams_not_resumed_total";
 const SUSPICIONS: &str = "cassiagrade_suspicions_total";
 const SILENT_ANSWERS: &str = "cassiagrade_silent_answers_total";
@@ -93,6 +95,18 @@
     OffRoute,
 }
 
+/// Why a stream's first event was passed on before the platform held where the stream began.
+#[derive(Clone, Copy, Debug, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum NotStored {
+    /// The last write failed or is overdue, and nobody waits.
+    Failing,
+    /// The write failed.
+    Failed,
+    /// The time limit passed.
+    Late,
+}
+
 /// Registers the help texts of all metrics.
 pub(crate) fn describe() {
     describe_counter!(REQUESTS, "Callers' requests by service and outcome");
@@ -159,6 +173,14 @@
         BRITTLE_NOTICES,
         "Answers in which an upstream said how many rejections in a second it bears"
     );
+    describe_counter!(
+        STREAMS_NOT_STORED,
+        "Streams begun beside a second version whose first event didn't wait until the platform held where they began, by reason"
+    );
+    describe_histogram!(
+        ORIGIN_WAIT_MS,
+        "Wait of the first event of a stream begun beside a second version, in milliseconds"
+    );
     describe_counter!(
         STREAMS_NOT_RESUMED,
         "Streams not resumed for want of the software version that began them, by reason"
@@ -371,6 +393,16 @@
     counter!(BRITTLE_NOTICES).increment(1);
 }
 
+/// Records the wait of a stream's first event until the platform held where the stream began, or why it did
+/// not wait for that.
+pub(crate) fn origin_stored(took: Duration, stored: Result<(), NotStored>) {
+    histogram!(ORIGIN_WAIT_MS).record(as_ms(took));
+    if let Err(reason) = stored {
+        let reason: &str = reason.into();
+        counter!(STREAMS_NOT_STORED, "reason" => reason).increment(1);
+    }
+}
+
 /// Counts a stream that wasn't resumed for want of the software version that began it.
 pub(crate) fn not_resumed(reason: NotResumed) {
     let reason: &str = reason.into();
