--- a/src/path/stream_origins/message_tests.rs
+++ b/src/path/stream_origins/message_tests.rs
@@ -40,8 +40,9 @@
             listings: vec![listing],
             upstreams_age_ms: 400,
         }),
+        is_stored: false,
     };
     let sizes = [size(&record), size(&question), size(&reply)];
-    assert_eq!(sizes, [31, 22, 35]);
-    assert_eq!(size(&OriginReply::default()), 2);
+    assert_eq!(sizes, [31, 22, 36]);
+    assert_eq!(size(&OriginReply::default()), 3);
 }
