--- a/src/path/attempts/choice.rs
+++ b/src/path/attempts/choice.rs
@@ -11,7 +11,10 @@
 use crate::path::dialect::{Dialect, Records};
 use crate::path::regions::AllowedRegions;
 use crate::path::router_state::{Bounds, Tried};
+use crate::path::routes;
+use crate::path::routes::Repeat;
 use crate::path::upstreams::{Pool, Upstream};
+use crate::path::versions;
 use crate::schema::settings::Decisions;
 use crate::util::Name;
 
@@ -51,7 +54,8 @@
         let max_open = self.connection_quota().open;
         let state = &context.path.state;
         let regions = self.allowed_regions();
-        let bounds = self.bounds(&regions);
+        let unused = self.unused_versions();
+        let bounds = self.bounds(&regions, &unused);
         let (pool, mut candidates) = state.pool(&context.service, &tried, bounds, max_open, now_ms);
         self.close_brittle(&pool, &mut candidates, now_ms);
         loop {
@@ -127,7 +131,8 @@
             Home::Own if path.state.is_gate_open(upstream, borne, now_ms) => Sender::Own,
             Home::Other(home) => {
                 path.state.hand_over(upstream);
-                if delegated.is_some() || self.closed.len() >= MAX_HOMES_ASKED {
+                let may_go_there = path.may_delegate_to(&home, &self.allowed_regions());
+                if delegated.is_some() || !may_go_there || self.closed.len() >= MAX_HOMES_ASKED {
                     return Sender::None;
                 }
                 Sender::Home(home)
@@ -137,13 +142,29 @@
     }
 
     /// Limits that the upstreams of all attempts must be within.
-    pub(super) fn bounds<'a>(&'a self, regions: &'a [&'a AllowedRegions]) -> Bounds<'a> {
+    pub(super) fn bounds<'a>(
+        &'a self,
+        regions: &'a [&'a AllowedRegions],
+        unused: &'a [Option<Name>],
+    ) -> Bounds<'a> {
         Bounds {
             regions,
             origin: self.origin.as_ref(),
+            unused,
         }
     }
 
+    /// Software versions at which this request may not begin a stream that may be resumed: a router that
+    /// resumes it might not know them yet.
+    pub(super) fn unused_versions(&self) -> Vec<Option<Name>> {
+        let context = &self.context;
+        let is_resumable = context.route.repeat == Repeat::Stream { resumable: true };
+        if !is_resumable || self.origin.is_some() {
+            return Vec::new();
+        }
+        versions::unused(&context.path, &context.service)
+    }
+
     /// Connections that this router may open to each upstream of the service.
     pub(super) fn connection_quota(&self) -> ConnectionQuota {
         let path = &self.context.path;
@@ -153,9 +174,8 @@
 
     /// Regions that the request may go to, by its route and by its account.
     pub(super) fn allowed_regions(&self) -> [&AllowedRegions; 2] {
-        let account = self.context.account.as_ref();
-        let account_regions = account.map_or(&None, |a| &a.allowed_regions);
-        [&self.context.route.allowed_regions, account_regions]
+        let RequestContext { route, account, .. } = &self.context;
+        routes::allowed_regions(route, account.as_deref())
     }
 }
 
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -23,12 +23,12 @@
 use crate::path::dialect::{CallerHead, Dialect, Records};
 use crate::path::log_replica::LogReplica;
 use crate::path::refusal::{QUARANTINED, RETRY_AFTER_MS, Refused, STALE_STATE, no_version_left};
-use crate::path::routes::{Account, CallerLimits, Deployment, Repeat, Route};
+use crate::path::routes::{self, Account, CallerLimits, Deployment, Repeat, Route};
 use crate::path::stop_admission::{
     STOPPING_RETRY_MS, check_end, check_stopping, discard, until_closing,
 };
 use crate::path::stream_origins::{self, Found, TakeUp};
-use crate::path::{RequestPath, answer};
+use crate::path::{RequestPath, answer, versions};
 use crate::schema::peer::Suspicion;
 use crate::stats::{self, NotResumed, Tally};
 use crate::time_limit::within;
@@ -165,6 +165,9 @@
         Some(origin) => origin.service.clone(),
         None => route.draw_service(&mut rand::rng()).clone(),
     };
+    if origin.is_none() && is_resumable(&route) {
+        versions::wait_for_first(&path, &service).await;
+    }
     let admitted = Admitted {
         parts,
         head,
@@ -252,8 +255,11 @@
 
 /// Whether the caller takes up a stream of which it has received events.
 fn takes_up_stream(head: &CallerHead, route: &Route) -> bool {
-    let is_resumable = route.repeat == Repeat::Stream { resumable: true };
-    is_resumable && head.resume_after.is_some_and(|event| event > 0)
+    is_resumable(route) && head.resume_after.is_some_and(|event| event > 0)
+}
+
+fn is_resumable(route: &Route) -> bool {
+    route.repeat == Repeat::Stream { resumable: true }
 }
 
 /// Checks that the request's stream can go on at its `origin`, if it takes up a stream.
@@ -338,11 +344,13 @@
     tally.service(&service);
     check_end(&path, &route, deadline)?;
     // The router that sends a delegated request has it wait for its turn.
-    let permit = if delegated.is_none() && !path.delegates(&service).is_empty() {
+    let account_ref = account.as_deref();
+    let allowed_regions = routes::allowed_regions(&route, account_ref);
+    let has_delegates = || !path.delegates(&service, &allowed_regions).is_empty();
+    let permit = if delegated.is_none() && has_delegates() {
         None
     } else {
-        let account = account.as_deref();
-        Some(wait_for_permit(&path, &head, &route, &service, account, deadline).await?)
+        Some(wait_for_permit(&path, &head, &route, &service, account_ref, deadline).await?)
     };
     // It may have waited for long.
     check_end(&path, &route, deadline)?;
--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -49,6 +49,8 @@
     pub(crate) retry_burst: Option<u32>,
     /// Number of requests that each upstream runs at once.
     pub(crate) slots: u32,
+    /// The region of each data centre in each router's settings; empty: not set.
+    pub(crate) data_center_regions: &'static str,
 }
 
 impl Default for FleetSize {
@@ -60,6 +62,7 @@
             max_open_files: 0,
             retry_burst: None,
             slots: 64,
+            data_center_regions: "",
         }
     }
 }
@@ -78,6 +81,7 @@
     max_open_files: u32,
     retry_burst: Option<u32>,
     slots: u32,
+    data_center_regions: &'static str,
     version: u64,
 }
 
@@ -175,6 +179,7 @@
             max_open_files: size.max_open_files,
             retry_burst: size.retry_burst,
             slots: size.slots,
+            data_center_regions: size.data_center_regions,
             version: 0,
         };
         routed.configure(json!({})).await;
@@ -183,13 +188,7 @@
         }
         for i in 0..size.routers {
             if size.store_relays {
-                let relay = routed.spawn_relay(i, store_addr);
-                let control = relay.control;
-                wait_until("a relay", || async {
-                    get(control, "/knobs").await.is_some()
-                })
-                .await;
-                routed.store_relays.push(relay);
+                routed.add_store_relay(i).await;
             }
             routed.spawn_router(i);
         }
@@ -199,6 +198,18 @@
         routed
     }
 
+    /// Puts a relay between router `i`, the next one to be started, and the store.
+    pub(crate) async fn add_store_relay(&mut self, i: u8) {
+        assert_eq!(usize::from(i), self.store_relays.len());
+        let relay = self.spawn_relay(i, self.store.addr);
+        let control = relay.control;
+        wait_until("a relay", || async {
+            get(control, "/knobs").await.is_some()
+        })
+        .await;
+        self.store_relays.push(relay);
+    }
+
     fn spawn_relay(&self, i: u8, target: SocketAddr) -> Relay {
         let control = addr(self.prefix, 150 + i, CONTROL_PORT);
         let (target, control_arg) = (target.to_string(), control.to_string());
@@ -224,6 +235,12 @@
         self.spawn_upstream_with(i, self.slots, &["--software", software]);
     }
 
+    /// Starts upstream `i` with the given version of its software and initial knobs.
+    pub(crate) fn spawn_upstream_of_with_knobs(&mut self, i: u8, software: &str, knobs: &Value) {
+        let more = ["--software", software, "--knobs", &knobs.to_string()];
+        self.spawn_upstream_with(i, self.slots, &more);
+    }
+
     /// Starts or restarts upstream `i` with a new id, `slots` and the given initial knobs.
     pub(crate) fn spawn_upstream_with_knobs(&mut self, i: u8, slots: u32, knobs: &Value) {
         self.spawn_upstream_with(i, slots, &["--knobs", &knobs.to_string()]);
@@ -303,6 +320,9 @@
         if let Some(burst) = self.retry_burst {
             settings["fleet"]["retry_burst"] = json!(burst);
         }
+        if !self.data_center_regions.is_empty() {
+            settings["host"]["data_center_regions"] = json!(self.data_center_regions);
+        }
         settings
     }
 
