--- a/src/decide/versions.rs
+++ b/src/decide/versions.rs
@@ -126,6 +126,12 @@
         self.record(service, software, before(now_ms, 0), unused_until_ms);
     }
 
+    /// Records that a stream has begun at this version.
+    pub fn record_used(&mut self, service: &Name, software: Option<&Name>, now_ms: u64) {
+        let version = self.record(service, software, before(now_ms, 0), i64::MIN);
+        version.unused_until_ms = i64::MIN;
+    }
+
     /// Records that the platform has a record of this version, for `age_ms` by now.
     pub fn record_stored(
         &mut self,
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -224,6 +224,15 @@
         }
     }
 
+    /// Services that have listed upstreams.
+    pub(crate) fn services(&self) -> Vec<Name> {
+        let upstreams = self.upstreams.borrow();
+        upstreams
+            .pools()
+            .map(|(service, _)| service.clone())
+            .collect()
+    }
+
     /// Evacuated data centres, which receive no new work.
     pub(crate) fn evacuations(&self) -> Ref<'_, Evacuations> {
         self.evacuations.borrow()
--- a/src/path/stream_origins.rs
+++ b/src/path/stream_origins.rs
@@ -9,8 +9,9 @@
 //! versions or shares a route with another one, to two more, its keepers: the first ones in a rendezvous
 //! order. A router that is to resume the stream asks its keepers, and then some more, which reaches the
 //! router that began it in a small fleet. While a service has had one version for longer than any stream
-//! lasts, nobody is told, and that version is the origin. When a second one is listed, and when a keeper
-//! changes or restarts, the keepers are told of the streams in progress.
+//! lasts, nobody is told, and that version is the origin. When a second one is listed, when a keeper
+//! changes or restarts, and when the list of upstreams grows old, so that a second version may be missing there,
+//! the keepers are told of the streams in progress.
 //!
 //! Those of streams whose keepers are told are also stored on the platform, for when all that know them end:
 //! the first keeper of a stream, its writer, writes those that it is told of in batches. A stream's first
@@ -233,7 +234,7 @@
     let now_ms = path.clock.now_ms();
     path.origins.insert(stream, origin.clone(), true, now_ms);
     let is_only = path.versions.only(&origin.service, now_ms).is_some();
-    let is_shared = !is_only || is_split(path, &origin.service);
+    let is_shared = !is_only || is_split(path, &origin.service) || versions::is_list_ageing(path);
     is_shared.then(|| share_group(path, group(stream), origin, vec![stream]))
 }
 
@@ -248,6 +249,9 @@
     shared.extend(moves.services().cloned());
     drop(moves);
     shared.extend(deployment.split_streams().iter().cloned());
+    if versions::is_list_ageing(path) {
+        shared.extend(path.state.services());
+    }
     let before = path.origins.shared.replace(shared.clone());
     if shared.is_empty() && before.is_empty() {
         return;
@@ -270,10 +274,10 @@
 
 fn log_shared(before: &HashSet<Name>, shared: &HashSet<Name>) {
     for service in before.difference(shared) {
-        log::info!(service:%; "its streams in progress all began at one version");
+        log::info!(service:%; "the only version that is listed may be taken for that at which its streams began");
     }
     for service in shared.difference(before) {
-        log::info!(service:%; "its streams in progress may have begun at several versions or services");
+        log::info!(service:%; "its streams may have begun at several versions or services, or the list of upstreams is old");
     }
 }
 
--- a/src/path/stream_origins/search.rs
+++ b/src/path/stream_origins/search.rs
@@ -19,8 +19,6 @@
 
 /// Number of routers that are asked after the keepers.
 const MORE_ASKED: usize = 14;
-/// Number of routers, this one included, whose agreement suffices in a large fleet.
-const ENOUGH_ROUTERS: usize = 12;
 /// Time limit of a round of queries; routers answer within milliseconds.
 const ROUND_LIMIT: Duration = Duration::from_millis(150);
 
@@ -66,17 +64,8 @@
     origin: Option<Origin>,
     /// Number of routers that have answered.
     answers: usize,
-    /// Number of those that know all versions up to the age of their list.
-    whole: usize,
-    /// Whether one of these has a current list.
-    is_confirmed: bool,
-}
-
-/// What the routers that were asked know of the versions.
-#[derive(Clone, Copy, Default)]
-struct Others {
-    whole: usize,
-    is_confirmed: bool,
+    /// Whether one of these knows all versions.
+    is_whole: bool,
 }
 
 /// Finds where the stream began that the caller takes up. The time limit of all queries together is 300 ms,
@@ -96,7 +85,7 @@
         path,
         service: only_service(route),
         started_ms,
-        others: Others::default(),
+        is_confirmed: false,
         trace: Trace::default(),
     };
     let found = match take_up.began_as {
@@ -147,7 +136,8 @@
     service: Option<&'a Name>,
     /// Time by which the stream had begun.
     started_ms: u64,
-    others: Others,
+    /// Whether another router has reported that it knows all versions.
+    is_confirmed: bool,
     trace: Trace,
 }
 
@@ -170,11 +160,10 @@
                 let found = format!("{asked}: {}, {answers} of {of} answered", name(&origin));
                 return self.keep(stream, origin, &found);
             }
-            self.others.whole += result.whole;
-            self.others.is_confirmed |= result.is_confirmed;
-            let whole = result.whole;
+            self.is_confirmed |= result.is_whole;
+            let is_whole = result.is_whole;
             self.trace.add(format_args!(
-                "{asked}: unknown, {answers} of {of} answered, {whole} know all versions"
+                "{asked}: unknown, {answers} of {of} answered, knowing all versions: {is_whole}"
             ));
             let only = self.only().await;
             if only != Found::Unknown {
@@ -206,7 +195,11 @@
         Found::Origin(origin)
     }
 
-    /// The only version at which the stream can have begun.
+    /// The only version at which the stream can have begun, unless one may be missing in the lists of this router
+    /// and of those that it has asked. While the log is away, the keepers know where streams began.
+    ///
+    /// Failure guarded against: routers that are cut off from the log agree that there is one version, while another
+    /// router has learned of a second one and uses it.
     async fn only(&mut self) -> Found {
         let path = self.path;
         let service = self
@@ -220,7 +213,7 @@
         };
         if versions::is_current(path, self.started_ms) {
             versions::read_if_needed(path, service).await;
-        } else if !self.others.is_confirmed && !self.is_agreed() {
+        } else if !self.is_confirmed {
             self.trace
                 .add(format_args!("only version: others may be missing here"));
             return Found::Unknown;
@@ -238,17 +231,6 @@
             }
         }
     }
-
-    /// Whether so many routers know no other versions that none is in use while the log is away. They were asked
-    /// after the stream had begun.
-    ///
-    /// Failure guarded against: a router that was paused counts the others by their last reports, reaches none of
-    /// them, and takes the version that it knows for the only one.
-    fn is_agreed(&self) -> bool {
-        let members = self.path.fleet.borrow().members.len();
-        let majority = members / 2 + 1;
-        self.others.whole + 1 >= majority.min(ENOUGH_ROUTERS)
-    }
 }
 
 /// The service of all streams of `route`, if there is just one.
@@ -284,10 +266,7 @@
                 return;
             }
             let report = reply.versions.unwrap_or_default();
-            if versions::is_whole(&report) {
-                result.whole += 1;
-                result.is_confirmed |= versions::is_report_current(&report);
-            }
+            result.is_whole |= versions::is_whole(&report);
             let now_ms = path.clock.now_ms();
             path.versions
                 .merge_service(&question.service, report, now_ms);
--- a/src/path/versions.rs
+++ b/src/path/versions.rs
@@ -30,6 +30,9 @@
 
 /// Time after which a version that isn't listed any more is stored as gone.
 pub(super) const GONE_AFTER_MS: u64 = 5_000;
+/// Age of a list of upstreams from which streams are shared as if there were several versions: that up to which
+/// lists decide requests while the log can be read.
+const AGEING_MS: u64 = 1_800;
 /// Time after which a router has a version stored itself if no other one has confirmed its record.
 const STORE_AFTER_MS: u64 = 600;
 /// Time for which a caller waits for a read of the records, or for a version at which its stream may begin.
@@ -128,7 +131,7 @@
     /// Records that an upstream of this version has answered.
     pub(crate) fn record_answer(&self, service: &Name, software: Option<&Name>, now_ms: u64) {
         let mut history = self.history.borrow_mut();
-        history.record_listed(service, software, now_ms);
+        history.record_used(service, software, now_ms);
     }
 
     /// Whether all versions are known at which a stream in progress can have begun.
@@ -496,14 +499,9 @@
     as_message(path, path.versions.report_of(service, path.clock.now_ms()))
 }
 
-/// Whether `report` is that of a router that knows all versions of the whole window, up to the age of its list.
+/// Whether `report` is that of a router that knows all versions of the whole window.
 pub(crate) fn is_whole(report: &VersionReport) -> bool {
-    report.reach_ms >= WINDOW_MS
-}
-
-/// Whether `report` is that of a router whose list of upstreams is current.
-pub(crate) fn is_report_current(report: &VersionReport) -> bool {
-    report.upstreams_age_ms <= LIST_AGE_MS
+    report.reach_ms >= WINDOW_MS && report.upstreams_age_ms <= LIST_AGE_MS
 }
 
 fn as_message<D: Records>(path: &RequestPath<D>, report: Report) -> VersionReport {
@@ -521,6 +519,11 @@
     }
 }
 
+/// Whether a take-up may soon find the lists of upstreams of this and other routers too old to show all versions.
+pub(crate) fn is_list_ageing<D: Records>(path: &RequestPath<D>) -> bool {
+    path.replica.upstreams_fresh().age_ms() > AGEING_MS
+}
+
 /// Whether this router's list of upstreams shows all versions at which streams can have begun by `begun_ms`.
 ///
 /// Failure guarded against: a router is cut off from the log, or stands still, while a second version of a service
