Limits of connections between routers are chosen, and noticed when reached

One of two routers was cut off from all upstreams and handed its requests to the other, which reached them and had room. From the 201st open stream on none went on: requests waited without an answer until their deadline, plain ones included.

Cause: the server for other routers had the HTTP/2 library's default of 200 streams on a connection, and a router keeps one connection to each other router. The client library queues what is beyond, and the sender can't tell that from a slow answer, so neither another delegate nor a refusal followed.

Now a router accepts 1,024 streams on a connection, by the descriptors that callers' connections leave it, and hands at most 1,000 requests to another at a time. The sender counts them itself, until the end of each answer, so that the next one is refused without being sent: the next delegate is asked, or the caller gets "not run" at once. A suspected request isn't taken to the next router then, as runs would go on at two.

Other defaults of these connections, of the same kind: - The window of the connection (5 MB) was that of three streams (2 MB each): callers who read nothing held up all other answers from that router. Requests have a connection of their own now, with 32 KB a stream, and room for all streams in the connection's window. Callers' connections, some 2,200 on a host, bound that to 72 MB. Queries keep the wide windows, as all of their answers are read at once. - The sender buffered 400 KB a stream for a caller who reads nothing, and now 16 KB. - Requests that came at once to a router not yet connected opened a connection each. They share one, and the end of its attempt. - 20 streams that are reset before a router gets to accept them, or late frames of 1,024 streams that callers left, would end the connection (by the library's code, not tried). The limits are those of the streams now; none on the client's count of late frames. - Answers with over 16 KB of headers could not be delegated, though 64 KB are taken from upstreams (by the code, not tried).

Memory of a router with 1,000 slow callers was not measured.

--- a/src/path/attempts/delegation.rs
+++ b/src/path/attempts/delegation.rs
@@ -33,6 +33,8 @@
     Answered(Reply),
     /// The router can't be reached.
     NotSent,
+    /// The router has as many requests of this one as it takes.
+    Full,
     /// The router refused the request, or its answer was lost.
     Refused(Refused),
 }
@@ -61,6 +63,8 @@
                     return Ok(Some(reply));
                 }
                 Delegation::Refused(refused) => return Err(refused.after(self.runs)),
+                // Runs at the next router would go on beside those at this one.
+                Delegation::Full => return Err(self.refuse_full_routers()),
                 Delegation::NotSent => {}
             }
         }
@@ -87,6 +91,7 @@
                 Delegation::Answered(reply) => return Ok(Some(reply)),
                 Delegation::Refused(refused) if refused.is_of_router() => refusal = Some(refused),
                 Delegation::Refused(refused) => return Err(refused.after(self.runs)),
+                Delegation::Full => refusal = refusal.or(Some(self.refuse_full_routers())),
                 Delegation::NotSent => {}
             }
         }
@@ -108,7 +113,7 @@
         self.closed.push(upstream.clone());
         match delegation {
             Delegation::Answered(reply) => Ok(Some(reply)),
-            Delegation::NotSent => Ok(None),
+            Delegation::NotSent | Delegation::Full => Ok(None),
             Delegation::Refused(refused) if refused.may_go_elsewhere() => Ok(None),
             Delegation::Refused(refused) => Err(refused.after(self.runs)),
         }
@@ -152,15 +157,21 @@
                 self.emit(Kind::RequestRetried, "", &reason);
                 return Delegation::NotSent;
             }
-            Ok(Ok(answer)) => match decode_answer(host, answer).await {
+            Ok(Ok((answer, room))) => match decode_answer(host, answer).await {
                 Ok(DelegatedAnswer::Upstream { answer, head }) => {
                     self.record_delegation(router, head);
                     let (parts, body) = answer.into_parts();
-                    return Delegation::Answered(Reply::of_router(host.clone(), parts, body));
+                    let reply = Reply::of_router(host.clone(), parts, body, room);
+                    return Delegation::Answered(reply);
                 }
                 Ok(DelegatedAnswer::Refused(refused)) => return Delegation::Refused(refused),
                 Err(reason) => reason,
             },
+            Ok(Err(DelegateError::Full)) => {
+                let reason = format!("not delegated to {host}: {}", DelegateError::Full);
+                self.emit(Kind::RequestRetried, "", &reason);
+                return Delegation::Full;
+            }
             Ok(Err(DelegateError::Lost { reason })) => reason,
             Err(_) => "no answer before the deadline".to_owned(),
         };
@@ -169,6 +180,11 @@
         Delegation::Refused(self.refuse(Cause::UpstreamFailed, detail))
     }
 
+    fn refuse_full_routers(&self) -> Refused {
+        let detail = "the routers that could send it take no more from this one";
+        self.refuse(Cause::Full, detail.to_owned())
+    }
+
     /// Records that `router` ran the request as `head` says. Without it, the request may have run as often as
     /// its route allows.
     fn record_delegation(&mut self, router: &Member, head: Option<DelegatedHead>) {
--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -19,6 +19,7 @@
 use crate::path::freshness::StreamFreshness;
 use crate::path::router_state::{RouterState, RunningGuard};
 use crate::path::upstreams::Upstream;
+use crate::peers::Room;
 use crate::time_limit::within;
 use crate::util::{Clock, Name};
 
@@ -71,7 +72,7 @@
     /// The upstream itself.
     Upstream(CalledUpstream),
     /// The router that sent the request to an upstream in place of this one.
-    Router(Name),
+    Router { name: Name, _room: Room },
 }
 
 /// Upstream that answers, and what is held while it does.
@@ -373,8 +374,8 @@
 
 impl Reply {
     /// Creates the answer that `router` forwards.
-    pub(crate) fn of_router(router: Name, parts: Parts, body: Incoming) -> Self {
-        let source = Source::Router(router);
+    pub(crate) fn of_router(name: Name, parts: Parts, body: Incoming, room: Room) -> Self {
+        let source = Source::Router { name, _room: room };
         Self {
             parts,
             body,
@@ -386,7 +387,7 @@
     pub(crate) fn upstream(&self) -> Option<&Rc<Upstream>> {
         match &self.source {
             Source::Upstream(called) => Some(&called.upstream),
-            Source::Router(_) => None,
+            Source::Router { .. } => None,
         }
     }
 
@@ -394,7 +395,7 @@
     pub(crate) fn sender(&self) -> &Name {
         match &self.source {
             Source::Upstream(called) => &called.upstream.id,
-            Source::Router(router) => router,
+            Source::Router { name, .. } => name,
         }
     }
 
--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -1,9 +1,10 @@
 //! Client for requests and queries to other routers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,13 +18,13 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, OwnedSemaphorePermit, Semaphore, mpsc};
 
 use super::{DELEGATE, FORWARD, FRAME_CHANNEL_CAPACITY, kind};
 use crate::decide::refusal::{Cause, Refusal};
 use crate::event::Events;
 use crate::peers::frames::{self, Decoder, FrameError};
-use crate::peers::http2::{self, ConnectError};
+use crate::peers::http2::{self, ConnectError, MAX_STREAMS, Traffic};
 use crate::peers::{Frames, refuse};
 use crate::schema::peer::frame::Body;
 use crate::schema::peer::{DelegatedRequest, Forward, Frame};
@@ -33,7 +34,31 @@
 
 const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
-type Link = SendRequest<Full<Bytes>>;
+/// Requests that this router hands to another at a time. Beyond the number of streams that the other one
+/// accepts, a request would wait in the connection without notice; some streams may be about to end.
+const MAX_HANDED_OVER: usize = MAX_STREAMS as usize - 24;
+
+/// Room for one of the requests that are handed to another router, until the end of its answer.
+pub(crate) type Room = OwnedSemaphorePermit;
+
+/// A connection.
+#[derive(Clone)]
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    /// Room for requests, if it carries any.
+    rooms: Arc<Semaphore>,
+}
+
+/// The connections, by the router's address and by what they carry.
+type Slots = HashMap<(Name, Traffic), Rc<Slot>>;
+
+/// The connection to a router, while it is opened or open.
+#[derive(Default)]
+struct Slot {
+    link: Mutex<Option<Link>>,
+    /// Number of attempts to connect that have ended.
+    attempts: Cell<u64>,
+}
 
 /// Error of a query to a peer.
 #[derive(Debug, Snafu)]
@@ -71,6 +96,9 @@
     /// No byte of the request was sent.
     #[snafu(display("{reason}"))]
     NotSent { reason: String },
+    /// The peer has as many requests of this router as it takes. No byte of this one was sent.
+    #[snafu(display("it has {MAX_HANDED_OVER} requests of this router already"))]
+    Full,
     /// The peer may have received the request.
     #[snafu(display("{reason}"))]
     Lost { reason: String },
@@ -89,7 +117,7 @@
 pub(crate) struct PeerClient {
     key: Name,
     events: Events,
-    links: Rc<RefCell<HashMap<Name, Link>>>,
+    slots: Rc<RefCell<Slots>>,
 }
 
 impl PeerClient {
@@ -97,7 +125,7 @@
         Self {
             key: fleet_key.into(),
             events,
-            links: Rc::default(),
+            slots: Rc::default(),
         }
     }
 
@@ -129,10 +157,12 @@
             .header(AUTHORIZATION, &*self.key)
             .body(Full::new(payload))
             .map_err(|e| bad(&e))?;
-        let mut link = self
-            .link(addr)
-            .await
-            .map_err(|e| refuse::not_run(Cause::HomeUnreachable, 0, format!("home {addr}: {e}")))?;
+        let unreachable = |e: &dyn std::fmt::Display| {
+            refuse::not_run(Cause::HomeUnreachable, 0, format!("home {addr}: {e}"))
+        };
+        let link = self.link(addr, Traffic::Requests).await;
+        let mut link = link.map_err(|e| unreachable(&e))?;
+        let _room = link.room().map_err(|e| unreachable(&e))?;
         let lost = |e: &dyn std::fmt::Display| {
             let refusal = Refusal::unknown(Cause::UpstreamFailed);
             refuse::message(
@@ -140,7 +170,8 @@
                 format!("connection to home {addr} lost before the end of the answer: {e}"),
             )
         };
-        let response = link.send_request(request).await.map_err(|e| lost(&e))?;
+        let response = link.sender.send_request(request).await;
+        let response = response.map_err(|e| lost(&e))?;
         if response.status() != StatusCode::OK {
             let detail = format!("home {addr} answered {}", response.status());
             return Err(refuse::not_run(Cause::UpstreamFailed, 0, detail));
@@ -149,28 +180,31 @@
         ended.map_err(|e| lost(&e))
     }
 
-    /// Delegates a request to the router at `addr`, and returns the head of the answer.
+    /// Delegates a request to the router at `addr`, and returns the head of the answer and the room to keep
+    /// until its end.
     pub(crate) async fn delegate(
         &self,
         addr: &Name,
         request: &DelegatedRequest,
-    ) -> Result<Response<Incoming>, DelegateError> {
+    ) -> Result<(Response<Incoming>, Room), DelegateError> {
         let payload = frames::to_vec(request).map_err(DelegateError::not_sent)?;
         let request = Request::post(format!("http://{addr}{DELEGATE}"))
             .header(AUTHORIZATION, &*self.key)
             .body(Full::new(payload.into()))
             .map_err(DelegateError::not_sent)?;
-        let link = self.link(addr).await;
+        let link = self.link(addr, Traffic::Requests).await;
         let mut link = link.map_err(DelegateError::not_sent)?;
+        let room = link.room()?;
         stats::hop();
-        let sent = link.try_send_request(request).await;
-        sent.map_err(|mut e| {
+        let sent = link.sender.try_send_request(request).await;
+        let answer = sent.map_err(|mut e| {
             let reason = e.error().to_string();
             match e.take_message() {
                 Some(_) => DelegateError::NotSent { reason },
                 None => DelegateError::Lost { reason },
             }
-        })
+        })?;
+        Ok((answer, room))
     }
 
     /// Sends a query to the router at `addr` and waits for the answer.
@@ -191,8 +225,10 @@
                 .header(AUTHORIZATION, &*self.key)
                 .body(Full::new(payload.into()))
                 .context(RequestSnafu)?;
-            let mut link = self.link(addr).await.context(ConnectSnafu)?;
-            let response = link.send_request(request).await.context(LostSnafu)?;
+            let link = self.link(addr, Traffic::Queries).await;
+            let mut link = link.context(ConnectSnafu)?;
+            let response = link.sender.send_request(request).await;
+            let response = response.context(LostSnafu)?;
             let status = response.status();
             if status != StatusCode::OK {
                 return StatusSnafu { status }.fail();
@@ -207,20 +243,46 @@
             .unwrap_or_else(|_| TimedOutSnafu.fail())
     }
 
-    async fn link(&self, addr: &Name) -> Result<Link, ConnectError> {
-        let known = self.links.borrow().get(addr).cloned();
-        if let Some(mut link) = known
-            && link.ready().await.is_ok()
+    /// Returns the connection to `addr`. Only one attempt to connect is under way at a time: its end is that
+    /// of all that wait for it.
+    async fn link(&self, addr: &Name, traffic: Traffic) -> Result<Link, ConnectError> {
+        let slot = self.slot(addr, traffic);
+        let attempts_before = slot.attempts.get();
+        let mut known = slot.link.lock().await;
+        if let Some(link) = known.as_ref()
+            && link.sender.is_ready()
         {
-            return Ok(link);
+            return Ok(link.clone());
+        }
+        if slot.attempts.get() > attempts_before {
+            return Err(ConnectError::Shared);
         }
+        *known = None;
         let socket = addr.parse().map_err(|_| ConnectError::Refused {
             source: io::Error::other("peer address is not an IP address and port"),
         })?;
-        let link = http2::connect(socket).await?;
-        self.links.borrow_mut().insert(addr.clone(), link.clone());
+        let connected = http2::connect(socket, traffic).await;
+        slot.attempts.update(|attempts| attempts + 1);
+        let link = Link {
+            sender: connected?,
+            rooms: Arc::new(Semaphore::new(MAX_HANDED_OVER)),
+        };
+        *known = Some(link.clone());
         Ok(link)
     }
+
+    fn slot(&self, addr: &Name, traffic: Traffic) -> Rc<Slot> {
+        let mut slots = self.slots.borrow_mut();
+        slots.entry((addr.clone(), traffic)).or_default().clone()
+    }
+}
+
+impl Link {
+    /// Takes room for a request, without waiting for any.
+    fn room(&self) -> Result<Room, DelegateError> {
+        let room = self.rooms.clone().try_acquire_owned();
+        room.map_err(|_| DelegateError::Full)
+    }
 }
 
 /// Converts the error of a limited body.
--- a/src/peers/client_tests.rs
+++ b/src/peers/client_tests.rs
@@ -1,9 +1,14 @@
 use std::cell::Cell;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use compio::net::TcpListener;
+use futures_util::future::{join_all, select, try_join_all};
 use http::Response;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
@@ -14,9 +19,17 @@
 use crate::front::Drain;
 use crate::front::body::Answer;
 use crate::front::in_flight::Tracker;
+use crate::schema::peer::DelegatedRequest;
+use crate::time_limit::within;
 use crate::util::Name;
 
 const PIECE: &[u8] = &[0; 64 << 10];
+/// Requests that one router hands to another at a time.
+const MAX_REQUESTS: usize = 1_000;
+/// Bytes of an answer that are on their way while its caller reads nothing: windows, buffers and pieces.
+const MAX_UNREAD_BYTES: usize = 5 * PIECE.len();
+/// Time limit of whatever may not wait.
+const TIME_LIMIT: Duration = Duration::from_secs(5);
 
 /// A peer whose answers have no end. It counts the bytes that were taken from it.
 #[derive(Clone, Default)]
@@ -38,10 +51,8 @@
     }
 }
 
-/// A peer answers a query without end. The answer may not fill the memory of the router that asked.
-#[compio::test]
-async fn answer_without_end_is_given_up() {
-    let peer = EndlessPeer::default();
+/// Starts `peer`, and returns a client and its address.
+async fn start(peer: &EndlessPeer) -> (PeerClient, Name) {
     let key: Name = "fleet-key-0123456789".into();
     let addr = "127.0.0.1:0".parse().unwrap();
     let events = Events::open("r".into(), "north".into(), None);
@@ -49,10 +60,103 @@
     let addr = server::bind(addr, key.clone(), drain, peer.clone())
         .await
         .unwrap();
-    let client = PeerClient::new(&key, events);
     let addr: Name = addr.to_string().as_str().into();
+    (PeerClient::new(&key, events), addr)
+}
+
+/// A peer answers a query without end. The answer may not fill the memory of the router that asked.
+#[compio::test]
+async fn answer_without_end_is_given_up() {
+    let peer = EndlessPeer::default();
+    let (client, addr) = start(&peer).await;
     let answer = client.query::<_, u8>(&addr, MEMBERS, &0_u8).await;
     let taken = peer.taken.get();
     assert!(taken <= 2 * frames::MAX_FRAME_BYTES, "{taken} bytes");
     assert!(matches!(answer, Err(QueryError::TooLong)), "{answer:?}");
 }
+
+/// Only 200 requests at a time went on at the other router, a limit of the HTTP/2 library. All others waited
+/// without an answer, until their deadline.
+#[compio::test]
+async fn as_many_requests_as_a_router_holds_go_on_at_another() {
+    let peer = EndlessPeer::default();
+    let (client, addr) = start(&peer).await;
+    let request = DelegatedRequest::default();
+    let _first = client.delegate(&addr, &request).await.unwrap();
+    let delegations = (1..MAX_REQUESTS).map(|_| client.delegate(&addr, &request));
+    let answers = within(TIME_LIMIT, try_join_all(delegations)).await;
+    assert!(answers.is_ok_and(|a| a.is_ok()));
+}
+
+/// A router that gave another one as much as it takes waited for room until the deadline, though a further
+/// router could have taken the request.
+#[compio::test]
+async fn router_that_takes_no_more_is_noticed_at_once() {
+    let peer = EndlessPeer::default();
+    let (client, addr) = start(&peer).await;
+    let request = DelegatedRequest::default();
+    let mut answers = Vec::new();
+    let refusal = loop {
+        let answer = within(TIME_LIMIT, client.delegate(&addr, &request)).await;
+        match answer.expect("the request waits") {
+            Ok(answer) => answers.push(answer),
+            Err(e) => break e,
+        }
+    };
+    assert!(refusal.to_string().contains("already"), "{refusal}");
+    assert_eq!(answers.len(), MAX_REQUESTS);
+    let answer = client.query::<_, u8>(&addr, MEMBERS, &0_u8).await;
+    assert!(matches!(answer, Err(QueryError::TooLong)), "{answer:?}");
+    answers.pop();
+    assert!(client.delegate(&addr, &request).await.is_ok());
+}
+
+/// Three callers who read nothing used up the window of the connection, and held up the answers of all
+/// others that came from the same router.
+#[compio::test]
+async fn callers_who_read_nothing_hold_up_no_others() {
+    const UNREAD: usize = 40;
+    const READ_BYTES: usize = 1 << 20;
+    let peer = EndlessPeer::default();
+    let (client, addr) = start(&peer).await;
+    let request = DelegatedRequest::default();
+    let _first = client.delegate(&addr, &request).await.unwrap();
+    let unread = (1..UNREAD).map(|_| client.delegate(&addr, &request));
+    let unread = try_join_all(unread).await.unwrap();
+    compio::time::sleep(Duration::from_millis(300)).await;
+    let taken = peer.taken.get();
+
+    let (answer, _room) = client.delegate(&addr, &request).await.unwrap();
+    let mut body = answer.into_body();
+    let mut read = 0;
+    while read < READ_BYTES {
+        let frame = within(TIME_LIMIT, body.frame()).await;
+        let frame = frame.expect("the answer is held up").unwrap().unwrap();
+        read += frame.into_data().map_or(0, |data| data.len());
+    }
+    drop(unread);
+    assert!(taken <= UNREAD * MAX_UNREAD_BYTES, "{taken} bytes");
+}
+
+/// Requests that came at once each opened a connection of their own to a router that they met for the first
+/// time.
+#[compio::test]
+async fn requests_that_come_at_once_share_a_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr: Name = listener.local_addr().unwrap().to_string().as_str().into();
+    let events = Events::open("r".into(), "north".into(), None);
+    let client = PeerClient::new("fleet-key-0123456789", events);
+    let request = DelegatedRequest::default();
+    let delegations = join_all((0..20).map(|_| client.delegate(&addr, &request)));
+    let mut streams = Vec::new();
+    let accept = async {
+        loop {
+            streams.push(listener.accept().await.unwrap());
+        }
+    };
+    let both = async {
+        select(pin!(delegations), pin!(accept)).await;
+    };
+    let _ = within(Duration::from_millis(500), both).await;
+    assert_eq!(streams.len(), 1);
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,5 +1,5 @@
-//! Communication between routers: one HTTP/2 connection to each peer with one stream per request or
-//! query, and the datagrams of membership, loads and suspicions.
+//! Communication between routers: HTTP/2 connections to each peer, one for queries and one for callers'
+//! requests, with a stream for each, and the datagrams of membership, loads and suspicions.
 
 mod client;
 #[cfg(test)]
@@ -15,7 +15,7 @@
 
 use tokio::sync::mpsc;
 
-pub(crate) use client::{DelegateError, PeerClient};
+pub(crate) use client::{DelegateError, PeerClient, Room};
 pub(crate) use probes::{Liveness, Probes};
 
 use crate::schema::peer::frame::Body;
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -22,7 +22,7 @@
 use crate::front::body::Answer;
 use crate::front::in_flight::{ConnectionEnd, Tracker};
 use crate::front::{Drain, listen};
-use crate::peers::http2::LocalExec;
+use crate::peers::http2::{LocalExec, MAX_STREAMS, SEND_BUFFER_BYTES};
 use crate::peers::{frames, kind};
 use crate::schema::peer::{self, MembersReply, MembersRequest};
 use crate::socket::{OtherEnd, set_keepalive};
@@ -79,8 +79,13 @@
             Ok::<_, Infallible>(in_flight.track(response))
         }
     });
+    // Callers of the other router may leave all at once while this one stands still. That must not end the
+    // connection.
     let connection = hyper::server::conn::http2::Builder::new(LocalExec)
         .timer(HttpTimer)
+        .max_concurrent_streams(MAX_STREAMS)
+        .max_send_buf_size(SEND_BUFFER_BYTES)
+        .max_pending_accept_reset_streams(MAX_STREAMS as usize)
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = pin!(connection);
     let served = match select(connection.as_mut(), pin!(closing.wait())).await {
--- a/src/serve/operator/mod.rs
+++ b/src/serve/operator/mod.rs
@@ -26,7 +26,7 @@
 use crate::log::config_task::ConfigHandle;
 use crate::log::follow::ApplyError;
 use crate::log::view::ConfigView;
-use crate::peers::http2::{self, LocalExec};
+use crate::peers::http2::{self, LocalExec, Traffic};
 use crate::schema::config::State;
 use crate::schema::operator::operator_client::OperatorClient;
 use crate::schema::operator::operator_server::{Operator, OperatorServer};
@@ -285,7 +285,7 @@
     /// # Errors
     /// If the connection fails or the key has characters that a header value cannot contain.
     pub async fn open(addr: SocketAddr, key: &str) -> Result<Self, CallError> {
-        let connected = http2::connect::<Body>(addr).await;
+        let connected = http2::connect::<Body>(addr, Traffic::Queries).await;
         let send = connected.map_err(|e| CallError::Connect {
             addr,
             detail: e.to_string(),
