Limits of callers' connections reach those that are open

Callers kept connections while a configuration raised `max_header_bytes`, and each request that went by it ended on them with 431 and a closed connection; on a new one it was served. A connection took all its limits once, when it was opened: header bytes (as the size of the parser's buffer), head time and idle time. One opened before the first configuration had the defaults for life, and a router without a configuration refused heads over the default with 413, for good, instead of 503. Body bytes were taken per request and are as they were.

The limits in force are now a watch that each connection reads at use. The parser's buffer is a constant of 1 MiB, so it never has to change; what has arrived of a head is held to twice the limit in force (as the buffer was before), whether it arrives at once or slowly: then nothing more is read, and the connection gets 431 once earlier answers are sent. The whole head is checked per request as before. Before the first configuration only the 1 MiB holds; once it is known, it decides. The idle limit runs outside the parser, since that sets its timer once.

Two ways were weighed. Ending or rebuilding a connection when its limits change keeps the buffer at the limit, but a request that is being sent is lost with it, and a parser that is rebuilt between two requests may take the rest of a body for a request. A constant buffer needs the check on what has arrived, and a bound of its own on answers that wait for the kernel, which was the size of that buffer too: 32 KiB, as by default before. What a hostile caller can have a router hold stays at twice the limit in force, and below the 4 MiB that it may send as a body in any case; while no configuration is known it is 1 MiB. A configuration that allows heads over 1 MiB is not served in full.

Raised limits hold at once. Lowered ones hold at once for heads. A connection that is idle when the idle limit is lowered keeps the longer one until it is used, since its caller goes by that. A head that begins within the idle limit has its own time; before, the idle limit ended it.

The six new cases of routed_bad_callers failed before (431, 431, 431 in place of 503, no answer to a head over a lowered limit, closed early after a raised idle limit, open past a lowered one) and pass.

--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -10,24 +10,31 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
+use tokio::sync::watch;
 
 use crate::front::Drain;
 use crate::front::body::Answer;
 use crate::front::drain::Unflushed;
-use crate::front::head_clock::HeadClock;
+use crate::front::head_clock::{HeadClock, Overrun};
 use crate::front::in_flight::{ConnectionEnd, Tracker};
 use crate::front::paced::PacedStream;
 use crate::stats;
-use crate::time_limit::HttpTimer;
 
 /// Smallest buffer size that hyper accepts.
 pub(crate) const MIN_BUFFER_BYTES: usize = 8 << 10;
-/// Factor of the parser's limits over the router's own, so that most oversized requests get the
-/// typed refusal instead of the parser's error.
-const PARSER_SLACK: usize = 2;
+/// Size of the parser's buffer, which can't change while a connection is open: the largest limit on headers
+/// that [`Bounds`] can have. The buffer grows with what is sent, and [`Bounds::held_bytes`] ends that. A
+/// quarter of the usual limit on bodies, which callers may send at any time.
+pub(crate) const MAX_BUFFER_BYTES: usize = 1 << 20;
+/// Factor of the limits on what has arrived of a head over the limits on requests, so that most
+/// oversized requests get the typed refusal.
+const HEAD_SLACK: usize = 2;
+/// Answer to a head that is too large to be read whole.
+const HEAD_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// Limits of one connection.
-#[derive(Clone, Copy, Debug)]
+/// Limits of callers' connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Bounds {
     /// Size of the request line and headers.
     pub(crate) header_bytes: usize,
@@ -40,15 +47,35 @@
     pub(crate) blocked_time: Duration,
 }
 
+impl Bounds {
+    /// Size of an incomplete head that is read on.
+    pub(crate) fn held_bytes(&self) -> usize {
+        let bytes = self.header_bytes.saturating_mul(HEAD_SLACK);
+        bytes.clamp(MIN_BUFFER_BYTES * HEAD_SLACK, MAX_BUFFER_BYTES)
+    }
+}
+
 /// Serves `stream` until its caller disconnects or stalls; `handle` answers one request, and records how far
-/// it has come.
-pub(crate) async fn serve<F, Fut>(stream: TcpStream, bounds: Bounds, drain: Drain, handle: F)
-where
+/// it has come. `bounds` are those in force, which may change at any time.
+///
+/// Failure guarded against: a connection keeps the limits that were in force when it was opened, and
+/// proper requests are refused on it once a configuration has raised them.
+pub(crate) async fn serve<F, Fut>(
+    stream: TcpStream,
+    bounds: watch::Receiver<Bounds>,
+    drain: Drain,
+    handle: F,
+) where
     F: Fn(Request<Incoming>, Tracker) -> Fut,
     Fut: Future<Output = Response<Answer>>,
 {
     stats::connection_opened();
-    let head_clock = HeadClock::new(bounds.head_time);
+    let Bounds {
+        headers,
+        blocked_time,
+        ..
+    } = *bounds.borrow();
+    let head_clock = HeadClock::new(bounds);
     let clock = head_clock.clone();
     let unflushed = Unflushed::default();
     let end = ConnectionEnd::default();
@@ -68,21 +95,26 @@
         }
     });
     let blocked = stream.blocked();
-    let served = hyper::server::conn::http1::Builder::new()
-        .timer(HttpTimer)
-        .max_headers(bounds.headers * PARSER_SLACK)
-        .max_buf_size((bounds.header_bytes * PARSER_SLACK).max(MIN_BUFFER_BYTES))
-        .header_read_timeout(bounds.idle_time)
+    let mut served = hyper::server::conn::http1::Builder::new()
+        .max_headers(headers * HEAD_SLACK)
+        .max_buf_size(MAX_BUFFER_BYTES)
+        // The idle limit may change while it runs.
+        .header_read_timeout(None)
         .serve_connection(stream, service);
     let stalled = async {
-        let blocked = pin!(blocked.wait_until_longer_than(bounds.blocked_time));
-        let slow = pin!(head_clock.wait_until_slow());
-        match select(blocked, slow).await {
-            Either::Left(_) => "it did not read its answer within the time limit",
-            Either::Right(_) => "its request head did not arrive within the time limit",
+        let blocked = pin!(blocked.wait_until_longer_than(blocked_time));
+        let overrun = pin!(head_clock.wait_for_overrun());
+        match select(blocked, overrun).await {
+            Either::Left(_) => None,
+            Either::Right((overrun, _)) => Some(overrun),
         }
     };
-    match select(pin!(served), pin!(stalled)).await {
+    let cut = |why| {
+        end.set(why);
+        stats::caller_cut();
+        log::info!("caller's connection cut: {why}");
+    };
+    match select(&mut served, pin!(stalled)).await {
         Either::Left((Err(e), _)) => {
             if !e.is_incomplete_message() {
                 end.set("the caller's connection failed");
@@ -90,10 +122,17 @@
             log::debug!("caller's connection ended: {e}");
         }
         Either::Left((Ok(()), _)) => {}
-        Either::Right((why, _)) => {
-            end.set(why);
-            stats::caller_cut();
-            log::info!("caller's connection cut: {why}");
+        Either::Right((None, _)) => cut("it did not read its answer within the time limit"),
+        Either::Right((Some(Overrun::Slow), _)) => {
+            cut("its request head did not arrive within the time limit");
+        }
+        Either::Right((Some(Overrun::Idle), _)) => {
+            log::debug!("caller's connection ended: it was idle for too long");
+        }
+        Either::Right((Some(Overrun::TooLarge), _)) => {
+            let stream = served.into_parts().io;
+            stream.refuse(HEAD_TOO_LARGE, blocked_time).await;
+            log::debug!("caller's connection ended: its request head is too large");
         }
     }
     stats::connection_ended();
--- a/src/front/drain.rs
+++ b/src/front/drain.rs
@@ -7,9 +7,10 @@
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, Response};
 use http_body::{Body, Frame, SizeHint};
@@ -29,6 +30,9 @@
 /// Time limit for closing the links to other routers. One that doesn't answer for so long counts as lost
 /// anyway.
 const LINKS_LIMIT: Duration = OtherEnd::Peer.unacked_limit();
+/// Bytes of an answer that may wait for the kernel. The parser's own bound on them is that of its buffer for
+/// heads, which is far larger.
+const MAX_UNFLUSHED_BYTES: usize = 32 << 10;
 
 /// Phase of a planned stop.
 #[derive(Clone, Copy, Debug, Default, Eq, IntoStaticStr, Ord, PartialEq, PartialOrd)]
@@ -234,14 +238,43 @@
 /// Failure guarded against: a caller reads slowly, and the router exits with the rest of the answer
 /// in its buffers, because hyper has dropped the body.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Unflushed(Rc<RefCell<Vec<InFlight>>>);
+pub(crate) struct Unflushed(Rc<RefCell<Written>>);
+
+/// What was written to a connection since all of it was last passed to the kernel.
+#[derive(Debug, Default)]
+struct Written {
+    answered: Vec<InFlight>,
+    bytes: usize,
+    /// Woken when all is passed on.
+    body: Option<Waker>,
+}
 
 impl Unflushed {
-    /// Records that everything written to the connection was passed to the kernel.
-    pub(crate) fn flushed(&self) {
-        for answered in self.0.take() {
+    /// Returns once a body may write more.
+    fn poll_ready(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut written = self.0.borrow_mut();
+        if written.bytes < MAX_UNFLUSHED_BYTES {
+            return Poll::Ready(());
+        }
+        written.body = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    fn write(&self, bytes: usize) {
+        self.0.borrow_mut().bytes += bytes;
+    }
+
+    /// Records that everything written to the connection was passed to the kernel, and returns the number
+    /// of requests whose answers are thereby passed on.
+    pub(crate) fn flushed(&self) -> usize {
+        let written = self.0.take();
+        for answered in &written.answered {
             answered.tracker().settle();
         }
+        if let Some(body) = written.body {
+            body.wake();
+        }
+        written.answered.len()
     }
 }
 
@@ -267,7 +300,7 @@
             return;
         }
         match &self.unflushed {
-            Some(unflushed) => unflushed.0.borrow_mut().push(in_flight),
+            Some(unflushed) => unflushed.0.borrow_mut().answered.push(in_flight),
             None => in_flight.tracker().settle(),
         }
     }
@@ -282,7 +315,15 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         let this = self.get_mut();
+        if let Some(unflushed) = &this.unflushed {
+            ready!(unflushed.poll_ready(cx));
+        }
         let poll = Pin::new(&mut this.body).poll_frame(cx);
+        if let Some(unflushed) = &this.unflushed
+            && let Poll::Ready(Some(Ok(frame))) = &poll
+        {
+            unflushed.write(frame.data_ref().map_or(0, Bytes::len));
+        }
         this.is_passed_on |= matches!(poll, Poll::Ready(None | Some(Err(_))));
         poll
     }
--- a/src/front/paced.rs
+++ b/src/front/paced.rs
@@ -10,6 +10,7 @@
 //! after its own side is closed, the stream reads until the caller closes, for a limited time.
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -24,7 +25,7 @@
 use crate::front::connection::MIN_BUFFER_BYTES;
 use crate::front::drain::Unflushed;
 use crate::front::head_clock::HeadClock;
-use crate::time_limit::run_out;
+use crate::time_limit::{run_out, within};
 
 /// Number of checks of a blocked write per time limit.
 const POLLS_PER_LIMIT: u32 = 4;
@@ -92,6 +93,20 @@
         self.blocked.clone()
     }
 
+    /// Sends `answer` and closes, in at most `limit` and the time in which a closed connection is read on.
+    pub(crate) async fn refuse(mut self, answer: &[u8], limit: Duration) {
+        let mut unsent = answer;
+        let refused = poll_fn(|cx| {
+            while !unsent.is_empty() {
+                let sent = ready!(Write::poll_write(Pin::new(&mut self), cx, unsent))?;
+                unsent = &unsent[sent..];
+            }
+            Write::poll_shutdown(Pin::new(&mut self), cx)
+        });
+        // The time limit covers callers that disconnected or read slowly.
+        let _: Result<io::Result<()>, _> = within(limit + LINGER, refused).await;
+    }
+
     fn poll_flush_buffer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let poll = Write::poll_flush(Pin::new(&mut self.inner), cx);
         self.blocked.record(poll)
@@ -121,10 +136,18 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(Read::poll_read(Pin::new(&mut self.inner), cx, buf))?;
-        self.head_clock.received();
+        if self.head_clock.is_full() {
+            // The connection ends, with the refusal of the head once earlier answers are sent.
+            return Poll::Pending;
+        }
+        let mut bytes = [0; MIN_BUFFER_BYTES];
+        let room = buf.remaining().min(bytes.len());
+        let read = AsyncRead::poll_read(Pin::new(&mut self.inner), cx, &mut bytes[..room]);
+        let len = ready!(read)?;
+        buf.put_slice(&bytes[..len]);
+        self.head_clock.received(len);
         Poll::Ready(Ok(()))
     }
 }
@@ -155,7 +178,8 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.poll_flush_buffer(cx))?;
         // hyper flushes only when it has written all that it holds.
-        self.unflushed.flushed();
+        let answered = self.unflushed.flushed();
+        self.head_clock.answered(answered);
         Poll::Ready(Ok(()))
     }
 
--- a/src/path/callers.rs
+++ b/src/path/callers.rs
@@ -9,7 +9,7 @@
 
 use crate::decide::refusal::Cause;
 use crate::front::accept;
-use crate::front::connection::{self, Bounds};
+use crate::front::connection::{self, Bounds, MAX_BUFFER_BYTES};
 use crate::front::listen::ConnectionPermit;
 use crate::path::dialect::{Dialect, Records};
 use crate::path::refusal::Refused;
@@ -54,13 +54,20 @@
     _permit: ConnectionPermit,
 ) {
     set_keepalive(&stream, OtherEnd::Caller);
-    let bounds = bounds(&path.state.deployment().limits);
+    let bounds = path.state.caller_bounds();
     let drain = path.drain.clone();
     let handle = move |request, tracker| request::handle(path.clone(), request, tracker);
     connection::serve(stream, bounds, drain, handle).await;
 }
 
-fn bounds(limits: &CallerLimits) -> Bounds {
+/// The limits of connections by the configuration; those of no configuration leave the size of headers to
+/// the check of each request, which waits for the first one.
+pub(crate) fn bounds(limits: Option<&CallerLimits>) -> Bounds {
+    let first = CallerLimits {
+        max_header_bytes: MAX_BUFFER_BYTES,
+        ..CallerLimits::default()
+    };
+    let limits = limits.unwrap_or(&first);
     Bounds {
         header_bytes: limits.max_header_bytes,
         headers: MAX_HEADERS,
--- a/src/path/request.rs
+++ b/src/path/request.rs
@@ -296,7 +296,15 @@
         let retry_after_ms = jittered_ms(STARTING_MS, &mut rand::rng());
         return Err(Refused::not_run(Cause::NoUpstream, retry_after_ms, detail));
     }
-    Ok(path.state.deployment())
+    let deployment = path.state.deployment();
+    // What it allows is unknown, too.
+    if deployment.version == 0 {
+        let detail = "no configuration is known yet";
+        let base_ms = jittered_ms(STARTING_MS, &mut rand::rng());
+        let refused = Refused::not_run(Cause::NoUpstream, base_ms, detail);
+        return Err(describe_state(refused, &path.replica));
+    }
+    Ok(deployment)
 }
 
 fn resolve<D: Records>(
@@ -489,11 +497,6 @@
 }
 
 fn route(deployment: &Deployment, parts: &Parts) -> Result<Rc<Route>, Refused> {
-    if deployment.version == 0 {
-        let detail = "no configuration is known yet";
-        let base_ms = jittered_ms(STARTING_MS, &mut rand::rng());
-        return Err(Refused::not_run(Cause::NoUpstream, base_ms, detail));
-    }
     let host = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
     let found = host.and_then(|host| deployment.route(host, parts.uri.path()));
     found.cloned().ok_or_else(|| {
--- a/src/path/router_state.rs
+++ b/src/path/router_state.rs
@@ -22,7 +22,9 @@
 use crate::decide::{Incarnation, Origin};
 use crate::fleet::gossip::{Gossip, OwnLoad, Publish};
 use crate::fleet::loads::digest;
+use crate::front::connection::Bounds as ConnectionBounds;
 use crate::mutation::{Mutation, mutated};
+use crate::path::callers;
 use crate::path::evacuations::Evacuations;
 use crate::path::health::Health;
 use crate::path::regions::{AllowedRegions, Regions};
@@ -51,6 +53,8 @@
 /// State of one router. Tasks share it and hold no borrow across an await point.
 pub(crate) struct RouterState {
     deployment: RefCell<Rc<Deployment>>,
+    /// Limits of callers' connections by the configuration in force.
+    caller_bounds: watch::Sender<ConnectionBounds>,
     upstreams: RefCell<Upstreams>,
     evacuations: RefCell<Evacuations>,
     cold_starts: RefCell<ColdStarts>,
@@ -148,6 +152,7 @@
     ) -> Self {
         Self {
             deployment: RefCell::default(),
+            caller_bounds: watch::Sender::new(callers::bounds(None)),
             upstreams: RefCell::new(Upstreams::local_to(data_center)),
             evacuations: RefCell::default(),
             cold_starts: RefCell::default(),
@@ -176,6 +181,11 @@
         self.deployment.borrow().clone()
     }
 
+    /// Limits of callers' connections by the configuration in force.
+    pub(crate) fn caller_bounds(&self) -> watch::Receiver<ConnectionBounds> {
+        self.caller_bounds.subscribe()
+    }
+
     pub(crate) fn set_retry_limit(&self, limit: RetryLimit) {
         self.retry_limit.set(limit);
     }
@@ -199,6 +209,9 @@
         if deployment.version <= current.version && !mutated(Mutation::AcceptOlderVersion) {
             return false;
         }
+        let bounds = callers::bounds(Some(&deployment.limits));
+        self.caller_bounds
+            .send_if_modified(|known| std::mem::replace(known, bounds) != bounds);
         *current = Rc::new(deployment);
         true
     }
--- a/src/serve/callers/mod.rs
+++ b/src/serve/callers/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use crate::decide::refusal::Cause;
 use crate::front::accept;
@@ -79,6 +80,7 @@
         let requests = requests.clone();
         async move { requests.handle(request).await }
     };
+    let (_, bounds) = watch::channel(bounds);
     connection::serve(stream, bounds, ctx.drain.clone(), handle).await;
     drop(permit);
 }
--- a/tests/routed_bad_callers.rs
+++ b/tests/routed_bad_callers.rs
@@ -333,3 +333,169 @@
     let max_growth_kb = (CALLERS * MAX_BODY_BYTES * 2) >> 10;
     assert!(growth_kb < max_growth_kb as u64, "{growth_kb} KB more");
 }
+
+/// Limits with room for heads of [`LARGE_HEAD`].
+fn wide_limits() -> serde_json::Value {
+    json!({
+        "max_header_bytes": 65_536, "max_body_bytes": 100_000,
+        "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+    })
+}
+
+/// More than twice the header limit that the routers start with.
+const LARGE_HEAD: usize = 40_000;
+/// Time in which a router applies a configuration.
+const CONFIG_TIME_MS: u64 = 2_000;
+
+/// Sends a request with so many bytes of a header, in two parts `pause_ms` apart, and returns the status of
+/// its answer, or 0 if there is none.
+async fn send_head(stream: &mut TcpStream, filler: usize, pause_ms: u64) -> u16 {
+    stream.set_read_timeout(Some(IDLE_LIMIT)).unwrap();
+    let filler = format!("x-filler: {}\r\n", "x".repeat(filler));
+    let sent = head(&new_request_id(), &filler) + "content-length: 1\r\n\r\n1";
+    let (first, rest) = sent.split_at(sent.len() - 100);
+    // The router may refuse what it has of the head.
+    let _ = stream.write_all(first.as_bytes());
+    support::sleep_ms(pause_ms).await;
+    let _ = stream.write_all(rest.as_bytes());
+    read_status(stream)
+}
+
+/// Reads an answer and returns its status, or 0 if there is none.
+fn read_status(stream: &mut TcpStream) -> u16 {
+    let mut received = String::new();
+    let mut bytes = [0; 4 << 10];
+    while !is_whole(&received) {
+        match stream.read(&mut bytes) {
+            Ok(len) if len > 0 => received.push_str(&String::from_utf8_lossy(&bytes[..len])),
+            _ => return 0,
+        }
+    }
+    let status = received.get(9..12).and_then(|status| status.parse().ok());
+    status.unwrap_or(0)
+}
+
+fn is_whole(received: &str) -> bool {
+    let Some((head, body)) = received.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let mut lines = head.lines();
+    let length = lines.find_map(|l| l.strip_prefix("content-length: "));
+    length.is_none_or(|length| length.parse() == Ok(body.len()))
+}
+
+/// Callers keep their connections while a configuration raises the limit of headers. Those that go by it are
+/// refused on such a connection, whether their heads arrive at once or slowly.
+#[test_case(0; "at once")]
+#[test_case(500; "slowly")]
+#[compio::test]
+async fn raised_header_limit_reaches_open_connections(pause_ms: u64) {
+    let mut routed = RoutedFleet::start(FleetSize::default()).await;
+    let mut kept = TcpStream::connect(routed.caller(0)).unwrap();
+    assert_eq!(send_head(&mut kept, 1, 0).await, 200);
+    let mut unused = TcpStream::connect(routed.caller(0)).unwrap();
+    let routes = routes_of(1);
+    routed
+        .configure(json!({ "limits": wide_limits(), "routes": routes }))
+        .await;
+    routed.wait_status(0, &round_path(1), 200).await;
+    for stream in [&mut kept, &mut unused] {
+        assert_eq!(send_head(stream, LARGE_HEAD, pause_ms).await, 200);
+    }
+}
+
+/// Callers keep their connections while a configuration lowers the limit of headers. What it forbids is
+/// accepted on them for as long as they live.
+#[compio::test]
+async fn lowered_header_limit_reaches_open_connections() {
+    let mut routed = RoutedFleet::start(FleetSize::default()).await;
+    let wide = json!({ "limits": wide_limits(), "routes": routes_of(1) });
+    routed.configure(wide).await;
+    routed.wait_status(0, &round_path(1), 200).await;
+    let mut kept = TcpStream::connect(routed.caller(0)).unwrap();
+    let mut endless = TcpStream::connect(routed.caller(0)).unwrap();
+    assert_eq!(send_head(&mut kept, LARGE_HEAD, 0).await, 200);
+    routed.configure(json!({ "routes": routes_of(2) })).await;
+    routed.wait_status(0, &round_path(2), 200).await;
+    assert_eq!(send_head(&mut kept, LARGE_HEAD / 2, 0).await, 413);
+    let incomplete = head(&new_request_id(), &"x-filler: 1\r\n".repeat(100));
+    let incomplete = incomplete + &"x".repeat(100_000);
+    endless.write_all(incomplete.as_bytes()).unwrap();
+    endless.set_read_timeout(Some(IDLE_LIMIT)).unwrap();
+    assert_eq!(read_status(&mut endless), 431);
+}
+
+/// A caller connects to a router that has no configuration yet. The connection keeps the limits of none, and
+/// its proper requests are refused on it for as long as it lives.
+#[compio::test]
+async fn first_configuration_reaches_open_connections() {
+    let size = FleetSize {
+        store_relays: true,
+        ..FleetSize::default()
+    };
+    let mut routed = RoutedFleet::start(size).await;
+    let wide = json!({ "limits": wide_limits(), "routes": routes_of(1) });
+    routed.configure(wide).await;
+    routed.wait_status(0, &round_path(1), 200).await;
+    routed.relay_knobs(0, json!({ "refuse": true })).await;
+    routed.routers[0].kill();
+    routed.spawn_router(0);
+    let mut connections = Vec::new();
+    while connections.len() < 2 {
+        connections.extend(TcpStream::connect(routed.caller(0)));
+        support::sleep_ms(20).await;
+    }
+    let early = send_head(&mut connections[0], LARGE_HEAD, 0).await;
+    assert_eq!(early, 503, "no configuration is known yet");
+    routed.relay_knobs(0, json!({ "refuse": false })).await;
+    routed.wait_ready(0).await;
+    for stream in &mut connections {
+        assert_eq!(send_head(stream, LARGE_HEAD, 0).await, 200);
+    }
+}
+
+/// A configuration raises or lowers the idle limit. A caller goes by the longer of the two that it may know
+/// while its connection is idle, and finds it closed.
+#[test_case(1_000, 6_000, 4_000; "raised")]
+#[test_case(6_000, 1_000, 4_000; "lowered")]
+#[compio::test]
+async fn idle_connection_outlasts_a_change_of_its_limit(
+    before_ms: u64,
+    after_ms: u64,
+    idle_ms: u64,
+) {
+    let mut routed = RoutedFleet::start(FleetSize::default()).await;
+    let limits = |idle_ms: u64| {
+        let mut limits = wide_limits();
+        limits["idle_timeout_ms"] = json!(idle_ms);
+        limits
+    };
+    let first = json!({ "limits": limits(before_ms), "routes": routes_of(1) });
+    routed.configure(first).await;
+    routed.wait_status(0, &round_path(1), 200).await;
+    let mut kept = TcpStream::connect(routed.caller(0)).unwrap();
+    assert_eq!(send_head(&mut kept, 1, 0).await, 200);
+    let begun = Instant::now();
+    let second = json!({ "limits": limits(after_ms), "routes": routes_of(2) });
+    routed.configure(second).await;
+    routed.wait_status(0, &round_path(2), 200).await;
+    let changed = begun.elapsed();
+    assert!(changed < Duration::from_millis(before_ms), "{changed:?}");
+    support::sleep_ms(idle_ms - changed.as_millis() as u64).await;
+    assert_eq!(send_head(&mut kept, 1, 0).await, 200);
+    // The limit in force applies from the next time on.
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(after_ms) {
+        stream_is_open(&mut kept);
+        support::sleep_ms(100).await;
+    }
+    support::sleep_ms(CONFIG_TIME_MS).await;
+    kept.set_nonblocking(true).unwrap();
+    assert!(is_closed(&mut kept), "open past the idle limit");
+}
+
+fn stream_is_open(stream: &mut TcpStream) {
+    stream.set_nonblocking(true).unwrap();
+    assert!(!is_closed(stream), "closed before the idle limit");
+    stream.set_nonblocking(false).unwrap();
+}
