Sums of slots stay in range, and absurd ones are forgotten with their entry

Two entries of a service with 4,294,967,295 slots ended all routers of a debug build (`attempt to add with overflow` in a sum). The slots of each data centre saturated when such an entry was added, and lost its whole number when it was removed: the slots of the others were then counted as none, and the service's requests were admitted as if slots were unknown (by the code). In a release build the sums wrap, so that such entries could close the service's admission (not run).

Slots are summed in 64 bits, which no number of entries exceeds, so what is added can be subtracted again; the count of open slots is capped at the end.

--- a/src/path/router_state/outcomes.rs
+++ b/src/path/router_state/outcomes.rs
@@ -169,8 +169,9 @@
         let running = self.running.borrow();
         let own = running.iter().filter(|(id, _)| pool.position(id).is_some());
         let own: u32 = own.map(|(_, count)| count).sum();
-        let slots: u32 = pool.candidates().iter().map(|c| c.slots).sum();
-        slots > 0 && f64::from(own) + reported >= f64::from(slots) * LOADED_SHARE
+        let slots = pool.candidates().iter().map(|c| f64::from(c.slots));
+        let slots: f64 = slots.sum();
+        slots > 0.0 && f64::from(own) + reported >= slots * LOADED_SHARE
     }
 
     /// Records that an upstream answered with a server error.
--- a/src/path/router_state/pool.rs
+++ b/src/path/router_state/pool.rs
@@ -299,7 +299,7 @@
         let evacuations = self.evacuations.borrow();
         let takes_work = |data_center: &str| !evacuations.contains(data_center);
         let open = pool.slots().iter().filter(|(name, _)| takes_work(name));
-        let slots: u32 = open.map(|(_, slots)| slots).sum();
+        let slots: u64 = open.map(|(_, slots)| slots).sum();
         let (health, cold_starts) = (self.health.borrow(), self.cold_starts.borrow());
         let mut closed: HashSet<&Name> =
             cold_starts.cold(now_ms).chain(health.replaced()).collect();
@@ -317,8 +317,9 @@
             .filter(|at| !pool.candidates()[*at].excluded);
         let counted = counted.map(|at| &pool.upstreams()[at]);
         let counted = counted.filter(|u| takes_work(&u.data_center));
-        let closed_slots: u32 = counted.map(|u| u.slots).sum();
+        let closed_slots: u64 = counted.map(|u| u64::from(u.slots)).sum();
         let open_slots = slots.saturating_sub(closed_slots);
+        let open_slots = u32::try_from(open_slots).unwrap_or(u32::MAX);
         (open_slots > 0).then_some(open_slots)
     }
 }
--- a/src/path/router_state_tests.rs
+++ b/src/path/router_state_tests.rs
@@ -126,6 +126,28 @@
     assert_eq!(open(&state), 5);
 }
 
+/// Entries name absurd numbers of slots. Their sum must not overflow, and the slots of the others count
+/// once they are gone.
+#[test]
+fn absurd_numbers_of_slots_are_counted_and_forgotten() {
+    let state = state();
+    let absurd = ["north", "north", "south"];
+    for (i, data_center) in (6..).zip(absurd) {
+        let absurd = Upstream {
+            slots: u32::MAX,
+            data_center: data_center.into(),
+            ..upstream(i)
+        };
+        state.change_upstreams(|upstreams| upstreams.put(absurd));
+    }
+    assert_eq!(state.slots_open("s", 1), Some(u32::MAX));
+    for i in 6..9 {
+        state.record_error_answer(&upstream(i), 1);
+        state.change_upstreams(|upstreams| upstreams.remove(&upstream(i).id));
+    }
+    assert_eq!(state.slots_open("s", 1), Some(6 * SLOTS));
+}
+
 /// The answer of an upstream that wants no requests for `pushback_ms`.
 fn pushback(pushback_ms: u64) -> AnswerHead {
     AnswerHead {
--- a/src/path/upstreams/pool.rs
+++ b/src/path/upstreams/pool.rs
@@ -19,7 +19,8 @@
 pub struct Pool {
     upstreams: Vec<Rc<Upstream>>,
     candidates: Vec<Candidate>,
-    slots: HashMap<Name, u32>,
+    /// Never saturates, so that what is added can be subtracted again.
+    slots: HashMap<Name, u64>,
     /// Number of upstreams of each software version, by its name.
     versions: HashMap<Option<Name>, u32>,
 }
@@ -36,7 +37,7 @@
     }
 
     /// Slots of the upstreams of each data centre that take work.
-    pub fn slots(&self) -> &HashMap<Name, u32> {
+    pub fn slots(&self) -> &HashMap<Name, u64> {
         &self.slots
     }
 
@@ -86,10 +87,11 @@
         }
         candidate.excluded = !takes_work;
         if let Some(slots) = self.slots.get_mut(&upstream.data_center) {
+            let changed = u64::from(upstream.slots);
             *slots = if takes_work {
-                slots.saturating_add(upstream.slots)
+                *slots + changed
             } else {
-                slots.saturating_sub(upstream.slots)
+                slots.saturating_sub(changed)
             };
         }
     }
