--- a/tests/support/routed.rs
+++ b/tests/support/routed.rs
@@ -441,11 +441,25 @@
 
     /// Writes what routers keep on the platform.
     pub(crate) async fn write_kept_record(&self, stream: &str, key: &str, value: &[u8]) {
-        let bytes = u32::try_from(1 + key.len() + value.len()).unwrap();
-        let mut body = bytes.to_be_bytes().to_vec();
-        body.push(u8::try_from(key.len()).unwrap());
-        body.extend_from_slice(key.as_bytes());
-        body.extend_from_slice(value);
+        self.write_raw_records(stream, &[(key.as_bytes(), value)])
+            .await;
+    }
+
+    /// Writes records to a stream at once, as another writer may.
+    pub(crate) async fn write_raw_records<K: AsRef<[u8]>, V: AsRef<[u8]>>(
+        &self,
+        stream: &str,
+        records: &[(K, V)],
+    ) {
+        let mut body = Vec::new();
+        for (key, value) in records {
+            let (key, value) = (key.as_ref(), value.as_ref());
+            let bytes = u32::try_from(1 + key.len() + value.len()).unwrap();
+            body.extend_from_slice(&bytes.to_be_bytes());
+            body.push(u8::try_from(key.len()).unwrap());
+            body.extend_from_slice(key);
+            body.extend_from_slice(value);
+        }
         assert!(append(self.store.addr, stream, body).await);
     }
 
