--- a/tests/routed_odd_records.rs
+++ b/tests/routed_odd_records.rs
@@ -235,11 +235,12 @@
                 service: SERVICE.to_owned(),
                 software: (n > 0).then(|| format!("v{n}")),
                 age_ms,
+                stored_age_ms: (n % 3 > 0).then_some(age_ms),
             };
-            let listings = (0..1_000).map(|n| (n % 2 == 0, listing(n)));
-            let listings: Vec<(bool, VersionListing)> = listings.collect();
-            let key = format!("{written_ms:016x}{age_ms:016x}").into_bytes();
-            records.push((key, encoded(&(written_ms, listings))));
+            for n in 0..1_000 {
+                let key = format!("{written_ms:016x}{age_ms:016x}{n:04}").into_bytes();
+                records.push((key, encoded(&(written_ms, n % 2 == 0, listing(n)))));
+            }
         }
     }
     records
--- a/tests/routed_versions.rs
+++ b/tests/routed_versions.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use standins::backend::Run;
 use support::routed::{FleetSize, RoutedFleet, routes};
+use support::streams::wait_versions_in_use;
 use support::{Received, get, set_knobs, sleep_ms, wait_until};
 
 /// Number of events of each stream.
@@ -35,6 +36,7 @@
     for i in 0..routers {
         routed.wait_ready(i).await;
     }
+    wait_versions_in_use(&routed).await;
     routed
 }
 
--- a/tests/support/streams.rs
+++ b/tests/support/streams.rs
@@ -76,13 +76,15 @@
     routed
 }
 
-/// Waits until streams begin at all listed versions at each router that runs.
+/// Waits until each router knows all upstreams, and streams begin at all of their versions.
 pub(crate) async fn wait_versions_in_use(routed: &RoutedFleet) {
+    let known = format!("cassiagrade_upstreams_known {}", routed.upstreams.len());
     for i in 0..u8::try_from(routed.routers.len()).unwrap() {
         let at = routed.admin(i);
         wait_until("all versions in use", || async {
             let page = get(at, "/metrics").await.unwrap_or_default();
-            page.lines().any(|l| l == "cassiagrade_versions_unused 0")
+            let has = |line: &str| page.lines().any(|l| l == line);
+            has(&known) && has("cassiagrade_versions_unused 0")
         })
         .await;
     }
