A failed read, a late list or a restore makes no version look unused (ORDER)

Each is now decided by what is known: unread means unknown, a version may be in use from 2.4 s after the last list or read that lacked it, and what is stored comes first beside several versions.

--- a/src/decide/versions.rs
+++ b/src/decide/versions.rs
@@ -25,9 +25,8 @@
 /// Time between the acknowledged record of a version and the first stream that begins at it: more than
 /// [`LIST_AGE_MS`] and a look at the list, so that no router with a newer list lacks the version.
 pub const FIRST_USE_MS: u64 = 2_500;
-/// Time after which a version that has just been listed may be in use elsewhere: what is left of
-/// [`FIRST_USE_MS`] after the oldest list and the interval of two looks.
-const UNUSED_MS: u64 = FIRST_USE_MS - LIST_AGE_MS - 200;
+/// Part of [`FIRST_USE_MS`] that isn't relied on.
+const MARGIN_MS: u64 = 100;
 /// Time without a look at the listed versions after which some may have been missed.
 pub const MAX_GAP_MS: u64 = 10_000;
 
@@ -74,8 +73,10 @@
     listed_ms: i64,
     /// Time from which on the platform is known to have a record of it.
     stored_ms: Option<i64>,
-    /// Time until which no stream has begun at it anywhere.
+    /// Time until which no stream has begun at it anywhere, by a list or by records that lacked it.
     unused_until_ms: i64,
+    /// Whether a stream may have begun at it all the same: somebody knows of one, or of a record.
+    is_used: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -91,6 +92,8 @@
     /// Time from which on the versions of all services are known.
     since_ms: Option<i64>,
     looked_ms: u64,
+    /// When the last read of all records began.
+    records_ms: Option<u64>,
     services: HashMap<Name, Service>,
 }
 
@@ -122,14 +125,25 @@
 
     /// Records that some upstream of `service` with this version is listed.
     pub fn record_listed(&mut self, service: &Name, software: Option<&Name>, now_ms: u64) {
-        let unused_until_ms = before(now_ms, 0) + UNUSED_MS.cast_signed();
+        self.record_listed_since(service, software, None, now_ms);
+    }
+
+    /// Like [`Self::record_listed`]. If the version is new, the list that was confirmed at `missing_ms` lacked it.
+    pub fn record_listed_since(
+        &mut self,
+        service: &Name,
+        software: Option<&Name>,
+        missing_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        let unused_until_ms = missing_ms.map_or(i64::MIN, in_use_ms);
         self.record(service, software, before(now_ms, 0), unused_until_ms);
     }
 
     /// Records that a stream has begun at this version.
     pub fn record_used(&mut self, service: &Name, software: Option<&Name>, now_ms: u64) {
         let version = self.record(service, software, before(now_ms, 0), i64::MIN);
-        version.unused_until_ms = i64::MIN;
+        version.is_used = true;
     }
 
     /// Records that the platform has a record of this version, for `age_ms` by now.
@@ -177,8 +191,10 @@
         }
         let oldest_ms = before(now_ms, WINDOW_MS);
         let versions = self.services.get(service)?.versions.iter();
-        let is_used =
-            |v: &&Version| v.listed_ms > oldest_ms && v.unused_until_ms < begun_ms.cast_signed();
+        let is_used = |v: &&Version| {
+            let is_late = v.unused_until_ms < begun_ms.cast_signed();
+            v.listed_ms > oldest_ms && (v.is_used || is_late)
+        };
         let mut used = versions.filter(is_used);
         let Some(first) = used.next() else {
             return self.only(service, now_ms);
@@ -189,7 +205,8 @@
     /// Applies all records of the platform, as of a read that began at `read_ms`. A version without a record
     /// isn't used before others have had the time to learn of it.
     pub fn apply_stored(&mut self, stored: &[Listing], read_ms: u64, now_ms: u64) {
-        let unused_until_ms = before(read_ms, 0) + LIST_AGE_MS.cast_signed();
+        self.records_ms = self.records_ms.max(Some(read_ms));
+        let unused_until_ms = in_use_ms(read_ms);
         for version in self.services.values_mut().flat_map(|s| &mut s.versions) {
             if version.stored_ms.is_none() {
                 version.unused_until_ms = version.unused_until_ms.max(unused_until_ms);
@@ -265,7 +282,7 @@
             let listed_ms = before(now_ms, listing.age_ms);
             let version = self.record(service, software, listed_ms, i64::MIN);
             if let Some(age_ms) = listing.stored_age_ms {
-                version.unused_until_ms = i64::MIN;
+                version.is_used = true;
                 self.record_stored(service, software, age_ms, now_ms);
             }
         }
@@ -296,6 +313,7 @@
         listed_ms: i64,
         unused_until_ms: i64,
     ) -> &mut Version {
+        let by_records_ms = self.records_ms.map_or(i64::MIN, in_use_ms);
         let versions = &mut self.services.entry(service.clone()).or_default().versions;
         let known = versions
             .iter()
@@ -305,7 +323,8 @@
                 software: software.cloned(),
                 listed_ms,
                 stored_ms: None,
-                unused_until_ms,
+                unused_until_ms: unused_until_ms.max(by_records_ms),
+                is_used: false,
             });
             versions.len() - 1
         });
@@ -343,6 +362,11 @@
     }
 }
 
+/// Time from which on a version may be in use that had not been listed, or stored, at `missing_ms`.
+fn in_use_ms(missing_ms: u64) -> i64 {
+    before(missing_ms, 0) + (FIRST_USE_MS - MARGIN_MS).cast_signed()
+}
+
 fn before(now_ms: u64, age_ms: u64) -> i64 {
     now_ms.cast_signed().saturating_sub_unsigned(age_ms)
 }
--- a/src/decide/versions_tests.rs
+++ b/src/decide/versions_tests.rs
@@ -280,10 +280,12 @@
 fn version_that_was_just_listed_is_not_in_use() {
     let mut history = VersionHistory::default();
     history.apply_stored(&[stored("v1", 60_000)], 1, 1);
-    refresh(&mut history, &["v1", "v2"], 5_000);
+    refresh(&mut history, &["v1"], 5_000);
+    let v2 = name("v2");
+    history.record_listed_since(&name("s"), Some(&v2), Some(4_000), 5_000);
     assert_eq!(only(&history, 5_000), None);
     assert_eq!(only_used(&history, 5_000, 5_000).as_deref(), Some("v1"));
-    let in_use_ms = 5_000 + FIRST_USE_MS - LIST_AGE_MS;
+    let in_use_ms = 4_000 + FIRST_USE_MS;
     refresh(&mut history, &["v1", "v2"], in_use_ms);
     assert_eq!(only_used(&history, in_use_ms, in_use_ms), None);
     let late_ms = in_use_ms + 10_000;
@@ -291,6 +293,28 @@
     assert_eq!(only_used(&history, 5_000, late_ms).as_deref(), Some("v1"));
 }
 
+/// A list that was read late shows a version that has been in use for a while.
+#[test]
+fn version_is_in_use_by_the_age_of_the_list_that_lacked_it() {
+    let mut history = VersionHistory::default();
+    history.apply_stored(&[stored("v1", 60_000)], 1, 1);
+    refresh(&mut history, &["v1"], 4_000);
+    let v2 = name("v2");
+    history.record_listed_since(&name("s"), Some(&v2), Some(1_000), 4_000);
+    assert_eq!(only_used(&history, 4_000, 4_000), None);
+}
+
+/// A keeper was told of a stream at a version of which the records know nothing: the store was restored from an
+/// older copy.
+#[test]
+fn version_of_a_known_stream_is_in_use_whatever_the_records_say() {
+    let mut history = VersionHistory::default();
+    refresh(&mut history, &["v1"], 100);
+    history.record_used(&name("s"), Some(&name("v2")), 200);
+    history.apply_stored(&[stored("v1", 60_000)], 280, 300);
+    assert_eq!(only_used(&history, 300, 300), None);
+}
+
 /// All routers restart just after a second version was listed, before it was stored.
 #[test]
 fn version_without_a_record_was_not_in_use_before_the_read() {
@@ -299,8 +323,9 @@
     history.apply_stored(&[stored("v1", 60_000)], 280, 320);
     refresh(&mut history, &["v1", "v2"], 500);
     let last_ms = 280 + LIST_AGE_MS;
+    let in_use_ms = 280 + FIRST_USE_MS;
     assert_eq!(only_used(&history, last_ms, last_ms).as_deref(), Some("v1"));
-    assert_eq!(only_used(&history, last_ms + 1, last_ms + 1), None);
+    assert_eq!(only_used(&history, in_use_ms, in_use_ms), None);
 }
 
 /// All routers restart after streams have begun at a second version, of which there is a record.
--- a/src/path/stream_origins/search.rs
+++ b/src/path/stream_origins/search.rs
@@ -165,12 +165,26 @@
             self.trace.add(format_args!(
                 "{asked}: unknown, {answers} of {of} answered, knowing all versions: {is_whole}"
             ));
-            let only = self.only().await;
-            if only != Found::Unknown {
-                return only;
+            // Beside several versions, what is stored comes first: it names the origin.
+            if self.has_one_version() {
+                let only = self.only().await;
+                if only != Found::Unknown {
+                    return only;
+                }
             }
         }
-        self.find_stored(stream).await
+        let stored = self.find_stored(stream).await;
+        if stored == Found::Unknown && !self.has_one_version() {
+            return self.only().await;
+        }
+        stored
+    }
+
+    /// Whether this router knows of just one version, in use or not.
+    fn has_one_version(&self) -> bool {
+        let (path, now_ms) = (self.path, self.path.clock.now_ms());
+        self.service
+            .is_some_and(|service| path.versions.only(service, now_ms).is_some())
     }
 
     /// Looks the stream up among those whose origins are stored: the routers that knew it may have ended.
@@ -213,6 +227,12 @@
         };
         if versions::is_current(path, self.started_ms) {
             versions::read_if_needed(path, service).await;
+            if path.versions.must_read(service, path.clock.now_ms()) && !self.is_confirmed {
+                self.trace.add(format_args!(
+                    "only version: the records of versions could not be read"
+                ));
+                return Found::Unknown;
+            }
         } else if !self.is_confirmed {
             self.trace
                 .add(format_args!("only version: others may be missing here"));
--- a/src/path/versions.rs
+++ b/src/path/versions.rs
@@ -87,6 +87,8 @@
     outcomes: Outcomes,
     /// Era of the log in which they were stored. One that is restored from an older copy may lack them.
     stored_in: Cell<u64>,
+    /// Whether the log was restored from an older copy since this router started.
+    is_restored: Cell<bool>,
     /// Where the versions go that are to outlive this router.
     store: RefCell<Option<mpsc::Sender<VersionCall>>>,
     /// When the list of upstreams was last confirmed.
@@ -113,7 +115,8 @@
         let mut listed = self.listed.borrow_mut();
         listed.clear();
         state.for_each_version(|service, software| {
-            history.record_listed(service, software, now_ms);
+            let missing_ms = Some(before_ms).filter(|at_ms| *at_ms > 0);
+            history.record_listed_since(service, software, missing_ms, now_ms);
             listed.insert(VersionKey {
                 service: service.clone(),
                 software: software.cloned(),
@@ -166,7 +169,7 @@
     }
 
     /// Whether the records have to be read before a version may be taken for the only one.
-    pub(super) fn must_read(&self, service: &str, now_ms: u64) -> bool {
+    pub(crate) fn must_read(&self, service: &str, now_ms: u64) -> bool {
         let reach_ms = self.report_of(service, now_ms).reach_ms;
         self.unread_since_ms.get().is_some() || reach_ms < WINDOW_MS
     }
@@ -222,6 +225,7 @@
         let before = self.stored_in.replace(era);
         if before != era && before != 0 {
             self.written.borrow_mut().clear();
+            self.is_restored.set(true);
         }
         let store = self.store.borrow();
         let Some(store) = store.as_ref() else {
@@ -250,6 +254,8 @@
             written.retain(|key, _| known.contains(key));
         }
         let is_current = now_ms.saturating_sub(self.confirmed_ms.get()) <= LIST_AGE_MS;
+        // In a new era, the records of versions that have gone may be lost.
+        let is_rewritten = self.is_restored.get() && is_current;
         let records = listings.into_iter().map(|listing| {
             let key = VersionKey::from(&listing);
             VersionRecord {
@@ -260,7 +266,8 @@
             }
         });
         let is_changed = |record: &VersionRecord| match written.get(&record.key) {
-            None | Some(false) => record.is_listed,
+            None => record.is_listed || is_rewritten,
+            Some(false) => record.is_listed,
             Some(true) => !record.is_listed && is_current && record.age_ms >= GONE_AFTER_MS,
         };
         records.filter(is_changed).collect()
--- a/src/path/versions_tests.rs
+++ b/src/path/versions_tests.rs
@@ -216,3 +216,31 @@
     fixture.versions.apply_stored(&[], now_ms, now_ms);
     assert!(!fixture.versions.must_read("s", now_ms));
 }
+
+/// A version came and went before the log was restored from an older copy. Its record would be lost.
+#[test]
+fn version_that_has_gone_is_stored_again_in_a_new_era() {
+    let mut fixture = Fixture::open(8);
+    fixture.put("i-1", Some("v1"));
+    fixture.put("i-2", Some("v2"));
+    fixture.refresh(ERA);
+    fixture.remove("i-1");
+    assert_eq!(fixture.refresh_until_gone(), versions(&[("v1", false)]));
+    let both = versions(&[("v1", false), ("v2", true)]);
+    assert_eq!(fixture.refresh(ERA + 1), both);
+    assert_eq!(fixture.refresh(ERA + 1), versions(&[]));
+}
+
+/// A list that was confirmed long ago is followed by one with a version that is in use by then.
+#[test]
+fn new_version_counts_from_the_list_that_lacked_it() {
+    let mut fixture = Fixture::open(8);
+    fixture.put("i-1", Some("v1"));
+    fixture.versions.apply_stored(&[], 500, 500);
+    fixture.versions.refresh(&fixture.state, 1_000, 1_000);
+    fixture.put("i-2", Some("v2"));
+    fixture.versions.refresh(&fixture.state, 2_900, 4_000);
+    assert_eq!(fixture.versions.only_used("s", 4_100, 4_100), None);
+    let earlier = fixture.versions.only_used("s", 3_000, 4_100);
+    assert_eq!(earlier, Some(Some("v1".into())));
+}
--- a/tests/routed_odd_records.rs
+++ b/tests/routed_odd_records.rs
@@ -235,7 +235,7 @@
                 service: SERVICE.to_owned(),
                 software: (n > 0).then(|| format!("v{n}")),
                 age_ms,
-                stored_age_ms: (n % 3 > 0).then_some(age_ms),
+                stored_age_ms: (!n.is_multiple_of(3)).then_some(age_ms),
             };
             for n in 0..1_000 {
                 let key = format!("{written_ms:016x}{age_ms:016x}{n:04}").into_bytes();
