--- a/src/path/versions_tests.rs
+++ b/src/path/versions_tests.rs
@@ -234,7 +234,7 @@
 /// A list that was confirmed long ago is followed by one with a version that is in use by then.
 #[test]
 fn new_version_counts_from_the_list_that_lacked_it() {
-    let mut fixture = Fixture::open(8);
+    let fixture = Fixture::open(8);
     fixture.put("i-1", Some("v1"));
     fixture.versions.apply_stored(&[], 500, 500);
     fixture.versions.refresh(&fixture.state, 1_000, 1_000);
