Readers are found in one pass; routers that store a version themselves don't do so at once

By review: a router that met a new version asked one of the readers, which it found with a hash for each pair of routers (a million at 985), and after 600 ms without a confirmed record every router wrote it at once and asked nobody any more. Readers are now found in one pass, all go on asking, and the writes of a fleet are spread over 20 ms a router.

--- a/src/fleet/log_reads.rs
+++ b/src/fleet/log_reads.rs
@@ -15,12 +15,13 @@
 //! rate of retries, and the first that succeeds publishes to the rest. A router that receives
 //! nothing from others counts as a fleet of one and keeps the bound by itself.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use rand::Rng;
 
 use crate::fleet::first_load::delay_share;
-use crate::fleet::member::View;
+use crate::fleet::member::{Member, View};
 use crate::util;
 
 /// Number of routers that read the log. With three, one is left after the loss of two at once.
@@ -61,7 +62,6 @@
 
 /// Whether `host` is one of the readers. Costs one hash per router.
 pub fn is_reader(view: &View, host: &str) -> bool {
-    let weight = |name: &str| util::hash_parts(&["news", name]);
     let own = weight(host);
     let others = view
         .members
@@ -70,6 +70,19 @@
     others.filter(|m| weight(&m.host) > own).count() < READERS
 }
 
+/// The readers among the members that take work. Costs one hash per router, and sorting them.
+pub fn readers(view: &View) -> Vec<&Member> {
+    let members = view.members.iter().filter(|m| m.takes_work());
+    let mut readers: Vec<&Member> = members.collect();
+    readers.sort_by_cached_key(|m| Reverse(weight(&m.host)));
+    readers.truncate(READERS);
+    readers
+}
+
+fn weight(host: &str) -> u64 {
+    util::hash_parts(&["news", host])
+}
+
 /// Read intervals, derived from how soon a change of the log must be in force everywhere.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadSchedule {
--- a/src/fleet/log_reads_tests.rs
+++ b/src/fleet/log_reads_tests.rs
@@ -8,7 +8,9 @@
 
 use super::first_load::{LoadCost, load_delay_ms};
 use super::in_flight::{REPORT_INTERVAL_MS, receivers};
-use super::log_reads::{Backoff, Freshness, READERS, ReadSchedule, Role, is_reader, read_due};
+use super::log_reads::{
+    Backoff, Freshness, READERS, ReadSchedule, Role, is_reader, read_due, readers,
+};
 use super::member::{Member, MemberState, View};
 
 const READ_CHECK_MS: u64 = 100;
@@ -40,6 +42,17 @@
     rng: SmallRng,
 }
 
+fn member(n: usize) -> Member {
+    Member {
+        host: format!("host-{n}").into(),
+        data_center: "dc".into(),
+        incarnation: 1,
+        state: MemberState::Alive,
+        peer_addr: "".into(),
+        caller_addr: "".into(),
+    }
+}
+
 impl Fleet {
     fn start(routers: usize, bound_ms: f64) -> Self {
         let mut fleet = Self::starting(routers, bound_ms);
@@ -295,14 +308,6 @@
 #[test_case(985, 45)]
 #[test_case(2_000, 45)]
 fn few_routers_of_a_fleet_that_meets_are_readers(routers: usize, most: usize) {
-    let member = |n: usize| Member {
-        host: format!("host-{n}").into(),
-        data_center: "dc".into(),
-        incarnation: 1,
-        state: MemberState::Alive,
-        peer_addr: "".into(),
-        caller_addr: "".into(),
-    };
     let all: Vec<Member> = (0..routers).map(member).collect();
     let is_reader = |known: usize| {
         let view = View {
@@ -388,3 +393,22 @@
         times_ms[nine_in_ten]
     );
 }
+
+/// A router would ask others than those that read the log for it.
+#[test_case(1)]
+#[test_case(9)]
+#[test_case(390)]
+fn readers_are_those_that_take_themselves_for_readers(routers: usize) {
+    let view = View {
+        version: 1,
+        members: (0..routers).map(member).collect(),
+        ..View::default()
+    };
+    let mut found: Vec<&str> = readers(&view).iter().map(|m| &*m.host).collect();
+    found.sort_unstable();
+    let hosts = view.members.iter().map(|m| &*m.host);
+    let mut expected: Vec<&str> = hosts.filter(|host| is_reader(&view, host)).collect();
+    expected.sort_unstable();
+    assert_eq!(found, expected);
+    assert_eq!(found.len(), READERS.min(routers));
+}
--- a/src/path/versions.rs
+++ b/src/path/versions.rs
@@ -26,15 +26,17 @@
 use crate::schema::peer::{OriginRequest, VersionListing, VersionReport};
 use crate::stats;
 use crate::time_limit::within;
-use crate::util::Name;
+use crate::util::{self, Name};
 
 /// Time after which a version that isn't listed any more is stored as gone.
 pub(super) const GONE_AFTER_MS: u64 = 5_000;
 /// Age of a list of upstreams from which streams are shared as if there were several versions: that up to which
 /// lists decide requests while the log can be read.
 const AGEING_MS: u64 = 1_800;
-/// Time after which a router has a version stored itself if no other one has confirmed its record.
+/// Least time after which a router has a version stored itself if no other one has confirmed its record.
 const STORE_AFTER_MS: u64 = 600;
+/// Mean interval at which the routers of a fleet do so one after the other.
+const STORE_SPACING_MS: u64 = 20;
 /// Time for which a caller waits for a read of the records, or for a version at which its stream may begin.
 const WAIT_LIMIT: Duration = Duration::from_millis(500);
 /// Interval at which a waiting request looks again.
@@ -380,12 +382,14 @@
         path.versions.unstored_since_ms.get().or(Some(now_ms))
     };
     path.versions.unstored_since_ms.set(since_ms);
-    let is_overdue =
-        since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= STORE_AFTER_MS);
-    if path.is_reader() || is_overdue {
+    let limit_ms = store_after_ms(&path.host, path.routers());
+    let is_overdue = since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= limit_ms);
+    let is_reader = path.is_reader();
+    if is_reader || is_overdue {
         let era = *path.replica.era().borrow();
         path.versions.store_changed(era, now_ms);
-    } else if !unstored.is_empty() && !path.versions.is_asking.replace(true) {
+    }
+    if !is_reader && !unstored.is_empty() && !path.versions.is_asking.replace(true) {
         let path = path.clone();
         compio::runtime::spawn(async move {
             ask_readers(&path, &unstored).await;
@@ -395,15 +399,22 @@
     }
 }
 
+/// Time after which the router on `host` has a version stored itself if no other one has confirmed its record.
+///
+/// Failure guarded against: the store takes no writes for a second while a version joins a large fleet, and then all
+/// routers write its record at once.
+pub(super) fn store_after_ms(host: &str, routers: usize) -> u64 {
+    let spread_ms = (routers as u64).saturating_mul(STORE_SPACING_MS).max(1);
+    STORE_AFTER_MS + util::hash_parts(&["version", host]) % spread_ms
+}
+
 /// Asks a router that reads the log for the others which versions of these services are stored.
 async fn ask_readers<D: Records>(path: &Rc<RequestPath<D>>, services: &[Name]) {
     let addr = {
         let fleet = path.fleet.borrow();
-        let others = fleet.members.iter().filter(|m| m.host != path.host);
-        let readers = others.filter(|m| log_reads::is_reader(&fleet, &m.host));
-        readers
-            .choose(&mut rand::rng())
-            .map(|m| m.peer_addr.clone())
+        let readers = log_reads::readers(&fleet).into_iter();
+        let others = readers.filter(|m| m.host != path.host);
+        others.choose(&mut rand::rng()).map(|m| m.peer_addr.clone())
     };
     let Some(addr) = addr else {
         return;
--- a/src/path/versions_tests.rs
+++ b/src/path/versions_tests.rs
@@ -3,7 +3,7 @@
 use super::regions::Regions;
 use super::router_state::{RetryLimit, RouterState};
 use super::upstreams::Upstream;
-use super::versions::{GONE_AFTER_MS, ServiceVersions, VersionCall};
+use super::versions::{GONE_AFTER_MS, ServiceVersions, VersionCall, store_after_ms};
 use crate::decide::versions::{LIST_AGE_MS, Listing};
 use crate::fleet::gossip::Gossip;
 use crate::schema::peer::{VersionListing, VersionReport};
@@ -244,3 +244,17 @@
     let earlier = fixture.versions.only_used("s", 3_000, 4_100);
     assert_eq!(earlier, Some(Some("v1".into())));
 }
+
+/// A version joins a large fleet while the store takes no writes. All routers would write its record at once.
+#[test]
+fn routers_of_a_large_fleet_store_a_version_one_after_the_other() {
+    let limits = (0..390).map(|i| store_after_ms(&format!("router-{i}"), 390));
+    let mut limits: Vec<u64> = limits.collect();
+    limits.sort_unstable();
+    assert!(limits[0] >= 600 && limits[389] < 600 + 390 * 20);
+    let busiest = limits.windows(40).map(|w| w[39] - w[0]).min();
+    assert!(
+        busiest.is_some_and(|ms| ms > 300),
+        "40 within {busiest:?} ms"
+    );
+}
