Heads that are none of a final answer aren't passed on

What callers saw: an upstream in trouble sent 101 without having been asked to switch protocols, a status of 600 or 999, or a transfer coding other than chunked alone; its caller got that status, or coded bytes with a 200, as the upstream's answer.

Cause: the HTTP library takes any number from 100 on for a status and reads a body in an unknown coding to the end of the connection; the path looked at no status but 421 and successes.

Why this works: one check, where a head is read, for all users of these connections: the status is of 200 to 599, and a transfer coding is chunked, once, without a length beside it. Anything else is as if the connection had broken off: the request may have run.

--- a/src/http1/connection.rs
+++ b/src/http1/connection.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use snafu::{ResultExt, Snafu};
 
+use crate::http1::answer::{self, NoAnswer};
 use crate::http1::stream::{Exchange, RequestStream, TcpSocket};
 use crate::socket::{OtherEnd, set_keepalive};
 use crate::time_limit::within;
@@ -39,6 +40,8 @@
     NotSent { source: hyper::Error },
     #[snafu(display("{source}"))]
     Lost { source: hyper::Error },
+    #[snafu(display("{source}"))]
+    NoAnswer { source: NoAnswer },
 }
 
 /// Connection used for one request at a time.
@@ -59,7 +62,7 @@
     ) -> Result<Response<Incoming>, SendError> {
         self.exchange.begin(&mut request);
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut e| {
+        let response = sent.map_err(|mut e| {
             let is_unsent = e.take_message().is_some();
             let source = e.into_error();
             if is_unsent {
@@ -67,7 +70,10 @@
             } else {
                 SendError::Lost { source }
             }
-        })
+        })?;
+        let (parts, body) = response.into_parts();
+        answer::check(&parts).context(NoAnswerSnafu)?;
+        Ok(Response::from_parts(parts, body))
     }
 
     /// Records that the whole answer was read. The end of the connection then ends no answer.
--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -1,9 +1,12 @@
 //! HTTP/1.1 connections on which this router sends requests: to upstreams and to the platform's store.
 
+pub(crate) mod answer;
 pub(crate) mod connection;
 mod informational;
 mod stream;
 
+#[cfg(test)]
+mod answer_tests;
 #[cfg(test)]
 mod connection_tests;
 #[cfg(test)]
--- a/tests/routed_broken_answers.rs
+++ b/tests/routed_broken_answers.rs
@@ -194,6 +194,53 @@
     }
 }
 
+/// Bytes of an upstream that are no head of a final answer are passed on as one.
+#[test_case("HTTP/1.1 000 OK", ""; "status 000")]
+#[test_case("HTTP/1.1 099 OK", ""; "status 099")]
+#[test_case("HTTP/1.1 20 OK", ""; "status of two digits")]
+#[test_case("HTTP/1.1 1000 OK", ""; "status of four digits")]
+#[test_case("HTTP/1.1 101 Switching Protocols", "connection: upgrade\r\nupgrade: x\r\n"; "status 101")]
+#[test_case("HTTP/1.1 600 Odd", ""; "status 600")]
+#[test_case("HTTP/1.1 999 Odd", ""; "status 999")]
+#[test_case("HTTP/2.0 200 OK", ""; "another version")]
+#[test_case("HTTP/1.1 200 OK", "x odd: 1\r\n"; "blank in a field name")]
+#[test_case("HTTP/1.1 200 OK", "x\todd: 1\r\n"; "tab in a field name")]
+#[test_case("HTTP/1.1 200 OK", "x-odd : 1\r\n"; "blank before the colon")]
+#[test_case("HTTP/1.1 200 OK", "x\u{1}odd: 1\r\n"; "control byte in a field name")]
+#[test_case("HTTP/1.1 200 OK", "x\0odd: 1\r\n"; "zero byte in a field name")]
+#[test_case("HTTP/1.1 200 OK", "x\u{7f}odd: 1\r\n"; "delete in a field name")]
+#[test_case("HTTP/1.1 200 OK", ": 1\r\n"; "no field name")]
+#[test_case("HTTP/1.1 200 OK", "odd\r\n"; "no colon")]
+#[test_case("HTTP/1.1 200 OK", "x-odd: a\u{1}b\r\n"; "control byte in a value")]
+#[test_case("HTTP/1.1 200 OK", "x-odd: a\rb\r\n"; "bare carriage return in a value")]
+#[test_case("HTTP/1.1 200 OK", "x-odd: a\r\n b\r\n"; "folded line")]
+#[test_case("HTTP/1.1 200 OK", "content-length: 4\r\ncontent-length: 5\r\n"; "two lengths")]
+#[test_case("HTTP/1.1 200 OK", "content-length: +4\r\n"; "length with a sign")]
+#[test_case("HTTP/1.1 200 OK", "transfer-encoding: zip\r\n"; "unknown transfer coding")]
+#[test_case("HTTP/1.1 200 OK", "transfer-encoding: chunked, zip\r\n"; "unknown coding after chunks")]
+#[test_case("HTTP/1.1 200 OK", "transfer-encoding: zip, chunked\r\n"; "unknown coding before chunks")]
+#[test_case("HTTP/1.1 200 OK", "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n"; "chunked twice")]
+#[test_case("HTTP/1.1 200 OK", "transfer-encoding: chunked\r\ncontent-length: 4\r\n"; "length and chunks")]
+#[compio::test]
+async fn bytes_that_are_no_answer_are_not_passed_on(status_line: &str, headers: &str) {
+    let body = if headers.contains("chunked") {
+        "4\r\nfake\r\n0\r\n\r\n"
+    } else {
+        "fake"
+    };
+    let head = format!(
+        "{status_line}\r\nattempt-id: {{id}}\r\nserver-signature: scripted\r\n{headers}\r\n{body}"
+    );
+    let steps = vec![Step::Send(head), Step::EndSending, Step::ReadToEnd];
+    let (routed, scripted) = start(Reads::Whole, steps).await;
+    let received = meet(&routed, &scripted, &ALL_PATHS, SHORT).await;
+    for (path, received) in &received {
+        assert!(!received.body.contains("fake"), "{path}: {received:?}");
+    }
+    assert_not_whole(&received);
+    assert_repeated(&received);
+}
+
 /// An upstream stops in the head of its answer and closes. Its caller gets an empty or short success.
 #[test_case("HTTP/1.1 20"; "in the status line")]
 #[test_case("HTTP/1.1 200 OK\r\n"; "after the status line")]
