A body in a content coding isn't passed on

What callers saw: an answer of an upstream with Content-Encoding, which they ask for nowhere, was passed on as its answer. By the platform's protocol its body isn't the upstream's.

Cause: nobody looked at the field.

Why this works: the dialect tells that the body is coded, and the check of an answer's head counts it as lost, as without the upstream's proof. Rejections are told by their head alone, as before. The own dialect passes codings on: its callers may ask for them.

--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -344,6 +344,9 @@
             "success status without the upstream's proof header".to_owned(),
         ));
     }
+    if head.is_encoded {
+        return Err(lost("the body is in a content coding".to_owned()));
+    }
     Ok(())
 }
 
--- a/src/path/dialect.rs
+++ b/src/path/dialect.rs
@@ -56,6 +56,8 @@
     pub has_proof: bool,
     /// Whether the upstream reports that it did not run the request.
     pub not_run: bool,
+    /// Whether the body is in a coding that callers didn't ask for.
+    pub is_encoded: bool,
     /// Whether the upstream announces that it is shutting down.
     pub is_leaving: bool,
     /// Time for which the upstream wants no further request from this router.
--- a/tests/routed_broken_answers.rs
+++ b/tests/routed_broken_answers.rs
@@ -221,6 +221,7 @@
 #[test_case("HTTP/1.1 200 OK", "transfer-encoding: zip, chunked\r\n"; "unknown coding before chunks")]
 #[test_case("HTTP/1.1 200 OK", "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n"; "chunked twice")]
 #[test_case("HTTP/1.1 200 OK", "transfer-encoding: chunked\r\ncontent-length: 4\r\n"; "length and chunks")]
+#[test_case("HTTP/1.1 200 OK", "content-encoding: gzip\r\n"; "content coding")]
 #[compio::test]
 async fn bytes_that_are_no_answer_are_not_passed_on(status_line: &str, headers: &str) {
     let body = if headers.contains("chunked") {
