The own dialect reads upstreams' answers on the same checked connections

What callers saw on the project's own log: the part of an answer without a length that was reset, as the whole answer; statuses 101, 600 and 999; bodies in an unknown transfer coding.

Cause: as on the keyed log, in a second client. The library's client opens its connections itself, so no check could stand below it.

Why this works: home tasks call upstreams through http1::Client, a pool of the connections that the keyed log uses: the end of a connection and the head of an answer are judged in one place for both dialects. Besides, a redirection is passed on as the upstream's answer; the library's client followed it to any host. What reads JSON objects alone (reports, orders, the own log) keeps that client: a part of one doesn't parse.

--- a/src/http1/mod.rs
+++ b/src/http1/mod.rs
@@ -1,7 +1,8 @@
 //! HTTP/1.1 connections on which this router sends requests: to upstreams and to the platform's store.
 
-pub(crate) mod answer;
-pub(crate) mod connection;
+mod answer;
+mod client;
+mod connection;
 mod informational;
 mod stream;
 
@@ -12,4 +13,5 @@
 #[cfg(test)]
 mod stream_tests;
 
+pub(crate) use client::{Busy, Client, ClientError};
 pub(crate) use connection::{ConnectError, Connection, MAX_HEAD_BYTES, SendError, open};
--- a/src/router.rs
+++ b/src/router.rs
@@ -108,10 +108,10 @@
         let (ctx, questions) = build_context(settings, &listen, socket, outputs.events)?;
         let ctx = Rc::new(ctx);
         let http = cyper::Client::new().context(ClientSnafu)?;
-        let homes = Homes::new(ctx.clone(), http.clone());
+        let homes = Homes::new(ctx.clone(), http);
         let peers = PeerClient::new(&fleet_key, ctx.events.clone(), ctx.request_bytes.clone());
         compio::runtime::spawn(states::answer(ctx.clone(), peers.clone(), questions)).detach();
-        let dispatch = Dispatch::new(ctx.clone(), homes.clone(), peers.clone(), http);
+        let dispatch = Dispatch::new(ctx.clone(), homes.clone(), peers.clone());
         let answers = PeerService {
             ctx: ctx.clone(),
             dispatch: dispatch.clone(),
--- a/src/serve/home/admit.rs
+++ b/src/serve/home/admit.rs
@@ -13,6 +13,7 @@
 use crate::decide::{ChatKey, Cost, Job, JobId, Name};
 use crate::event::Kind;
 use crate::front::body::recv_while_open;
+use crate::http1::Client;
 use crate::peers::{Frames, PeerClient, refuse};
 use crate::schema::config::Upstream;
 use crate::schema::peer;
@@ -35,7 +36,7 @@
     homes: Homes,
     accounts: AccountLimits,
     suspects: Suspects,
-    http: cyper::Client,
+    http: Client,
     next_job: Cell<u64>,
 }
 
@@ -55,14 +56,13 @@
         homes: Homes,
         accounts: AccountLimits,
         peers: PeerClient,
-        http: cyper::Client,
     ) -> Self {
         Self {
             suspects: Suspects::new(ctx.clone(), peers),
             ctx,
             homes,
             accounts,
-            http,
+            http: Client::default(),
             next_job: Cell::new(0),
         }
     }
--- a/src/serve/home/kv.rs
+++ b/src/serve/home/kv.rs
@@ -1,13 +1,16 @@
 //! Transfers a chat's KV cache between engines.
 
+use std::net::AddrParseError;
 use std::time::Duration;
 
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
 use serde::Serialize;
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 
 use crate::decide::ChatKey;
+use crate::http1::{Client, ClientError};
 use crate::time_limit::within;
-use crate::util::read_body;
 
 /// A transfer that takes longer costs more than the prefill it avoids.
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -17,7 +20,15 @@
 #[derive(Debug, Snafu)]
 pub(crate) enum KvError {
     #[snafu(display("{source}"), context(false))]
-    Call { source: cyper::Error },
+    Call { source: ClientError },
+    #[snafu(display("{source}"), context(false))]
+    Addr { source: AddrParseError },
+    #[snafu(display("{source}"), context(false))]
+    Request { source: http::Error },
+    #[snafu(display("the answer can't be read: {source}"))]
+    Body {
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
     #[snafu(display("{source}"), context(false))]
     Encode { source: serde_json::Error },
     #[snafu(display("the engine answered the KV export with status {status}"))]
@@ -35,20 +46,22 @@
 /// Asks the engine at `from` to send the cache of `chat` to the engine at `to`. Both are an IP
 /// address and port. Returns the number of tokens moved.
 pub(crate) async fn export(
-    http: &cyper::Client,
+    http: &Client,
     from: &str,
     to: &str,
     chat: ChatKey,
 ) -> Result<u32, KvError> {
     let call = async {
         let body = serde_json::to_string(&Export { key: chat.0, to })?;
-        let request = http.post(format!("http://{from}/kv/export"))?.body(body);
-        let response = request.send().await?;
+        let request = Request::post("/kv/export").body(Full::new(body.into()))?;
+        let (response, connection) = http.send(from.parse()?, request).await?;
         let status = response.status();
         if !status.is_success() {
             return RefusedSnafu { status }.fail();
         }
-        let body = read_body(response, MAX_ANSWER_BYTES).await?;
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let body = body.collect().await.context(BodySnafu)?.to_bytes();
+        http.put_back(connection);
         Ok(serde_json::from_slice(&body)?)
     };
     let exported = within(EXPORT_TIMEOUT, call).await;
--- a/src/serve/home/upstream.rs
+++ b/src/serve/home/upstream.rs
@@ -5,15 +5,16 @@
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures_util::future::Either;
-use futures_util::{Stream, StreamExt, pin_mut, stream};
-use http::header::CONTENT_LENGTH;
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use futures_util::{Stream, StreamExt, pin_mut};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use serde_json::Value;
 use tokio::sync::mpsc;
 
 use crate::decide::refusal::{Cause, Refusal};
 use crate::event::Kind;
-use crate::front::paced::MAX_WRITE_BYTES;
+use crate::http1::{Busy, Client, ClientError};
 use crate::peers::refuse;
 use crate::schema::config::Upstream;
 use crate::schema::peer;
@@ -45,10 +46,13 @@
     "authorization",
 ];
 
+/// Head of an answer, with its unread body and the connection that it arrives on.
+type Answer = (Response<Incoming>, Busy);
+
 /// One call to one upstream.
 pub(crate) struct Call {
     pub(crate) ctx: SharedCtx,
-    pub(crate) http: cyper::Client,
+    pub(crate) http: Client,
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) engine: bool,
     pub(crate) forward: Forward,
@@ -83,16 +87,21 @@
             return;
         }
         let id = &self.forward.request_id;
-        let url = format!("http://{}{STREAMS_PATH}/{id}", self.upstream.addr);
-        if let Ok(request) = self.http.delete(url)
-            && let Err(e) = request.send().await
+        let path = format!("{STREAMS_PATH}/{id}");
+        if let Err(e) = self
+            .request(&Method::DELETE, &path, HeaderMap::new(), Bytes::new())
+            .await
         {
-            log::debug!("cancelling a stream at {} failed: {e}", self.upstream.name);
+            log::debug!(
+                "cancelling a stream at {} failed: {}",
+                self.upstream.name,
+                e.detail
+            );
         }
     }
 
     async fn answer(&self) -> Result<(), peer::Refusal> {
-        let response = self.response().await?;
+        let (response, connection) = self.response().await?;
         let echoed = response.headers().get(REQUEST_ID);
         if echoed.map(HeaderValue::as_bytes) != Some(self.forward.request_id.as_bytes()) {
             return Err(self.mismatched());
@@ -106,18 +115,19 @@
         };
         let streams = self.engine && response.status().is_success();
         self.forward_frame(Body::Head(head)).await?;
-        let bytes = response.bytes_stream();
+        let bytes = response.into_body().into_data_stream();
         let chunks = if streams {
             self.forward_events(bytes).await?
         } else {
             self.forward_bytes(bytes).await?
         };
+        self.http.put_back(connection);
         self.forward_frame(Body::End(End { chunks })).await
     }
 
     /// Resumes an interrupted stream at its offset if this engine still has it; otherwise sends the
     /// request again.
-    async fn response(&self) -> Result<cyper::Response, peer::Refusal> {
+    async fn response(&self) -> Result<Answer, peer::Refusal> {
         if self.forward.resume_upstream != self.upstream.name {
             return self.send_request().await;
         }
@@ -127,7 +137,7 @@
             fwd.request_id, fwd.delivered_chunks
         );
         let resumed = self.send(&Method::GET, &path, Bytes::new()).await?;
-        if !resumed.status().is_success() {
+        if !resumed.0.status().is_success() {
             return self.send_request().await;
         }
         self.ctx.events.emit(Kind::RequestResumed, |e| {
@@ -139,7 +149,7 @@
         Ok(resumed)
     }
 
-    async fn send_request(&self) -> Result<cyper::Response, peer::Refusal> {
+    async fn send_request(&self) -> Result<Answer, peer::Refusal> {
         let fwd = &self.forward;
         let method = Method::from_bytes(fwd.method.as_bytes()).map_err(|e| bad_request(&e))?;
         let body = if fwd.delivered_text.is_empty() {
@@ -155,19 +165,25 @@
         method: &Method,
         path: &str,
         body: Bytes,
-    ) -> Result<cyper::Response, peer::Refusal> {
-        let url = format!("http://{}{path}", self.upstream.addr);
-        let mut headers = self.headers()?;
-        let body = if body.len() > MAX_WRITE_BYTES {
-            headers.insert(CONTENT_LENGTH, body.len().into());
-            in_pieces(body)
-        } else {
-            body.into()
-        };
-        let request = self.http.request(method.clone(), url);
-        let request = request.map_err(|e| bad_request(&e))?;
-        let request = request.headers(headers).body(body);
-        request.send().await.map_err(|e| self.send_failed(&e))
+    ) -> Result<Answer, peer::Refusal> {
+        let headers = self.headers()?;
+        self.request(method, path, headers, body).await
+    }
+
+    async fn request(
+        &self,
+        method: &Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> Result<Answer, peer::Refusal> {
+        let addr = self.upstream.addr.parse().map_err(|e| bad_request(&e))?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method.clone();
+        *request.uri_mut() = path.parse::<Uri>().map_err(|e| bad_request(&e))?;
+        *request.headers_mut() = headers;
+        let sent = self.http.send(addr, request).await;
+        sent.map_err(|e| self.send_failed(&e))
     }
 
     fn headers(&self) -> Result<HeaderMap, peer::Refusal> {
@@ -257,27 +273,15 @@
         refuse::message(&Refusal::unknown(Cause::UpstreamFailed), detail)
     }
 
-    /// Returns the refusal for a failed send. Only a failed connection attempt proves that no byte
-    /// of the request was sent.
-    fn send_failed(&self, e: &cyper::Error) -> peer::Refusal {
+    fn send_failed(&self, e: &ClientError) -> peer::Refusal {
         let detail = format!("{}: {e}", self.upstream.name);
-        let unsent = matches!(e, cyper::Error::HyperClient(inner) if inner.is_connect());
-        if unsent {
+        if e.is_not_sent() {
             return refuse::not_run(Cause::UpstreamFailed, 0, detail);
         }
         refuse::message(&Refusal::unknown(Cause::UpstreamFailed), detail)
     }
 }
 
-/// A body that is handed over piece by piece: the connection would copy it whole, and keep a buffer of its size.
-fn in_pieces(mut body: Bytes) -> cyper::Body {
-    let pieces = std::iter::from_fn(move || {
-        let piece = body.split_to(body.len().min(MAX_WRITE_BYTES));
-        (!piece.is_empty()).then_some(Ok(piece))
-    });
-    cyper::Body::stream(stream::iter(pieces))
-}
-
 fn bad_request(e: &impl ToString) -> peer::Refusal {
     refuse::not_run(Cause::BadRequest, 0, e.to_string())
 }
--- a/src/serve/route/dispatch.rs
+++ b/src/serve/route/dispatch.rs
@@ -68,15 +68,10 @@
 }
 
 impl Dispatch {
-    pub(crate) fn new(
-        ctx: SharedCtx,
-        homes: Homes,
-        peers: PeerClient,
-        http: cyper::Client,
-    ) -> Self {
+    pub(crate) fn new(ctx: SharedCtx, homes: Homes, peers: PeerClient) -> Self {
         let accounts = AccountLimits::spawn(ctx.clone(), peers.clone());
         let placer = Placer::new(ctx.clone(), peers.clone(), homes.view().clone());
-        let admission = Admission::new(ctx.clone(), homes, accounts.clone(), peers.clone(), http);
+        let admission = Admission::new(ctx.clone(), homes, accounts.clone(), peers.clone());
         Self {
             ctx,
             peers,
