The answer of another router whose stream is reset isn't whole

What callers could get: part of an answer that passed through another router, as the whole one, if that router reset the stream without naming an error.

Cause: the HTTP library ends a body without an error when its stream is reset with NO_ERROR, which servers may use after a whole answer to a request they haven't read.

Why this works: at the end of a body that another router sends, the stream must have been ended by it. Frames of the own log have their own end mark.

Evidence: answer_whose_stream_is_reset_is_not_whole, with the check taken out: the case "reset without an error" fails; a reset as cancelled was an error before.

--- a/src/path/call.rs
+++ b/src/path/call.rs
@@ -10,7 +10,8 @@
 use http::response::Parts;
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
+use snafu::Snafu;
 use strum::IntoStaticStr;
 
 use crate::decide::connections::ConnectionQuota;
@@ -64,6 +65,15 @@
     Lost,
 }
 
+/// Why a body ended before its end.
+#[derive(Debug, Snafu)]
+pub(crate) enum BodyError {
+    #[snafu(display("{source}"))]
+    Failed { source: hyper::Error },
+    #[snafu(display("the other router reset the answer"))]
+    Reset,
+}
+
 /// Answer of an upstream whose body has not been read yet.
 pub(crate) struct Reply {
     pub(crate) parts: Parts,
@@ -374,31 +384,6 @@
     }
 }
 
-/// Reads a body of at most [`MAX_BUFFERED_BYTES`].
-async fn read_whole(body: &mut Incoming, budget: &ByteBudget) -> Option<Bytes> {
-    let announced = body.size_hint().upper();
-    let most_bytes = announced.map_or(MAX_BUFFERED_BYTES, |b| (b as usize).min(MAX_BUFFERED_BYTES));
-    let mut held = budget.nothing();
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else {
-            continue;
-        };
-        let len = bytes.len() + data.len();
-        if len > MAX_BUFFERED_BYTES {
-            return None;
-        }
-        // All at once: answers that wait for more room while they hold some could wait for each other.
-        if len > FREE_ANSWER_BYTES && held.is_empty() {
-            held = budget.hold_when_free(most_bytes.max(len)).await;
-        }
-        bytes.extend_from_slice(&data);
-    }
-    bytes.shrink_to_fit();
-    held.shrink_to(bytes.len());
-    Some(held.attach(bytes))
-}
-
 impl Reply {
     /// Creates the answer that `router` forwards.
     pub(crate) fn of_router(name: Name, parts: Parts, body: Incoming, room: Room) -> Self {
@@ -431,19 +416,13 @@
     ///
     /// Failure guarded against: callers ask for large answers and don't read them, and these take all memory.
     pub(crate) async fn buffer(
-        self,
+        mut self,
         timeout: Duration,
         budget: &ByteBudget,
     ) -> Option<BufferedReply> {
         let sender = self.sender().clone();
-        let Self {
-            parts,
-            mut body,
-            source,
-        } = self;
-        let body = within(timeout, read_whole(&mut body, budget))
-            .await
-            .ok()??;
+        let body = within(timeout, self.read_whole(budget)).await.ok()??;
+        let Self { parts, source, .. } = self;
         if let Source::Upstream(called) = source {
             called.finish(&parts.headers);
         }
@@ -454,17 +433,49 @@
         })
     }
 
+    /// Reads a body of at most [`MAX_BUFFERED_BYTES`].
+    async fn read_whole(&mut self, budget: &ByteBudget) -> Option<Bytes> {
+        let announced = self.body.size_hint().upper();
+        let most_bytes =
+            announced.map_or(MAX_BUFFERED_BYTES, |b| (b as usize).min(MAX_BUFFERED_BYTES));
+        let mut held = budget.nothing();
+        let mut bytes = Vec::new();
+        while let Some(data) = self.next().await {
+            let data = data.ok()?;
+            let len = bytes.len() + data.len();
+            if len > MAX_BUFFERED_BYTES {
+                return None;
+            }
+            // All at once: answers that wait for more room while they hold some could wait for each other.
+            if len > FREE_ANSWER_BYTES && held.is_empty() {
+                held = budget.hold_when_free(most_bytes.max(len)).await;
+            }
+            bytes.extend_from_slice(&data);
+        }
+        bytes.shrink_to_fit();
+        held.shrink_to(bytes.len());
+        Some(held.attach(bytes))
+    }
+
     /// Returns the next chunk of the body, or `None` at its end.
-    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, hyper::Error>> {
-        loop {
-            match self.body.frame().await? {
-                Ok(frame) => match frame.into_data() {
-                    Ok(data) => return Some(Ok(data)),
-                    Err(_) => continue,
-                },
-                Err(e) => return Some(Err(e)),
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        while let Some(frame) = self.body.frame().await {
+            match frame.map(Frame::into_data) {
+                Ok(Ok(data)) => return Some(Ok(data)),
+                // Trailers.
+                Ok(Err(_)) => {}
+                Err(source) => return Some(Err(BodyError::Failed { source })),
             }
         }
+        self.is_reset().then_some(Err(BodyError::Reset))
+    }
+
+    /// Whether another router reset the stream of its answer, of which no more comes.
+    ///
+    /// Failure guarded against: a stream that is reset without an error is the end of the body to the HTTP
+    /// library.
+    fn is_reset(&self) -> bool {
+        matches!(self.source, Source::Router { .. }) && !self.body.is_end_stream()
     }
 
     /// Ends an answer whose whole body was read.
--- a/src/path/stream.rs
+++ b/src/path/stream.rs
@@ -15,7 +15,7 @@
 use crate::decide::refusal::Cause;
 use crate::event::Kind;
 use crate::path::attempts::Attempts;
-use crate::path::call::Reply;
+use crate::path::call::{BodyError, Reply};
 use crate::path::dialect::{Dialect, Records};
 use crate::path::events::Splitter;
 use crate::path::refusal::Refused;
@@ -43,7 +43,7 @@
 }
 
 /// Next chunk of an answer, or `None` at its end.
-type Chunk = Option<Result<Bytes, hyper::Error>>;
+type Chunk = Option<Result<Bytes, BodyError>>;
 
 /// What an upstream's answer did next.
 enum Progress {
--- a/src/peers/client_tests.rs
+++ b/src/peers/client_tests.rs
@@ -1,5 +1,5 @@
 use std::cell::Cell;
-use std::io;
+use std::io::{self, Read, Write};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use test_case::test_case;
 use tokio::sync::mpsc;
 
 use super::client::{PeerClient, QueryError};
@@ -20,6 +21,7 @@
 use crate::front::body::Answer;
 use crate::front::in_flight::Tracker;
 use crate::front::memory::ByteBudget;
+use crate::path::call::Reply;
 use crate::schema::peer::DelegatedRequest;
 use crate::time_limit::within;
 use crate::util::Name;
@@ -161,3 +163,63 @@
     let _ = within(Duration::from_millis(500), both).await;
     assert_eq!(streams.len(), 1);
 }
+
+/// Frames of HTTP/2: type, flags, stream and payload.
+fn h2_frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
+    let mut frame = length[1..].to_vec();
+    frame.extend([kind, flags]);
+    frame.extend(stream.to_be_bytes());
+    frame.extend(payload);
+    frame
+}
+
+/// Answers the first request of a connection with a 200 and part of a body, and then sends `last`.
+fn serve_part(listener: std::net::TcpListener, last: Vec<u8>) {
+    const PREFACE_BYTES: usize = 24;
+    const HEAD_BYTES: usize = 9;
+    const HEADERS: u8 = 1;
+    const DATA: u8 = 0;
+    const SETTINGS: u8 = 4;
+    const END_HEADERS: u8 = 4;
+    /// The header field `:status: 200` of the static table.
+    const STATUS_200: u8 = 0x88;
+    let (mut stream, _) = listener.accept().unwrap();
+    stream.read_exact(&mut [0; PREFACE_BYTES]).unwrap();
+    stream.write_all(&h2_frame(SETTINGS, 0, 0, &[])).unwrap();
+    let mut head = [0; HEAD_BYTES];
+    while stream.read_exact(&mut head).is_ok() {
+        let length = u32::from_be_bytes([0, head[0], head[1], head[2]]);
+        let mut payload = vec![0; length as usize];
+        stream.read_exact(&mut payload).unwrap();
+        if head[3] != HEADERS {
+            continue;
+        }
+        let answer = [
+            h2_frame(HEADERS, END_HEADERS, 1, &[STATUS_200]),
+            h2_frame(DATA, 0, 1, b"part"),
+            last.clone(),
+        ];
+        stream.write_all(&answer.concat()).unwrap();
+    }
+}
+
+/// Another router ends the stream of an answer without having sent all of it. The HTTP library takes one of the
+/// ways for the end of the body.
+#[test_case(h2_frame(0, 1, 1, &[]), true; "end of the stream")]
+#[test_case(h2_frame(3, 0, 1, &[0, 0, 0, 0]), false; "reset without an error")]
+#[test_case(h2_frame(3, 0, 1, &[0, 0, 0, 8]), false; "reset as cancelled")]
+#[compio::test]
+async fn answer_whose_stream_is_reset_is_not_whole(last: Vec<u8>, is_whole: bool) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr: Name = listener.local_addr().unwrap().to_string().as_str().into();
+    std::thread::spawn(move || serve_part(listener, last));
+    let events = Events::open("r".into(), "north".into(), None);
+    let client = PeerClient::new("fleet-key-0123456789", events, ByteBudget::new(0));
+    let request = DelegatedRequest::default();
+    let (answer, room) = client.delegate(&addr, &request).await.unwrap();
+    let (parts, body) = answer.into_parts();
+    let reply = Reply::of_router("router-2".into(), parts, body, room);
+    let whole = reply.buffer(TIME_LIMIT, &ByteBudget::new(0)).await;
+    assert_eq!(whole.is_some(), is_whole);
+}
