--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! [`routed::KeyedLogRouter`] runs one on a platform with a keyed log, using [`path`].
 //! [`decide`] holds the admission, queueing and routing policy, without network or clock access.
 //! [`log`] stores configuration, claims and leases on the platform's append-only log, and [`fleet`]
-//! tracks membership and each upstream's home. `front` handles callers' connections, and `peers`
-//! the communication with other routers.
+//! tracks membership and each upstream's home. `front` handles callers' connections, `http1`
+//! those to upstreams, and `peers` the communication with other routers.
 
 pub mod cmd;
 pub mod config;
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -5,10 +5,13 @@
 use std::net::SocketAddr;
 
 use compio::runtime::JoinHandle;
-use serde_json::Value;
+use futures_util::future::join_all;
+use serde_json::{Value, json};
 use support::{
-    ACCOUNT_KEY, Caller, Fleet, Received, Shape, call, chat_body, expected_answer, get, wait_until,
+    ACCOUNT_KEY, Caller, Fleet, Received, Shape, call, chat_body, expected_answer, get, set_knobs,
+    sleep_ms, wait_until,
 };
+use uuid::Uuid;
 
 const SHAPE: Shape = Shape {
     routers: 3,
@@ -201,3 +204,41 @@
     let metrics = get(fleet.admin(1), "/metrics").await.unwrap();
     assert!(metrics.contains("control_bytes"), "{metrics}");
 }
+
+/// Requests that come late in a planned stop are taken and passed on, and the exit cuts them.
+#[compio::test]
+async fn requests_late_in_a_stop_end_before_the_exit() {
+    const DELAY_MS: u64 = 1_600;
+    const INTERVAL_MS: u64 = 150;
+    const CALLERS: u64 = 40;
+    let mut fleet = Fleet::start(SHAPE).await;
+    set_knobs(fleet.plains[0].addr, &json!({ "delay_ms": DELAY_MS })).await;
+    let addr = fleet.caller(1);
+    fleet.routers[1].terminate();
+    let calls = (0..CALLERS).map(async |n| {
+        sleep_ms(n * INTERVAL_MS).await;
+        let key = Uuid::now_v7().to_string();
+        let headers = [("idempotency-key", key.as_str())];
+        let received = call(addr, "POST", "/records/entries", &headers, &key).await;
+        (key, received)
+    });
+    let received = join_all(calls).await;
+    let runs = get(fleet.plains[0].addr, "/runs").await.unwrap();
+    let runs: Vec<standins::plain::Run> = serde_json::from_str(&runs).unwrap();
+    let mut served = 0;
+    for (key, received) in received {
+        let has_run = runs.iter().any(|run| run.idempotency_key == key);
+        let Some(received) = received else {
+            assert!(!has_run, "{key}");
+            continue;
+        };
+        let is_served = received.status == 200 && received.complete;
+        assert!(
+            is_served || received.status == 503 && !has_run,
+            "{key}: {received:?}"
+        );
+        served += usize::from(is_served);
+    }
+    assert!(served > 0);
+    assert_eq!(fleet.routers[1].wait_exit().await.code(), Some(0));
+}
--- a/tests/routed_stop_admission.rs
+++ b/tests/routed_stop_admission.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use support::routed::{FleetSize, HOST, KEY, RoutedFleet, new_request_id};
 use support::{CallOutcome, sleep_ms, wait_until};
+use test_case::test_case;
 
 /// Events of a stream that takes longer than the grace time of five seconds, and their interval.
 const LONG_STREAM: &str = "130";
@@ -182,3 +183,45 @@
         assert_eq!(routed.runs_of(id), 0, "{id}");
     }
 }
+
+/// Requests that come late in the grace time are taken and passed on, and the exit cuts them.
+#[test_case(1, "/ticket/1"; "non idempotent at the only router")]
+#[test_case(2, "/ticket/1"; "non idempotent beside another router")]
+#[test_case(2, "/get/1"; "idempotent beside another router")]
+#[compio::test]
+async fn requests_late_in_the_grace_time_end_before_the_exit(routers: u8, path: &'static str) {
+    const DELAY_MS: u64 = 1_600;
+    const INTERVAL_MS: u64 = 150;
+    const CALLERS: u64 = 32;
+    let routed = fleet(routers).await;
+    routed.upstream_knobs(json!({ "delay_ms": DELAY_MS })).await;
+    let mut callers = Vec::new();
+    for n in 0..CALLERS {
+        let mut connection = connect(&routed);
+        callers.push(std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(n * INTERVAL_MS));
+            let id = new_request_id();
+            let request = format!(
+                "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nattempt-id: {id}\r\n\
+                 authorization: Bearer {KEY}\r\ncontent-length: 1\r\n\r\n1"
+            );
+            let mut answer = Vec::new();
+            // The router closes connections at its exit, and idle ones before.
+            let _ = connection.write_all(request.as_bytes());
+            let _ = connection.read_to_end(&mut answer);
+            (id, String::from_utf8(answer).unwrap())
+        }));
+    }
+    routed.routers[0].terminate();
+    let mut served = 0;
+    for caller in callers {
+        let (id, answer) = caller.join().unwrap();
+        let is_served = answer.starts_with("HTTP/1.1 200") && answer.ends_with('}');
+        let is_not_run = answer.starts_with("HTTP/1.1 503") && answer.contains("not_run");
+        let has_run = routed.runs_of(&id) > 0;
+        assert!(is_served || is_not_run || !has_run, "{id}: {answer:?}");
+        assert!(!is_not_run || !has_run, "{id}: {answer:?}");
+        served += usize::from(is_served);
+    }
+    assert!(served > 0);
+}
